--- /dev/null
+++ b/packages/client/src/lavendermount/__init__.py
@@ -0,0 +1,1 @@
+"""The command line for operators."""
--- /dev/null
+++ b/packages/client/src/lavendermount/__main__.py
@@ -0,0 +1,175 @@
+"""Command line for operators; each command imports its work when it runs.
+
+:errors: exit codes: 0 done, 1 failed, 2 bad input, 3 log or node unreachable,
+    4 not accepted, 5 differences found, 6 not in force everywhere in time.
+"""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import click
+
+from lavendermount.context import LavendermountGroup, Operator
+
+FILE = click.Path(path_type=Path, dir_okay=False)
+
+
+@click.group(
+    cls=LavendermountGroup,
+    context_settings={
+        'help_option_names': ['-h', '--help'],
+        'auto_envvar_prefix': 'LAVENDERMOUNT',
+    },
+)
+@click.version_option(package_name='lavendermount')
+@click.option('--log', 'log_url', help="URL of the platform's log.")
+@click.option('--log-adapter', default='http', show_default=True)
+@click.option('--node', 'nodes', multiple=True, help='Control address of a node.')
+@click.option('--operator', default='operator', show_default=True, help='Your name.')
+@click.pass_context
+def cli(
+    context: click.Context,
+    log_url: str | None,
+    log_adapter: str,
+    nodes: tuple[str, ...],
+    operator: str,
+) -> None:
+    """Publish presets, look at nodes and explain what happened."""
+    context.obj = Operator(log_url, log_adapter, nodes, operator)
+
+
+@cli.group()
+def preset() -> None:
+    """Check, publish and switch presets."""
+
+
+@preset.command()
+@click.argument('files', nargs=-1, required=True, type=FILE)
+def check(files: tuple[Path, ...]) -> None:
+    """Check preset files and report every finding."""
+    from lavendermount.commands.check import check_presets
+
+    check_presets(files)
+
+
+@preset.command()
+@click.argument('file', type=FILE)
+@click.pass_obj
+def publish(operator: Operator, file: Path) -> None:
+    """Make a preset available under its name."""
+    from lavendermount.commands.publish import publish_preset
+
+    publish_preset(operator, file)
+
+
+@preset.command()
+@click.argument('reference')
+@click.option('--expected', type=int, help='Revision you saw in force.')
+@click.option('--wait', 'wait_s', type=float, help='Seconds to wait for all nodes.')
+@click.pass_obj
+def switch(
+    operator: Operator,
+    reference: str,
+    expected: int | None,
+    wait_s: float | None,
+) -> None:
+    """Put a published preset in force: NAME or NAME@VERSION."""
+    from lavendermount.commands.switch import switch_preset
+
+    switch_preset(operator, reference, expected, wait_s)
+
+
+@preset.command('list')
+@click.option('--json', 'is_json', is_flag=True, help='Print JSON.')
+@click.pass_obj
+def list_(operator: Operator, is_json: bool) -> None:
+    """List the published presets."""
+    from lavendermount.commands.listing import list_presets
+
+    list_presets(operator, is_json)
+
+
+@preset.command()
+@click.argument('reference', required=False)
+@click.pass_obj
+def show(operator: Operator, reference: str | None) -> None:
+    """Print a preset; without a name, the one in force."""
+    from lavendermount.commands.listing import show_preset
+
+    show_preset(operator, reference)
+
+
+@preset.command()
+@click.argument('first')
+@click.argument('second', required=False)
+@click.pass_obj
+def diff(operator: Operator, first: str, second: str | None) -> None:
+    """Compare a preset with another, or with the one in force."""
+    from lavendermount.commands.listing import diff_presets
+
+    diff_presets(operator, first, second)
+
+
+@preset.command()
+@click.option('--json', 'is_json', is_flag=True, help='Print JSON.')
+@click.pass_obj
+def history(operator: Operator, is_json: bool) -> None:
+    """List the switches that the log still holds, and which of them won."""
+    from lavendermount.commands.listing import list_history
+
+    list_history(operator, is_json)
+
+
+@cli.command()
+@click.option('--json', 'is_json', is_flag=True, help='Print JSON.')
+@click.pass_obj
+def status(operator: Operator, is_json: bool) -> None:
+    """Show what a node knows of the system."""
+    from lavendermount.commands.status import show_status
+
+    show_status(operator, is_json)
+
+
+@cli.command()
+@click.option('--stop', is_flag=True, help='Also stop the node when it is done.')
+@click.pass_obj
+def drain(operator: Operator, stop: bool) -> None:
+    """Give the target beside each named node no new work."""
+    from lavendermount.commands.status import drain_nodes
+
+    drain_nodes(operator, stop)
+
+
+@cli.command()
+@click.argument('request_id')
+@click.option('--json', 'is_json', is_flag=True, help='Print JSON.')
+@click.pass_obj
+def explain(operator: Operator, request_id: str, is_json: bool) -> None:
+    """Tell how a request was routed, and why."""
+    from lavendermount.commands.explain import explain_request
+
+    explain_request(operator, request_id, is_json)
+
+
+@cli.command()
+@click.option('--json', 'is_json', is_flag=True, help='Print JSON.')
+@click.pass_obj
+def replay(operator: Operator, is_json: bool) -> None:
+    """Take every recorded decision again and report each difference."""
+    from lavendermount.commands.replay import replay_decisions
+
+    replay_decisions(operator, is_json)
+
+
+@cli.command()
+@click.argument('shell', type=click.Choice(['bash', 'zsh', 'fish']))
+def completion(shell: str) -> None:
+    """Print the completion script for a shell."""
+    from lavendermount.commands.completion import print_completion
+
+    print_completion(cli, shell)
+
+
+if __name__ == '__main__':
+    cli(prog_name='lavendermount')
--- /dev/null
+++ b/packages/client/src/lavendermount/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each command or few of a kind."""
--- /dev/null
+++ b/packages/client/src/lavendermount/commands/listing.py
@@ -0,0 +1,109 @@
+"""Listing, showing and comparing presets."""
+
+from __future__ import annotations
+
+import asyncio
+import difflib
+import json
+
+import click
+
+from lavendermount.context import Operator
+from lavendermount.presets import PresetStream, find_published
+from lavendermount_core.exceptions import PresetNotAcceptedError
+from lavendermount_core.presets.fold import PresetFold
+
+
+def list_presets(operator: Operator, is_json: bool) -> None:
+    """List the published presets."""
+    fold = asyncio.run(_read(operator)).fold
+    assert fold is not None
+    rows = [
+        {
+            'name': entry.name,
+            'version': entry.version,
+            'operator': entry.operator,
+            'time_ms': entry.time_ms,
+            'in_force': _is_in_force(fold, entry.version),
+        }
+        for entry in sorted(fold.published.values(), key=lambda entry: entry.time_ms)
+    ]
+    if is_json:
+        click.echo(json.dumps(rows))
+        return
+    for row in rows:
+        mark = '*' if row['in_force'] else ' '
+        click.echo(f'{mark} {row["name"]}@{row["version"]} by {row["operator"]}')
+
+
+def show_preset(operator: Operator, reference: str | None) -> None:
+    """Print a preset, or the one in force."""
+    click.echo(asyncio.run(_body(operator, reference)), nl=False)
+
+
+def diff_presets(operator: Operator, first: str, second: str | None) -> None:
+    """Print what differs between two presets."""
+    old = asyncio.run(_body(operator, second))
+    new = asyncio.run(_body(operator, first))
+    lines = difflib.unified_diff(
+        old.splitlines(keepends=True),
+        new.splitlines(keepends=True),
+        second or 'in force',
+        first,
+    )
+    click.echo(''.join(lines), nl=False)
+
+
+def list_history(operator: Operator, is_json: bool) -> None:
+    """List the switches on the log and what became of them."""
+    stream = asyncio.run(_read(operator))
+    assert stream.fold is not None
+    rows = []
+    for offset, switch in stream.switches:
+        judgement = stream.fold.judgements.get(switch.record_id)
+        won = judgement is not None and judgement.is_winner
+        rows.append(
+            {
+                'offset': offset,
+                'preset': f'{switch.name}@{switch.version}',
+                'operator': switch.operator,
+                'expected': switch.expected,
+                'outcome': _outcome(judgement is None, won, judgement, offset),
+            },
+        )
+    if is_json:
+        click.echo(json.dumps(rows))
+        return
+    for row in rows:
+        click.echo(
+            f'{row["offset"]}: {row["preset"]} by {row["operator"]}, '
+            f'expected {row["expected"]}: {row["outcome"]}',
+        )
+
+
+def _outcome(is_unjudged: bool, won: bool, judgement: object, offset: int) -> str:
+    if is_unjudged:
+        return 'not judged'
+    if not won:
+        return 'lost'
+    return 'won' if getattr(judgement, 'offset', offset) == offset else 'repeated'
+
+
+async def _read(operator: Operator) -> PresetStream:
+    stream = PresetStream(operator.open_log())
+    await stream.read_all()
+    return stream
+
+
+async def _body(operator: Operator, reference: str | None) -> str:
+    stream = await _read(operator)
+    assert stream.fold is not None
+    if reference is not None:
+        return find_published(stream.fold, reference).body
+    if not stream.fold.in_force.body:
+        raise PresetNotAcceptedError('no preset is in force')
+    return stream.fold.in_force.body
+
+
+def _is_in_force(fold: PresetFold, version: str) -> bool:
+    return fold.in_force.version == version
--- /dev/null
+++ b/packages/client/src/lavendermount/commands/publish.py
@@ -0,0 +1,44 @@
+"""Publishing a preset."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from pathlib import Path
+
+import click
+
+from lavendermount.context import Operator
+from lavendermount.presets import PresetStream
+from lavendermount_core.config.loader import load_file
+from lavendermount_core.config.preset import PresetSchema
+from lavendermount_core.presets.records import Publish
+from lavendermount_core.utils.digests import random_identifier, short_digest
+
+
+def publish_preset(operator: Operator, path: Path) -> None:
+    """Publish a preset file; it is checked first.
+
+    :raises ConfigurationError: with every finding; nothing is published.
+    :raises PresetNotAcceptedError: if the log stays out of reach.
+    """
+    name = load_file(PresetSchema, path).name
+    body = path.read_text(encoding='utf-8')
+    record = Publish(
+        random_identifier(),
+        name,
+        short_digest(body.encode()),
+        body,
+        operator.name,
+        int(time.time() * 1000),
+    )
+    asyncio.run(_publish(operator, record))
+    click.echo(f'published {name}@{record.version}')
+
+
+async def _publish(operator: Operator, record: Publish) -> None:
+    stream = PresetStream(operator.open_log())
+    fold = await stream.read_all()
+    if (record.name, record.version) in fold.published:
+        return
+    await stream.append_once(record, record.record_id)
--- /dev/null
+++ b/packages/client/src/lavendermount/commands/replay.py
@@ -0,0 +1,72 @@
+"""Taking recorded decisions again."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import click
+
+from lavendermount.context import Operator
+from lavendermount.decisions import read_decisions
+from lavendermount.presets import PresetStream
+from lavendermount_core.exceptions import LavendermountError
+from lavendermount_core.presets.fold import PresetFold
+from lavendermount_core.replay.replay import Replay, ReplayReport
+
+
+class DifferencesError(LavendermountError):
+    """Replay did not give what was recorded."""
+
+    exit_code = 5
+
+
+def replay_decisions(operator: Operator, is_json: bool) -> None:
+    """Replay all decisions that the log holds.
+
+    :raises DifferencesError: if anything differs.
+    """
+    report = asyncio.run(_replay(operator))
+    if is_json:
+        click.echo(
+            json.dumps(
+                {
+                    'replayed': report.replayed,
+                    'dropped': report.dropped,
+                    'unjudged': report.unjudged,
+                    'differences': [str(entry) for entry in report.differences],
+                },
+            ),
+        )
+    else:
+        click.echo(
+            f'replayed={report.replayed} dropped={report.dropped} '
+            f'unjudged={report.unjudged} differences={len(report.differences)}',
+        )
+    if report.differences:
+        raise DifferencesError('\n'.join(map(str, report.differences)))
+
+
+async def _replay(operator: Operator) -> ReplayReport:
+    log = operator.open_log()
+    stream = PresetStream(log)
+    fold = await stream.read_all()
+    read = await read_decisions(log)
+    replay = Replay(_bodies(stream, fold))
+    replay.report.differences.extend(read.findings)
+    replay.report.dropped = read.dropped
+    with click.progressbar(
+        read.decisions,
+        label='replaying',
+        file=click.get_text_stream('stderr'),
+    ) as decisions:
+        for entry in decisions:
+            replay.check(entry)
+    return replay.report
+
+
+def _bodies(stream: PresetStream, fold: PresetFold) -> dict[int, str]:
+    """List the preset body of each revision that the log still tells."""
+    bodies = {offset: switch.body for offset, switch in stream.switches}
+    bodies[fold.in_force.revision] = fold.in_force.body
+    return bodies
--- /dev/null
+++ b/packages/client/src/lavendermount/commands/status.py
@@ -0,0 +1,76 @@
+"""Showing what a node knows, and draining nodes."""
+
+from __future__ import annotations
+
+import asyncio
+
+import click
+from google.protobuf.json_format import MessageToJson
+
+from lavendermount.context import Operator
+from lavendermount.nodes import NodeClient
+from lavendermount_core.structure.members import MemberStatus
+from lavendermountd.control.generated import control_pb2
+
+
+def show_status(operator: Operator, is_json: bool) -> None:
+    """Show the status of the first node named."""
+    status = asyncio.run(_ask(operator.first_node()))
+    if is_json:
+        click.echo(
+            MessageToJson(
+                status,
+                preserving_proto_field_name=True,
+                always_print_fields_with_no_presence=True,
+            ),
+        )
+        return
+    _print_status(status)
+
+
+def drain_nodes(operator: Operator, stop: bool) -> None:
+    """Drain every node named."""
+    operator.first_node()
+    for address in operator.nodes:
+        answer = asyncio.run(_drain(address, stop))
+        click.echo(
+            f'{address}: draining, {answer.in_flight} in flight, '
+            f'{answer.queued} queued',
+        )
+
+
+async def _ask(address: str) -> control_pb2.StatusReply:
+    async with NodeClient(address) as node:
+        return await node.status()
+
+
+async def _drain(address: str, stop: bool) -> control_pb2.DrainReply:
+    async with NodeClient(address) as node:
+        return await node.drain(stop)
+
+
+def _print_status(status: control_pb2.StatusReply) -> None:
+    node = status.node
+    log = 'reachable' if status.is_log_reachable else 'unreachable'
+    click.echo(f'node     {node.node_id} in {node.region}/{node.zone}, {status.phase}')
+    click.echo(f'preset   {status.preset}@{status.version}, revision {status.revision}')
+    click.echo(f'log      {log}')
+    click.echo(f'recorded {status.decisions}, dropped {status.decisions_dropped}')
+    loads = {aged.report.node_id: aged for aged in status.loads}
+    click.echo('member              service         zone         status   load')
+    for member in sorted(status.members, key=lambda entry: entry.node_id):
+        state = MemberStatus(member.status).name.lower()
+        click.echo(
+            f'{member.node_id:<19} {member.service:<15} {member.zone:<12} '
+            f'{state:<8} {_load_text(loads.get(member.node_id))}',
+        )
+
+
+def _load_text(aged: control_pb2.AgedLoad | None) -> str:
+    if aged is None:
+        return 'not reported'
+    report = aged.report
+    return (
+        f'{report.in_flight}+{report.queued}/{report.slots} '
+        f'{report.service_ms:.1f} ms, {aged.age_ms} ms ago'
+    )
--- /dev/null
+++ b/packages/client/src/lavendermount/commands/switch.py
@@ -0,0 +1,139 @@
+"""Putting a preset in force."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import click
+import grpc
+
+from lavendermount.context import Operator
+from lavendermount.nodes import NodeClient
+from lavendermount.presets import PresetStream, find_published
+from lavendermount_core.exceptions import (
+    LavendermountError,
+    PresetNotAcceptedError,
+)
+from lavendermount_core.presets.fold import Judgement, PresetFold
+from lavendermount_core.presets.records import Switch
+from lavendermount_core.structure.members import MemberStatus
+from lavendermount_core.utils.digests import random_identifier
+
+POLL_S = 0.2
+SETTLE_S = 15.0
+
+
+class NotEverywhereError(LavendermountError):
+    """The preset was accepted but is not yet in force on every node."""
+
+    exit_code = 6
+
+
+def switch_preset(
+    operator: Operator,
+    reference: str,
+    expected: int | None,
+    wait_s: float | None,
+) -> None:
+    """Switch to a published preset.
+
+    :param reference: ``NAME`` or ``NAME@VERSION``.
+    :param expected: revision seen in force; the present one without it.
+    :param wait_s: seconds to wait for all nodes; no wait without it.
+    :raises PresetNotAcceptedError: if another switch came first.
+    :raises NotEverywhereError: if a node is behind after the wait.
+    """
+    asyncio.run(_switch(operator, reference, expected, wait_s))
+
+
+async def _switch(
+    operator: Operator,
+    reference: str,
+    expected: int | None,
+    wait_s: float | None,
+) -> None:
+    stream = PresetStream(operator.open_log())
+    fold = await _settled(operator, stream)
+    published = find_published(fold, reference)
+    record = Switch(
+        random_identifier(),
+        fold.in_force.revision if expected is None else expected,
+        published.name,
+        published.version,
+        published.body,
+        operator.name,
+        int(time.time() * 1000),
+    )
+    await stream.append_once(record, record.record_id)
+    judgement = fold.judgements.get(record.record_id)
+    _check_won(record, judgement)
+    assert judgement is not None
+    click.echo(
+        f'accepted {record.name}@{record.version} as revision {judgement.offset}',
+    )
+    if wait_s is not None:
+        await _wait_everywhere(operator, judgement.offset, wait_s)
+
+
+async def _settled(operator: Operator, stream: PresetStream) -> PresetFold:
+    """Read the stream; ask a node where the log alone does not tell."""
+    fold = await stream.read_all()
+    until = time.monotonic() + SETTLE_S
+    while not fold.is_settled and operator.nodes:
+        async with NodeClient(operator.first_node()) as node:
+            statement = await node.preset()
+        if statement is not None:
+            fold.adopt(statement)
+        if time.monotonic() > until:
+            break
+        await stream.read_all()
+    if fold.is_settled:
+        return fold
+    raise PresetNotAcceptedError('what is in force is not known; name a --node')
+
+
+def _check_won(record: Switch, judgement: Judgement | None) -> None:
+    if judgement is None:
+        raise PresetNotAcceptedError('the switch is not on the log')
+    if not judgement.is_winner:
+        raise PresetNotAcceptedError(
+            f'not accepted: revision {judgement.revision} is in force, '
+            f'the switch expected {record.expected}',
+        )
+
+
+async def _wait_everywhere(operator: Operator, revision: int, wait_s: float) -> None:
+    """Count the nodes that have a revision in force until all have."""
+    begun = time.monotonic()
+    while True:
+        ready, total = await _count(operator, revision)
+        elapsed = time.monotonic() - begun
+        if ready == total:
+            click.echo(f'in force on {ready} of {total} nodes after {elapsed:.1f} s')
+            return
+        if elapsed > wait_s:
+            raise NotEverywhereError(f'in force on {ready} of {total} nodes only')
+        click.echo(f'in force on {ready} of {total} nodes', err=True)
+        await asyncio.sleep(POLL_S)
+
+
+async def _count(operator: Operator, revision: int) -> tuple[int, int]:
+    async with NodeClient(operator.first_node()) as node:
+        status = await node.status()
+    addresses = [
+        f'{member.host}:{member.control_port}'
+        for member in status.members
+        if member.status != MemberStatus.DEAD
+    ]
+    revisions = await asyncio.gather(*map(_revision_of, addresses))
+    ready = sum(1 for seen in revisions if seen >= revision)
+    return ready, len(addresses)
+
+
+async def _revision_of(address: str) -> int:
+    try:
+        async with NodeClient(address) as node:
+            return int((await node.status()).revision)
+    except (LavendermountError, grpc.aio.AioRpcError):
+        return -1
--- /dev/null
+++ b/packages/client/src/lavendermount/nodes.py
@@ -0,0 +1,76 @@
+"""Questions to a node's control server.
+
+:errors: ``NodeUnreachableError`` if it does not answer.
+"""
+
+from __future__ import annotations
+
+from types import TracebackType
+from typing import Any, Self
+
+import grpc
+
+from lavendermount_core.exceptions import LavendermountError
+from lavendermount_core.presets.records import InForce
+from lavendermountd.control.generated import control_pb2
+from lavendermountd.control.generated.control_pb2_grpc import ControlStub
+from lavendermountd.control.messages import preset_record
+
+TIMEOUT_S = 3.0
+
+
+class NodeUnreachableError(LavendermountError):
+    """The node did not answer."""
+
+    exit_code = 3
+
+
+class NodeClient:
+    """A channel to one node, closed at the end of the block.
+
+    :param address: IP number and control port.
+    """
+
+    def __init__(self, address: str) -> None:
+        """Open the channel."""
+        self.address = address
+        options = (('grpc.enable_http_proxy', 0),)
+        self.channel = grpc.aio.insecure_channel(address, options)
+        self.stub = ControlStub(self.channel)  # type: ignore[no-untyped-call]
+
+    async def __aenter__(self) -> Self:
+        """Enter the block."""
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Close the channel."""
+        await self.channel.close()
+
+    async def status(self) -> control_pb2.StatusReply:
+        """Ask what the node knows."""
+        return await self.ask(self.stub.Status, control_pb2.StatusRequest())
+
+    async def drain(self, stop: bool) -> control_pb2.DrainReply:
+        """Start a planned stop."""
+        return await self.ask(self.stub.Drain, control_pb2.DrainRequest(stop=stop))
+
+    async def preset(self) -> InForce | None:
+        """Ask for the preset in force."""
+        answer = await self.ask(self.stub.Preset, control_pb2.PresetRequest())
+        return preset_record(answer) if answer.is_settled else None
+
+    async def ask(self, method: Any, request: object) -> Any:
+        """Make one call.
+
+        :raises NodeUnreachableError: if there is no answer.
+        """
+        try:
+            return await method(request, timeout=TIMEOUT_S)
+        except grpc.aio.AioRpcError as error:
+            cause = error.details() or error.code().name
+            raise NodeUnreachableError(f'node {self.address}: {cause}') from error
--- /dev/null
+++ b/packages/client/src/lavendermount/presets.py
@@ -0,0 +1,134 @@
+"""Reading and writing the preset stream for operators.
+
+:errors: ``PresetNotAcceptedError`` when a record did not win or can't be found.
+:units: seconds.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from lavendermount_core.exceptions import (
+    LogEvictedError,
+    LogUnavailableError,
+    PresetNotAcceptedError,
+    RecordError,
+)
+from lavendermount_core.platform.adapter import LogAdapter
+from lavendermount_core.presets.fold import PresetFold
+from lavendermount_core.presets.records import (
+    PRESET_STREAM,
+    Publish,
+    Switch,
+    decode_record,
+    encode_record,
+)
+from lavendermount_core.structure.records import Record
+
+WRITE_LIMIT_S = 15.0
+RETRY_S = 0.3
+
+
+class PresetStream:
+    """The preset stream as an operator's command reads and writes it.
+
+    :param platform_log: where the stream is.
+    """
+
+    def __init__(self, platform_log: LogAdapter) -> None:
+        """Start with nothing read."""
+        self.platform_log = platform_log
+        self.fold: PresetFold | None = None
+        self.switches: list[tuple[int, Switch]] = []
+
+    async def read_all(self) -> PresetFold:
+        """Read to the end of the stream.
+
+        :raises LogUnavailableError: if the log does not answer.
+        :returns: the fold over all that the log retains.
+        """
+        while True:
+            offset = 0 if self.fold is None else self.fold.next_offset
+            try:
+                batch = await self.platform_log.read(PRESET_STREAM, offset)
+            except LogEvictedError as error:
+                self.restart(error.oldest)
+                continue
+            if self.fold is None:
+                self.fold = PresetFold(batch.oldest)
+            for record in batch.records:
+                self.note_switch(record.offset, record.body)
+                self.fold.apply(record.offset, record.body)
+            if batch.next_offset >= batch.end:
+                return self.fold
+
+    def restart(self, oldest: int) -> None:
+        """Go on above what was evicted."""
+        if self.fold is None:
+            self.fold = PresetFold(oldest)
+            return
+        self.fold.restart(oldest)
+
+    def note_switch(self, offset: int, body: bytes) -> None:
+        """Keep a switch for the history."""
+        try:
+            record = decode_record(body)
+        except RecordError:
+            return
+        if isinstance(record, Switch):
+            self.switches.append((offset, record))
+
+    async def append_once(self, record: Record, record_id: str) -> None:
+        """Append a record until the log has it.
+
+        An append whose answer is lost is found again by its identifier, or
+        sent again: the fold ignores the second.
+
+        :param record: a publish or a switch.
+        :param record_id: its identifier.
+        :raises PresetNotAcceptedError: if the log stays out of reach.
+        """
+        until = time.monotonic() + WRITE_LIMIT_S
+        failure: LogUnavailableError | None = None
+        while time.monotonic() < until:
+            try:
+                await self.platform_log.append(PRESET_STREAM, encode_record(record))
+            except LogUnavailableError as error:
+                failure = error
+            if await self.is_on_log(record_id):
+                return
+            await asyncio.sleep(RETRY_S)
+        raise PresetNotAcceptedError(f'not accepted: {failure}')
+
+    async def is_on_log(self, record_id: str) -> bool:
+        """Read on and look for a record.
+
+        :returns: whether it stands on the log; ``False`` if it can't be read.
+        """
+        try:
+            fold = await self.read_all()
+        except LogUnavailableError:
+            return False
+        published = any(
+            entry.record_id == record_id for entry in fold.published.values()
+        )
+        waiting = any(switch.record_id == record_id for _, switch in self.switches)
+        return published or waiting
+
+
+def find_published(fold: PresetFold, reference: str) -> Publish:
+    """Find a published preset.
+
+    :param reference: ``NAME`` for the latest, or ``NAME@VERSION``.
+    :raises PresetNotAcceptedError: if there is none.
+    """
+    name, _, version = reference.partition('@')
+    matches = [
+        entry
+        for entry in fold.published.values()
+        if entry.name == name and entry.version.startswith(version)
+    ]
+    if not matches:
+        raise PresetNotAcceptedError(f'no preset {reference} is published')
+    return max(matches, key=lambda entry: entry.time_ms)
--- /dev/null
+++ b/packages/core/src/lavendermount_core/config/__init__.py
@@ -0,0 +1,1 @@
+"""Typed settings and their validation."""
--- /dev/null
+++ b/packages/core/src/lavendermount_core/config/loader.py
@@ -0,0 +1,49 @@
+"""Reading TOML into a schema.
+
+:errors: ``ConfigurationError`` with every finding.
+"""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from typing import TypeVar
+
+from lavendermount_core.config.findings import Finding
+from lavendermount_core.config.options import Schema
+from lavendermount_core.exceptions import ConfigurationError
+
+Loaded = TypeVar('Loaded', bound=Schema)
+
+
+def load_text(schema: type[Loaded], text: str, source: str) -> Loaded:
+    """Parse and validate TOML.
+
+    :param schema: schema class of the whole text.
+    :param text: TOML source.
+    :param source: name for findings, usually the file name.
+    :raises ConfigurationError: with every finding.
+    :returns: the validated table.
+    """
+    try:
+        raw = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise ConfigurationError([Finding(source, str(error))]) from error
+    table, findings = schema.load(raw, f'{source}: ')
+    if findings:
+        raise ConfigurationError(findings)
+    return table
+
+
+def load_file(schema: type[Loaded], path: Path) -> Loaded:
+    """Read, parse and validate a TOML file.
+
+    :param path: the file.
+    :raises ConfigurationError: with every finding.
+    :returns: the validated table.
+    """
+    try:
+        text = path.read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        raise ConfigurationError([Finding(str(path), str(error))]) from error
+    return load_text(schema, text, path.name)
--- /dev/null
+++ b/packages/core/src/lavendermount_core/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to the platform's append-only log."""
--- /dev/null
+++ b/packages/core/src/lavendermount_core/platform/http_log.py
@@ -0,0 +1,112 @@
+"""Adapter to a log that is spoken to over HTTP with long polls.
+
+:source: ``tornado.httpclient``; each request takes a new connection, so a
+    connection that went silent cannot hold up the next request.
+"""
+
+from __future__ import annotations
+
+from tornado import httpclient
+
+from lavendermount_core.exceptions import (
+    LogEvictedError,
+    LogUnavailableError,
+    RecordError,
+)
+from lavendermount_core.platform.adapter import (
+    LogAdapter,
+    LogBatch,
+    LogRecord,
+    log_adapters,
+)
+from lavendermount_core.structure.records import unpack
+
+GONE = 410
+MAX_CLIENTS = 64
+
+
+@log_adapters.register('http')
+class HttpLog(LogAdapter):
+    """Client of the log's HTTP interface.
+
+    :param url: where the log answers.
+    :param timeout_s: time to answer in seconds.
+    """
+
+    def __init__(self, url: str, timeout_s: float) -> None:
+        """Open no connection yet."""
+        self.url = url.rstrip('/')
+        self.timeout_s = timeout_s
+        self.client = httpclient.AsyncHTTPClient(
+            force_instance=True,
+            max_clients=MAX_CLIENTS,
+        )
+
+    async def append(self, stream: str, body: bytes) -> int:
+        """Append a record with one POST."""
+        response = await self.fetch(
+            httpclient.HTTPRequest(
+                self.stream_url(stream),
+                method='POST',
+                body=body,
+                request_timeout=self.timeout_s,
+                connect_timeout=self.timeout_s,
+            ),
+        )
+        return _offset_from(response.body)
+
+    async def read(
+        self,
+        stream: str,
+        offset: int,
+        wait_s: float = 0,
+    ) -> LogBatch:
+        """Read with one GET that the log may hold for the wait."""
+        query = f'?offset={offset}&wait_ms={int(wait_s * 1000)}'
+        response = await self.fetch(
+            httpclient.HTTPRequest(
+                self.stream_url(stream) + query,
+                request_timeout=self.timeout_s + wait_s,
+                connect_timeout=self.timeout_s,
+            ),
+        )
+        if response.code == GONE:
+            raise LogEvictedError(stream, _offset_from(response.body))
+        return _batch_from(response.body)
+
+    def stream_url(self, stream: str) -> str:
+        """Address of a stream."""
+        return f'{self.url}/streams/{stream}'
+
+    async def fetch(
+        self,
+        request: httpclient.HTTPRequest,
+    ) -> httpclient.HTTPResponse:
+        """Send a request to the log.
+
+        :raises LogUnavailableError: for no answer or an answer of failure.
+        :returns: an answer of success, or one that says ``GONE``.
+        """
+        try:
+            response = await self.client.fetch(request, raise_error=False)
+        except (OSError, httpclient.HTTPError) as error:
+            raise LogUnavailableError(f'log at {self.url}: {error}') from error
+        if response.code in {200, GONE}:
+            return response
+        raise LogUnavailableError(f'log at {self.url}: status {response.code}')
+
+
+def _offset_from(body: bytes) -> int:
+    try:
+        return int(body)
+    except ValueError as error:
+        raise LogUnavailableError('log sent a malformed offset') from error
+
+
+def _batch_from(body: bytes) -> LogBatch:
+    try:
+        oldest, next_offset, end, rows = unpack(body)
+    except (RecordError, ValueError, TypeError) as error:
+        raise LogUnavailableError('log sent a malformed batch') from error
+    records = [LogRecord(offset, record) for offset, record in rows]
+    return LogBatch(oldest, next_offset, end, records)
--- /dev/null
+++ b/packages/core/src/lavendermount_core/presets/__init__.py
@@ -0,0 +1,1 @@
+"""Preset records and the fold that decides which preset is in force."""
--- /dev/null
+++ b/packages/core/src/lavendermount_core/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Recorded decisions, their replay and their explanation."""
--- /dev/null
+++ b/packages/core/src/lavendermount_core/replay/explain.py
@@ -0,0 +1,63 @@
+"""Telling a person why a decision was taken.
+
+:shapes: a list of lines for a terminal.
+"""
+
+from __future__ import annotations
+
+from datetime import UTC, datetime
+
+from lavendermount_core.replay.records import DecisionRecord
+from lavendermount_core.routing.candidates import Candidate, Distance
+
+WORDS = {
+    Distance.SAME_VM: 'on the same VM',
+    Distance.SAME_ZONE: 'in the same availability zone',
+    Distance.SAME_REGION: 'in another availability zone',
+    Distance.OTHER_REGION: 'in another region',
+}
+
+
+def explain_decision(recorded: DecisionRecord) -> list[str]:
+    """Explain one decision.
+
+    :param recorded: the decision with its inputs.
+    :returns: lines for a terminal.
+    """
+    at = datetime.fromtimestamp(recorded.time_ms / 1000, tz=UTC)
+    lines = [
+        f'request {recorded.request_id}, attempt {recorded.attempt} '
+        f'({recorded.cause}) at {at.isoformat(timespec="milliseconds")}',
+        f'  service {recorded.service}, class {recorded.call_class}, '
+        f'tenant {recorded.tenant}, preset revision {recorded.revision}',
+        f'  policy {recorded.policy}, seed {recorded.seed}, '
+        f'turn {recorded.turn}, link between regions '
+        f'{"allowed" if recorded.is_link_allowed else "out of budget"}',
+        f'  {len(recorded.candidates)} targets were seen:',
+    ]
+    scores = {node_id: score for node_id, score in recorded.scores}
+    for row in recorded.candidates:
+        lines.append('    ' + _candidate_line(Candidate.from_row(row), scores))
+    lines.append(f'  {_chosen_line(recorded)}')
+    lines.append(f'  outcome {recorded.outcome} after {recorded.elapsed_ms:g} ms')
+    return lines
+
+
+def _candidate_line(seen: Candidate, scores: dict[str, float]) -> str:
+    score = scores.get(seen.node_id)
+    compared = 'not compared' if score is None else f'expected {score:g} ms'
+    return (
+        f'{seen.node_id}: {compared}; {WORDS[Distance(seen.distance)]}, '
+        f'{seen.in_flight} running and {seen.queued} waiting '
+        f'on {seen.slots} slots {seen.age_ms} ms ago, '
+        f'{seen.sent_since} sent since, service {seen.service_ms:.1f} ms, '
+        f'{seen.failure_ratio:.0%} failed'
+    )
+
+
+def _chosen_line(recorded: DecisionRecord) -> str:
+    if not recorded.chosen:
+        return 'none was chosen: no target took work'
+    if not recorded.scores:
+        return f'{recorded.chosen} was chosen by {recorded.policy}'
+    return f'{recorded.chosen} was chosen: the least expected time of those compared'
--- /dev/null
+++ b/packages/core/src/lavendermount_core/replay/records.py
@@ -0,0 +1,197 @@
+"""Recorded decisions and the batches they are stored in.
+
+:shapes: a batch is a msgpack row with a digest chain over the batches of one
+    process, so that a missing or changed one shows.
+:errors: ``RecordError`` for bytes that are no batch.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import zlib
+from typing import Any
+
+from lavendermount_core.exceptions import RecordError
+from lavendermount_core.routing.candidates import (
+    Candidate,
+    Decision,
+    Situation,
+    Tuning,
+)
+from lavendermount_core.structure.records import Record, pack, unpack
+
+DECISION_STREAM = 'decisions'
+CHAIN_LENGTH = 16
+NO_CHAIN = ''
+
+
+class DecisionRecord(Record):
+    """One decision, its inputs and what came of it.
+
+    :param request_id: which request.
+    :param attempt: number of the attempt, from 1; 0 if none was made.
+    :param cause: why it was made: ``first``, ``retry`` or ``hedge``.
+    :param time_ms: when, in milliseconds since the epoch.
+    :param revision: revision of the preset in force.
+    :param service: service of the request.
+    :param call_class: class of the request.
+    :param tenant: tenant of the request.
+    :param policy: name of the policy.
+    :param tuning: row of a ``Tuning``.
+    :param seed: start of the random choice.
+    :param turn: decisions made for the service before.
+    :param is_link_allowed: whether the link between regions was allowed.
+    :param candidates: rows of the candidates.
+    :param chosen: node id of the target; empty for none.
+    :param scores: node ids and expected milliseconds.
+    :param outcome: such as ``whole:200`` or ``not-run:queue-full``.
+    :param elapsed_ms: time the attempt took.
+    """
+
+    __slots__ = (
+        'request_id',
+        'attempt',
+        'cause',
+        'time_ms',
+        'revision',
+        'service',
+        'call_class',
+        'tenant',
+        'policy',
+        'tuning',
+        'seed',
+        'turn',
+        'is_link_allowed',
+        'candidates',
+        'chosen',
+        'scores',
+        'outcome',
+        'elapsed_ms',
+    )
+
+    def __init__(
+        self,
+        request_id: str,
+        attempt: int,
+        cause: str,
+        time_ms: int,
+        revision: int,
+        service: str,
+        call_class: str,
+        tenant: str,
+        policy: str,
+        tuning: list[Any],
+        seed: int,
+        turn: int,
+        is_link_allowed: bool,
+        candidates: list[list[Any]],
+        chosen: str,
+        scores: list[Any],
+        outcome: str,
+        elapsed_ms: float,
+    ) -> None:
+        """Keep the fields as given."""
+        self.request_id = request_id
+        self.attempt = attempt
+        self.cause = cause
+        self.time_ms = time_ms
+        self.revision = revision
+        self.service = service
+        self.call_class = call_class
+        self.tenant = tenant
+        self.policy = policy
+        self.tuning = tuning
+        self.seed = seed
+        self.turn = turn
+        self.is_link_allowed = is_link_allowed
+        self.candidates = candidates
+        self.chosen = chosen
+        self.scores = scores
+        self.outcome = outcome
+        self.elapsed_ms = elapsed_ms
+
+    def to_situation(self) -> Situation:
+        """Rebuild the inputs of the decision.
+
+        :raises RecordError: if a row is malformed.
+        """
+        return Situation(
+            self.policy,
+            Tuning.from_row(self.tuning),
+            self.seed,
+            self.turn,
+            self.is_link_allowed,
+            [Candidate.from_row(row) for row in self.candidates],
+        )
+
+    def to_decision(self) -> Decision:
+        """Rebuild the decision that was taken."""
+        scores = [(node_id, score) for node_id, score in self.scores]
+        return Decision(self.chosen, scores)
+
+
+class DecisionBatch(Record):
+    """Decisions of one process, stored together.
+
+    :param node_id: node that decided.
+    :param incarnation: its process.
+    :param sequence: number of the batch, from 0.
+    :param previous: chain digest of the batch before; empty for none.
+    :param dropped: decisions that were lost before this batch.
+    :param rows: compressed rows of the decisions.
+    """
+
+    __slots__ = (
+        'node_id',
+        'incarnation',
+        'sequence',
+        'previous',
+        'dropped',
+        'rows',
+    )
+
+    def __init__(
+        self,
+        node_id: str,
+        incarnation: int,
+        sequence: int,
+        previous: str,
+        dropped: int,
+        rows: bytes,
+    ) -> None:
+        """Keep the fields as given."""
+        self.node_id = node_id
+        self.incarnation = incarnation
+        self.sequence = sequence
+        self.previous = previous
+        self.dropped = dropped
+        self.rows = rows
+
+    def chain(self) -> str:
+        """Digest of this batch and, through it, of all before."""
+        digest = hashlib.sha256(pack(self.to_row()))
+        return digest.hexdigest()[:CHAIN_LENGTH]
+
+    def decisions(self) -> list[DecisionRecord]:
+        """Decode the decisions.
+
+        :raises RecordError: if the rows are malformed.
+        """
+        try:
+            rows = unpack(zlib.decompress(self.rows))
+        except zlib.error as error:
+            raise RecordError(f'malformed batch: {error}') from error
+        return [DecisionRecord.from_row(row) for row in rows]
+
+
+def compress_rows(decisions: list[DecisionRecord]) -> bytes:
+    """Encode decisions for a batch."""
+    return zlib.compress(pack([entry.to_row() for entry in decisions]))
+
+
+def decode_batch(body: bytes) -> DecisionBatch:
+    """Decode a record of the decision stream.
+
+    :raises RecordError: if it is no batch.
+    """
+    return DecisionBatch.checked_from_row(unpack(body))
--- /dev/null
+++ b/packages/core/src/lavendermount_core/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choosing a target: inputs, policies and decisions."""
--- /dev/null
+++ b/packages/core/src/lavendermount_core/routing/candidates.py
@@ -0,0 +1,165 @@
+"""What a decision is made from.
+
+:units: milliseconds; counts of requests.
+:shapes: everything here is plain data, so that a decision can be replayed.
+"""
+
+from __future__ import annotations
+
+from enum import IntEnum
+
+from lavendermount_core.structure.records import Record
+
+
+class Distance(IntEnum):
+    """How far a target is from the choosing node."""
+
+    SAME_VM = 0
+    SAME_ZONE = 1
+    SAME_REGION = 2
+    OTHER_REGION = 3
+
+
+class Candidate(Record):
+    """One target as the choosing node sees it.
+
+    :param node_id: node beside the target.
+    :param distance: a ``Distance``.
+    :param in_flight: requests running there, when last reported.
+    :param queued: requests waiting there, when last reported.
+    :param sent_since: requests this node sent there since that report.
+    :param slots: requests the target works on at once.
+    :param service_ms: mean service time when last reported; 0 for none.
+    :param failure_ratio: share of failed requests.
+    :param age_ms: age of the report.
+    :param warm_ms: time since the target announced itself.
+    """
+
+    __slots__ = (
+        'node_id',
+        'distance',
+        'in_flight',
+        'queued',
+        'sent_since',
+        'slots',
+        'service_ms',
+        'failure_ratio',
+        'age_ms',
+        'warm_ms',
+    )
+
+    def __init__(
+        self,
+        node_id: str,
+        distance: int,
+        in_flight: int,
+        queued: int,
+        sent_since: int,
+        slots: int,
+        service_ms: float,
+        failure_ratio: float,
+        age_ms: int,
+        warm_ms: int,
+    ) -> None:
+        """Keep the fields as given."""
+        self.node_id = node_id
+        self.distance = distance
+        self.in_flight = in_flight
+        self.queued = queued
+        self.sent_since = sent_since
+        self.slots = slots
+        self.service_ms = service_ms
+        self.failure_ratio = failure_ratio
+        self.age_ms = age_ms
+        self.warm_ms = warm_ms
+
+
+class Tuning(Record):
+    """The preset's numbers that a policy reads.
+
+    :param sample: targets compared.
+    :param stale_ms: age at which a report has lost most of its weight.
+    :param ramp_ms: time in which a new target is given more and more work.
+    :param zone_ms: one-way delay between zones.
+    :param region_ms: one-way delay between regions.
+    :param failure_ms: time a failed answer counts as.
+    """
+
+    __slots__ = (
+        'sample',
+        'stale_ms',
+        'ramp_ms',
+        'zone_ms',
+        'region_ms',
+        'failure_ms',
+    )
+
+    def __init__(
+        self,
+        sample: int,
+        stale_ms: float,
+        ramp_ms: float,
+        zone_ms: float,
+        region_ms: float,
+        failure_ms: float,
+    ) -> None:
+        """Keep the fields as given."""
+        self.sample = sample
+        self.stale_ms = stale_ms
+        self.ramp_ms = ramp_ms
+        self.zone_ms = zone_ms
+        self.region_ms = region_ms
+        self.failure_ms = failure_ms
+
+
+class Situation:
+    """All inputs of one decision.
+
+    :param policy: registered name of the policy.
+    :param tuning: numbers from the preset.
+    :param seed: start of the random choice.
+    :param turn: decisions this node made for the service before.
+    :param is_link_allowed: whether the link between regions has budget left.
+    :param candidates: targets that may be chosen, ordered by node id.
+    """
+
+    __slots__ = (
+        'policy',
+        'tuning',
+        'seed',
+        'turn',
+        'is_link_allowed',
+        'candidates',
+    )
+
+    def __init__(
+        self,
+        policy: str,
+        tuning: Tuning,
+        seed: int,
+        turn: int,
+        is_link_allowed: bool,
+        candidates: list[Candidate],
+    ) -> None:
+        """Keep the fields as given."""
+        self.policy = policy
+        self.tuning = tuning
+        self.seed = seed
+        self.turn = turn
+        self.is_link_allowed = is_link_allowed
+        self.candidates = candidates
+
+
+class Decision(Record):
+    """The outcome of one decision.
+
+    :param chosen: node id of the target; empty if none may be chosen.
+    :param scores: node id and expected milliseconds of each target compared.
+    """
+
+    __slots__ = ('chosen', 'scores')
+
+    def __init__(self, chosen: str, scores: list[tuple[str, float]]) -> None:
+        """Keep the fields as given."""
+        self.chosen = chosen
+        self.scores = scores
--- /dev/null
+++ b/packages/core/src/lavendermount_core/routing/tuning.py
@@ -0,0 +1,22 @@
+"""The numbers that policies read, taken from a preset.
+
+:units: milliseconds.
+"""
+
+from __future__ import annotations
+
+from lavendermount_core.config.preset import PresetSchema
+from lavendermount_core.routing.candidates import Tuning
+
+
+def tuning_from(schema: PresetSchema) -> Tuning:
+    """Take the numbers that policies read from a preset."""
+    choosing = schema.choosing
+    return Tuning(
+        choosing.sample,
+        choosing.stale_ms,
+        choosing.ramp_ms,
+        choosing.zone_ms,
+        choosing.region_ms,
+        choosing.failure_ms,
+    )
--- /dev/null
+++ b/packages/core/src/lavendermount_core/structure/__init__.py
@@ -0,0 +1,1 @@
+"""Records that travel between processes."""
--- /dev/null
+++ b/packages/core/src/lavendermount_core/structure/calls.py
@@ -0,0 +1,175 @@
+"""Requests of callers, replies of targets and refusals of the system.
+
+:units: milliseconds for deadlines, seconds for Retry-After.
+"""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+from lavendermount_core.structure.records import Record
+
+Headers = list[tuple[str, str]]
+
+
+class Outcome(StrEnum):
+    """What the system knows of a request it did not complete."""
+
+    NOT_RUN = 'not-run'
+    UNKNOWN = 'unknown'
+
+
+class Reason(StrEnum):
+    """Why a request was refused or given up on."""
+
+    NO_ROUTE = 'no-route'
+    NO_PRESET = 'no-preset'
+    NO_TARGET = 'no-target'
+    MALFORMED = 'malformed'
+    TOO_LARGE = 'too-large'
+    QUEUE_FULL = 'queue-full'
+    DEADLINE = 'deadline'
+    DRAINING = 'draining'
+    TARGET_DOWN = 'target-down'
+    TARGET_DIED = 'target-died'
+    TARGET_REPLY = 'target-reply-broken'
+    STALE_INCARNATION = 'stale-incarnation'
+    LINK_LOST = 'link-lost'
+    CANCELLED = 'cancelled'
+    SUSPECT = 'crash-suspect'
+    CLAIMED = 'key-claimed'
+    LOG_DOWN = 'log-down'
+    OVERLOADED = 'overloaded'
+
+
+class CallClass(Record):
+    """How a request is to be treated, from the preset's rules.
+
+    :param service: service that the request is for.
+    :param tenant: customer that the request belongs to.
+    :param name: name of the class.
+    :param is_repeatable: whether running it twice does no harm.
+    """
+
+    __slots__ = ('service', 'tenant', 'name', 'is_repeatable')
+
+    def __init__(
+        self,
+        service: str,
+        tenant: str,
+        name: str,
+        is_repeatable: bool,
+    ) -> None:
+        """Keep the fields as given."""
+        self.service = service
+        self.tenant = tenant
+        self.name = name
+        self.is_repeatable = is_repeatable
+
+
+class CallRequest(Record):
+    """A whole request of a caller.
+
+    :param request_id: identifier for replay, the same on every attempt.
+    :param method: HTTP method.
+    :param path: path and query.
+    :param headers: end-to-end headers in order.
+    :param body: whole body.
+    :param call_class: treatment from the preset.
+    :param deadline: when the answer is worth nothing, on the node's
+        monotonic clock in seconds.
+    """
+
+    __slots__ = (
+        'request_id',
+        'method',
+        'path',
+        'headers',
+        'body',
+        'call_class',
+        'deadline',
+    )
+
+    def __init__(
+        self,
+        request_id: str,
+        method: str,
+        path: str,
+        headers: Headers,
+        body: bytes,
+        call_class: CallClass,
+        deadline: float,
+    ) -> None:
+        """Keep the fields as given."""
+        self.request_id = request_id
+        self.method = method
+        self.path = path
+        self.headers = headers
+        self.body = body
+        self.call_class = call_class
+        self.deadline = deadline
+
+
+class CallReply(Record):
+    """A whole reply of a target.
+
+    :param status: HTTP status code.
+    :param reason: HTTP reason phrase.
+    :param headers: end-to-end headers in order.
+    :param body: whole body.
+    """
+
+    __slots__ = ('status', 'reason', 'headers', 'body')
+
+    def __init__(
+        self,
+        status: int,
+        reason: str,
+        headers: Headers,
+        body: bytes,
+    ) -> None:
+        """Keep the fields as given."""
+        self.status = status
+        self.reason = reason
+        self.headers = headers
+        self.body = body
+
+
+class Refusal(Record):
+    """Why there is no reply, and whether the request may have run.
+
+    :param outcome: an ``Outcome``.
+    :param reason: a ``Reason``.
+    :param retry_after_s: when coming back makes sense; 0 for no advice.
+    :param detail: a sentence for the caller.
+    """
+
+    __slots__ = ('outcome', 'reason', 'retry_after_s', 'detail')
+
+    def __init__(
+        self,
+        outcome: str,
+        reason: str,
+        retry_after_s: float,
+        detail: str,
+    ) -> None:
+        """Keep the fields as given."""
+        self.outcome = outcome
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+        self.detail = detail
+
+    @property
+    def is_not_run(self) -> bool:
+        """Whether no part of the request reached a target."""
+        return self.outcome == Outcome.NOT_RUN
+
+
+def not_run(reason: Reason, detail: str, retry_after_s: float = 0) -> Refusal:
+    """Build a refusal of a request that reached no target."""
+    return Refusal(str(Outcome.NOT_RUN), str(reason), retry_after_s, detail)
+
+
+def unknown(reason: Reason, detail: str, retry_after_s: float = 0) -> Refusal:
+    """Build a refusal of a request that may have run."""
+    return Refusal(str(Outcome.UNKNOWN), str(reason), retry_after_s, detail)
--- /dev/null
+++ b/packages/core/src/lavendermount_core/structure/records.py
@@ -0,0 +1,108 @@
+"""Base of the typed records that travel as msgpack rows.
+
+:shapes: a record is a plain class with slots whose constructor takes the
+    slots in order; its row is the list of its fields in that order.
+:errors: ``RecordError`` for bytes that are no such row.
+:source: codec from ``msgpack``.
+"""
+
+from __future__ import annotations
+
+from functools import cache
+from typing import Any, Self, get_type_hints
+
+import msgpack
+
+from lavendermount_core.exceptions import RecordError
+
+PLAIN_TYPES = frozenset((str, int, bytes, bool))
+
+
+class Record:
+    """A plain record; equality and text form come from its slots."""
+
+    __slots__: tuple[str, ...] = ()
+
+    def __eq__(self, other: object) -> bool:
+        """Compare field by field with a record of the same class."""
+        if type(other) is not type(self):
+            return NotImplemented
+        return self.to_row() == other.to_row()
+
+    def __hash__(self) -> int:
+        """Hash by identity of the class and text of the fields."""
+        return hash((type(self), repr(self.to_row())))
+
+    def __repr__(self) -> str:
+        """Show the class and its fields."""
+        pairs = zip(self.__slots__, self.to_row(), strict=True)
+        fields = ', '.join(f'{name}={field!r}' for name, field in pairs)
+        return f'{type(self).__name__}({fields})'
+
+    @classmethod
+    def from_row(cls, row: Any) -> Self:
+        """Build a record from its row.
+
+        :param row: list of fields in the order of the slots.
+        :raises RecordError: if the number of fields is wrong.
+        :returns: the record.
+        """
+        if not isinstance(row, (list, tuple)) or len(row) != len(cls.__slots__):
+            raise RecordError(f'{cls.__name__}: malformed row')
+        return cls(*row)
+
+    @classmethod
+    def checked_from_row(cls, row: Any) -> Self:
+        """Build a record from a row that anyone may have written.
+
+        :param row: list of fields in the order of the slots.
+        :raises RecordError: if a field has a wrong type.
+        :returns: the record.
+        """
+        record = cls.from_row(row)
+        for name, expected in field_types(cls).items():
+            field = getattr(record, name)
+            if type(field) is not expected:
+                raise RecordError(f'{cls.__name__}.{name} has a wrong type')
+        return record
+
+    def to_row(self) -> list[Any]:
+        """List the fields in the order of the slots."""
+        return [getattr(self, name) for name in self.__slots__]
+
+
+@cache
+def field_types(record_class: type[Record]) -> dict[str, type]:
+    """Read the plain types of a record's fields from its constructor.
+
+    :returns: types by name; fields of other types are left out.
+    """
+    hints = get_type_hints(record_class.__init__)
+    return {
+        name: hints[name]
+        for name in record_class.__slots__
+        if hints[name] in PLAIN_TYPES
+    }
+
+
+def pack(row: Any) -> bytes:
+    """Encode a row.
+
+    :param row: lists, texts, bytes, numbers and ``None``.
+    :returns: msgpack bytes.
+    """
+    packed: bytes = msgpack.packb(row)
+    return packed
+
+
+def unpack(body: bytes) -> Any:
+    """Decode bytes that may come from anywhere.
+
+    :param body: msgpack bytes.
+    :raises RecordError: if they are not exactly one msgpack object.
+    :returns: the decoded row.
+    """
+    try:
+        return msgpack.unpackb(body)
+    except (ValueError, TypeError, msgpack.UnpackException) as error:
+        raise RecordError(f'malformed msgpack: {error}') from error
--- /dev/null
+++ b/packages/core/src/lavendermount_core/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers without a subject of their own."""
--- /dev/null
+++ b/packages/core/src/lavendermount_core/utils/logs.py
@@ -0,0 +1,60 @@
+"""One line of key=value pairs for each logged event.
+
+:source: formatter classes of ``python-json-logger``.
+"""
+
+from __future__ import annotations
+
+import logging
+from typing import Any
+
+from pythonjsonlogger.core import BaseJsonFormatter
+
+_UNQUOTED = frozenset(
+    'abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._:/@+-'
+)
+_FORMAT = '%(asctime)s %(levelname)s %(name)s %(message)s'
+
+
+def quote(text: str) -> str:
+    """Quote a text that would break the key=value form.
+
+    :param text: the text of one field.
+    :returns: the text itself, or in double quotes with escapes.
+    """
+    if text and _UNQUOTED.issuperset(text):
+        return text
+    escaped = text.replace('\\', '\\\\').replace('"', '\\"')
+    return '"{0}"'.format(escaped.replace('\n', '\\n'))
+
+
+class KeyValueFormatter(BaseJsonFormatter):
+    """Format a log record, with its extra fields, as key=value pairs."""
+
+    def jsonify_log_record(self, log_data: dict[str, Any]) -> str:
+        """Write the fields in order, skipping those without a value.
+
+        :param log_data: field names and their values.
+        :returns: one line.
+        """
+        present = (pair for pair in log_data.items() if pair[1] is not None)
+        return ' '.join(f'{key}={quote(str(field))}' for key, field in present)
+
+
+def configure_logging(level: str) -> None:
+    """Send all logs to standard error, one line for each event.
+
+    :param level: name of a standard logging level.
+    """
+    handler = logging.StreamHandler()
+    handler.setFormatter(
+        KeyValueFormatter(
+            _FORMAT,
+            rename_fields={
+                'asctime': 'time',
+                'levelname': 'level',
+                'message': 'event',
+            },
+        ),
+    )
+    logging.basicConfig(level=level.upper(), handlers=[handler], force=True)
--- /dev/null
+++ b/packages/node/src/lavendermountd/__init__.py
@@ -0,0 +1,1 @@
+"""The process beside each target."""
--- /dev/null
+++ b/packages/node/src/lavendermountd/admin/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP for metrics and announcements."""
--- /dev/null
+++ b/packages/node/src/lavendermountd/caller/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP towards callers."""
--- /dev/null
+++ b/packages/node/src/lavendermountd/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Idempotency keys, agreed on through the log."""
--- /dev/null
+++ b/packages/node/src/lavendermountd/claims/claims.py
@@ -0,0 +1,338 @@
+"""Requests with an idempotency key run at most once in the whole system.
+
+:errors: none escape; without the log, nothing with a key is run.
+
+A node runs such a request only after it has read its own claim back from the
+log as the winner. A claim has no lease: whoever holds it may be frozen for as
+long as it likes, and nobody else runs the request meanwhile.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import logging
+from collections import OrderedDict
+from enum import StrEnum
+
+from returns.result import Failure, Success
+
+from lavendermount_core.exceptions import LogUnavailableError
+from lavendermount_core.platform.adapter import LogAdapter
+from lavendermount_core.structure.calls import (
+    CallReply,
+    CallRequest,
+    Reason,
+    Refusal,
+    not_run,
+    unknown,
+)
+from lavendermount_core.utils.digests import random_identifier
+from lavendermountd.claims.holders import HolderClient, HolderWord
+from lavendermountd.claims.records import Claim, Release, stream_of
+from lavendermountd.claims.stream import ClaimStream
+from lavendermountd.gate.attempts import AttemptResult
+from lavendermountd.gate.suspects import KEY_HEADER
+from lavendermountd.identity import Identity
+from lavendermountd.presets.holder import InForcePreset
+from lavendermountd.routing.router import Router
+
+log = logging.getLogger(__name__)
+
+DIGEST_LENGTH = 32
+KEPT_CLAIMS = 10000
+KEPT_BODY_BYTES = 64 * 1024
+LOG_RETRY_S = 2.0
+RUNNING_RETRY_S = 0.5
+CLAIM_ATTEMPTS = 3
+
+
+class ClaimState(StrEnum):
+    """What a node knows of a claim of its own."""
+
+    CLAIMING = 'claiming'
+    RUNNING = 'running'
+    WHOLE = 'whole'
+    UNKNOWN = 'unknown'
+    RELEASED = 'released'
+
+
+class LocalClaim:
+    """A claim that this node made.
+
+    :param claim: as appended.
+    """
+
+    __slots__ = ('claim', 'state', 'finished')
+
+    def __init__(self, claim: Claim) -> None:
+        """Start while the claim is on its way to the log."""
+        self.claim = claim
+        self.state = ClaimState.CLAIMING
+        self.finished: asyncio.Future[AttemptResult] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+
+class ClaimService:
+    """Claims keys, runs what it won, and answers for what it ran.
+
+    :param identity: who claims.
+    :param platform_log: where claims are.
+    :param router: runs what was won.
+    :param holders: asks other nodes about their claims.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        platform_log: LogAdapter,
+        router: Router,
+        holders: HolderClient,
+    ) -> None:
+        """Start with no claim."""
+        self.identity = identity
+        self.platform_log = platform_log
+        self.router = router
+        self.holders = holders
+        self.streams: dict[str, ClaimStream] = {}
+        self.by_key: OrderedDict[str, LocalClaim] = OrderedDict()
+
+    def key_of(self, request: CallRequest) -> str | None:
+        """Digest the key of a request that may run only once.
+
+        :returns: ``None`` for work without a key or that may be repeated.
+        """
+        if request.call_class.is_repeatable:
+            return None
+        for name, text in request.headers:
+            if name.lower() == KEY_HEADER and text:
+                return _digest(
+                    request.call_class.service,
+                    request.call_class.tenant,
+                    text,
+                )
+        return None
+
+    async def run_once(
+        self,
+        key: str,
+        request: CallRequest,
+        preset: InForcePreset,
+    ) -> AttemptResult:
+        """Run the request unless it was run, here or anywhere.
+
+        :param key: digest of its key.
+        :param request: the request.
+        :param preset: preset in force when it arrived.
+        :returns: the reply, perhaps of an earlier submission.
+        """
+        known = self.by_key.get(key)
+        if known is not None and known.state != ClaimState.RELEASED:
+            return await self.join(known, request)
+        supersedes = '' if known is None else known.claim.claim_id
+        local = self.new_claim(key, request, supersedes)
+        try:
+            return await self.claim_and_run(local, request, preset)
+        finally:
+            self.settle_abandoned(local)
+
+    def new_claim(self, key: str, request: CallRequest, supersedes: str) -> LocalClaim:
+        """Make a claim; it is not on the log yet."""
+        claim = Claim(
+            random_identifier(),
+            key,
+            _payload_of(request),
+            self.identity.node_id,
+            self.identity.incarnation,
+            supersedes,
+        )
+        local = LocalClaim(claim)
+        self.by_key[key] = local
+        self.by_key.move_to_end(key)
+        self.forget_oldest()
+        return local
+
+    def forget_oldest(self) -> None:
+        """Forget the oldest settled claims beyond a number.
+
+        The log still knows them; they are answered ``unknown`` from then on.
+        """
+        while len(self.by_key) > KEPT_CLAIMS:
+            self.by_key.popitem(last=False)
+
+    def settle_abandoned(self, local: LocalClaim) -> None:
+        """Free those who wait for a claim that was given up on the way."""
+        if local.finished.done():
+            return
+        detail = 'the first submission was given up'
+        if local.state == ClaimState.CLAIMING:
+            self.finish(local, Failure(not_run(Reason.CANCELLED, detail)))
+            return
+        self.finish(local, Failure(unknown(Reason.CANCELLED, detail)))
+
+    async def join(self, local: LocalClaim, request: CallRequest) -> AttemptResult:
+        """Share the outcome of a submission that came to this node before."""
+        if local.claim.payload != _payload_of(request):
+            return Failure(_reused_key())
+        try:
+            async with asyncio.timeout_at(request.deadline):
+                return await asyncio.shield(local.finished)
+        except TimeoutError:
+            return Failure(_still_running())
+
+    async def claim_and_run(
+        self,
+        local: LocalClaim,
+        request: CallRequest,
+        preset: InForcePreset,
+    ) -> AttemptResult:
+        """Claim the key; run the request if this node won."""
+        try:
+            async with asyncio.timeout_at(request.deadline):
+                won = await self.win_or_ask(local, request)
+        except (LogUnavailableError, TimeoutError) as error:
+            log.warning('claim-impossible', extra={'cause': str(error)})
+            return self.finish(local, Failure(_log_down()))
+        if won is not None:
+            return self.finish(local, won)
+        local.state = ClaimState.RUNNING
+        work = asyncio.ensure_future(self.router.route(request, preset))
+        outcome = await _finish_even_if_cancelled(work)
+        if _is_not_run(outcome):
+            await self.release(local, request)
+        return self.finish(local, outcome)
+
+    async def win_or_ask(
+        self,
+        local: LocalClaim,
+        request: CallRequest,
+    ) -> AttemptResult | None:
+        """Claim the key, or learn what its holder knows.
+
+        :returns: ``None`` if this node holds the key and may run.
+        """
+        for _ in range(CLAIM_ATTEMPTS):
+            holder = await self.append_and_read(local, request)
+            if holder is None or holder.claim_id == local.claim.claim_id:
+                return None
+            if holder.payload != local.claim.payload:
+                return Failure(_reused_key())
+            word = await self.holders.ask(holder, request.deadline)
+            if word.state != ClaimState.RELEASED:
+                return _outcome_from(word)
+            local.claim.claim_id = random_identifier()
+            local.claim.supersedes = holder.claim_id
+        return Failure(_still_running())
+
+    async def append_and_read(
+        self,
+        local: LocalClaim,
+        request: CallRequest,
+    ) -> Claim | None:
+        """Append the claim and read who holds the key."""
+        stream = self.stream(request.call_class.service)
+        offset = await stream.append(local.claim)
+        return await stream.holder_at(local.claim.key, offset)
+
+    async def release(self, local: LocalClaim, request: CallRequest) -> None:
+        """Free the key of a request that was not run.
+
+        Without the log this node still answers for it when asked.
+        """
+        release = Release(local.claim.claim_id, local.claim.key)
+        stream = self.stream(request.call_class.service)
+        try:
+            async with asyncio.timeout(RUNNING_RETRY_S):
+                await stream.append(release)
+        except (LogUnavailableError, TimeoutError):
+            log.info('release-delayed', extra={'claim': local.claim.claim_id})
+
+    def stream(self, service: str) -> ClaimStream:
+        """Find the claim stream of a service."""
+        if service not in self.streams:
+            name = stream_of(service)
+            self.streams[service] = ClaimStream(self.platform_log, name)
+        return self.streams[service]
+
+    def finish(self, local: LocalClaim, outcome: AttemptResult) -> AttemptResult:
+        """Keep the outcome for later submissions."""
+        if isinstance(outcome, Success):
+            local.state = ClaimState.WHOLE
+        elif outcome.failure().is_not_run:
+            local.state = ClaimState.RELEASED
+        else:
+            local.state = ClaimState.UNKNOWN
+        if not local.finished.done():
+            local.finished.set_result(outcome)
+        if len(outcome.map(_body_of).value_or(b'')) > KEPT_BODY_BYTES:
+            self.drop_reply(local)
+        return outcome
+
+    def drop_reply(self, local: LocalClaim) -> None:
+        """Keep only that a large reply was given."""
+        local.state = ClaimState.UNKNOWN
+        local.finished = asyncio.get_running_loop().create_future()
+        refusal = unknown(Reason.CLAIMED, 'it was run; its reply is no longer kept')
+        local.finished.set_result(Failure(refusal))
+
+    def find(self, claim_id: str) -> LocalClaim | None:
+        """Find a claim of this node."""
+        for local in self.by_key.values():
+            if local.claim.claim_id == claim_id:
+                return local
+        return None
+
+
+async def _finish_even_if_cancelled(
+    work: asyncio.Future[AttemptResult],
+) -> AttemptResult:
+    """Let work that may have begun end by itself."""
+    return await asyncio.shield(work)
+
+
+def _outcome_from(word: HolderWord) -> AttemptResult:
+    if word.reply is not None:
+        return Success(word.reply)
+    if word.state in {ClaimState.RUNNING, ClaimState.CLAIMING}:
+        return Failure(_still_running())
+    return Failure(
+        unknown(Reason.CLAIMED, 'an earlier submission of the key may have run'),
+    )
+
+
+def _body_of(reply: CallReply) -> bytes:
+    return reply.body
+
+
+def _is_not_run(outcome: AttemptResult) -> bool:
+    return not isinstance(outcome, Success) and outcome.failure().is_not_run
+
+
+def _payload_of(request: CallRequest) -> str:
+    return _digest(request.method, request.path, request.body.hex())
+
+
+def _digest(*parts: str) -> str:
+    text = '\n'.join(f'{len(part)}:{part}' for part in parts)
+    return hashlib.sha256(text.encode()).hexdigest()[:DIGEST_LENGTH]
+
+
+def _reused_key() -> Refusal:
+    return not_run(Reason.MALFORMED, 'the key was used for another request before')
+
+
+def _still_running() -> Refusal:
+    return unknown(
+        Reason.CLAIMED,
+        'an earlier submission of the key is still running',
+        RUNNING_RETRY_S,
+    )
+
+
+def _log_down() -> Refusal:
+    return not_run(
+        Reason.LOG_DOWN,
+        'keys cannot be claimed while the log does not answer',
+        LOG_RETRY_S,
+    )
--- /dev/null
+++ b/packages/node/src/lavendermountd/claims/records.py
@@ -0,0 +1,105 @@
+"""Records of the claim streams, one stream a service.
+
+:shapes: a stored record is a list of rows ``[kind, fields...]``, so that one
+    append carries the claims of many requests.
+:errors: ``RecordError`` for bytes that are no such record.
+"""
+
+from __future__ import annotations
+
+from urllib.parse import quote
+
+from lavendermount_core.exceptions import RecordError
+from lavendermount_core.structure.records import Record, pack, unpack
+from lavendermount_core.utils.registry import Registry
+
+claim_kinds: Registry[str, type[Record]] = Registry('claim record')
+
+
+@claim_kinds.register('claim')
+class Claim(Record):
+    """A node's wish to be the one that runs the request of a key.
+
+    The first claim of a key wins. A later one wins only if it supersedes the
+    winner, whose node has then confirmed that nothing was run.
+
+    :param claim_id: identifier of the claim.
+    :param key: digest of service, tenant and idempotency key.
+    :param payload: digest of the request, to notice a key used twice.
+    :param node_id: node that claims.
+    :param incarnation: its process.
+    :param supersedes: claim whose node confirmed that it will not run.
+    """
+
+    __slots__ = (
+        'claim_id',
+        'key',
+        'payload',
+        'node_id',
+        'incarnation',
+        'supersedes',
+    )
+
+    def __init__(
+        self,
+        claim_id: str,
+        key: str,
+        payload: str,
+        node_id: str,
+        incarnation: int,
+        supersedes: str,
+    ) -> None:
+        """Keep the fields as given."""
+        self.claim_id = claim_id
+        self.key = key
+        self.payload = payload
+        self.node_id = node_id
+        self.incarnation = incarnation
+        self.supersedes = supersedes
+
+
+@claim_kinds.register('release')
+class Release(Record):
+    """The winner's word that the request was not run and will not be.
+
+    :param claim_id: the claim given up.
+    :param key: its key.
+    """
+
+    __slots__ = ('claim_id', 'key')
+
+    def __init__(self, claim_id: str, key: str) -> None:
+        """Keep the fields as given."""
+        self.claim_id = claim_id
+        self.key = key
+
+
+def stream_of(service: str) -> str:
+    """Name the claim stream of a service."""
+    return 'claims.' + quote(service, safe='')
+
+
+def encode_claims(records: list[Record]) -> bytes:
+    """Encode claims and releases for one append."""
+    kinds = {record_class: kind for kind, record_class in claim_kinds.entries.items()}
+    return pack([[kinds[type(record)], *record.to_row()] for record in records])
+
+
+def decode_claims(body: bytes) -> list[Record]:
+    """Decode one stored record.
+
+    :raises RecordError: if it is malformed.
+    """
+    rows = unpack(body)
+    if not isinstance(rows, list):
+        raise RecordError('claims are no list')
+    return [_decode_row(row) for row in rows]
+
+
+def _decode_row(row: object) -> Record:
+    if not isinstance(row, list) or not row:
+        raise RecordError('claim is no row')
+    record_class = claim_kinds.entries.get(str(row[0]))
+    if record_class is None:
+        raise RecordError(f'claim of unknown kind {row[0]!r}')
+    return record_class.checked_from_row(row[1:])
--- /dev/null
+++ b/packages/node/src/lavendermountd/claims/stream.py
@@ -0,0 +1,165 @@
+"""One service's claim stream: appending in batches and reading the winners.
+
+:errors: ``LogUnavailableError`` while the log does not answer.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+from lavendermount_core.exceptions import (
+    LogEvictedError,
+    LogUnavailableError,
+    RecordError,
+)
+from lavendermount_core.platform.adapter import LogAdapter, LogBatch
+from lavendermount_core.structure.records import Record
+from lavendermountd.claims.records import (
+    Claim,
+    Release,
+    decode_claims,
+    encode_claims,
+)
+
+log = logging.getLogger(__name__)
+
+Appended = asyncio.Future[int]
+
+
+class ClaimFold:
+    """Who holds each key, by the order of the stream."""
+
+    __slots__ = ('holders', 'offsets', 'skipped')
+
+    def __init__(self) -> None:
+        """Start with no key held."""
+        self.holders: dict[str, Claim] = {}
+        self.offsets: dict[str, int] = {}
+        self.skipped = 0
+
+    def apply(self, offset: int, body: bytes) -> None:
+        """Apply one stored record."""
+        try:
+            records = decode_claims(body)
+        except RecordError:
+            self.skipped += 1
+            return
+        for record in records:
+            self.apply_one(offset, record)
+
+    def apply_one(self, offset: int, record: Record) -> None:
+        """Apply one claim or release."""
+        if isinstance(record, Claim):
+            self.apply_claim(offset, record)
+        elif isinstance(record, Release):
+            self.apply_release(record)
+
+    def apply_claim(self, offset: int, claim: Claim) -> None:
+        """Give the key to a claim that is first or supersedes the holder."""
+        holder = self.holders.get(claim.key)
+        if holder is not None and holder.claim_id != claim.supersedes:
+            return
+        self.holders[claim.key] = claim
+        self.offsets[claim.key] = offset
+
+    def apply_release(self, release: Release) -> None:
+        """Free the key if the holder itself gives it up."""
+        holder = self.holders.get(release.key)
+        if holder is not None and holder.claim_id == release.claim_id:
+            del self.holders[release.key]
+            del self.offsets[release.key]
+
+    def forget_below(self, oldest: int) -> None:
+        """Forget claims that the log has evicted."""
+        for key in [key for key, at in self.offsets.items() if at < oldest]:
+            del self.holders[key]
+            del self.offsets[key]
+
+
+class ClaimStream:
+    """Appends claims of one service and reads who won.
+
+    :param platform_log: where the stream is.
+    :param name: name of the stream.
+    """
+
+    def __init__(self, platform_log: LogAdapter, name: str) -> None:
+        """Start with nothing read."""
+        self.platform_log = platform_log
+        self.name = name
+        self.fold = ClaimFold()
+        self.next_offset = 0
+        self.reading = asyncio.Lock()
+        self.unsent: list[tuple[Record, Appended]] = []
+        self.writer: asyncio.Task[None] | None = None
+
+    async def append(self, record: Record) -> int:
+        """Append a record, together with others that wait.
+
+        :raises LogUnavailableError: if no answer came; it may stand there.
+        :returns: its offset.
+        """
+        appended: Appended = asyncio.get_running_loop().create_future()
+        self.unsent.append((record, appended))
+        if self.writer is None or self.writer.done():
+            self.writer = asyncio.create_task(self.write())
+        return await appended
+
+    async def write(self) -> None:
+        """Append batches until nothing waits."""
+        while self.unsent:
+            batch = self.unsent
+            self.unsent = []
+            body = encode_claims([record for record, _ in batch])
+            try:
+                offset = await self.platform_log.append(self.name, body)
+            except LogUnavailableError as error:
+                _fail_all(batch, error)
+                continue
+            _settle_all(batch, offset)
+
+    async def holder_at(self, key: str, offset: int) -> Claim | None:
+        """Read past an offset and tell who holds a key.
+
+        :param key: digest of the key.
+        :param offset: the stream is read at least up to here.
+        :raises LogUnavailableError: if no answer came.
+        """
+        async with self.reading:
+            while self.next_offset <= offset:
+                await self.read_once()
+        return self.fold.holders.get(key)
+
+    async def read_once(self) -> None:
+        """Read and apply one batch."""
+        try:
+            batch = await self.platform_log.read(self.name, self.next_offset)
+        except LogEvictedError as error:
+            self.next_offset = error.oldest
+            return
+        self.apply(batch)
+
+    def apply(self, batch: LogBatch) -> None:
+        """Apply the records of a batch."""
+        for record in batch.records:
+            self.fold.apply(record.offset, record.body)
+        if batch.next_offset <= self.next_offset:
+            raise LogUnavailableError(f'stream {self.name} ends too early')
+        self.next_offset = batch.next_offset
+        self.fold.forget_below(batch.oldest)
+
+
+def _settle_all(batch: list[tuple[Record, Appended]], offset: int) -> None:
+    for _, appended in batch:
+        if not appended.done():
+            appended.set_result(offset)
+
+
+def _fail_all(
+    batch: list[tuple[Record, Appended]],
+    error: LogUnavailableError,
+) -> None:
+    for _, appended in batch:
+        if not appended.done():
+            appended.set_exception(LogUnavailableError(str(error)))
--- /dev/null
+++ b/packages/node/src/lavendermountd/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the node's command line."""
--- /dev/null
+++ b/packages/node/src/lavendermountd/commands/run.py
@@ -0,0 +1,23 @@
+"""Running the node."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+from lavendermount_core.config.loader import load_file
+from lavendermount_core.config.node import NodeSchema
+from lavendermount_core.utils.logs import configure_logging
+from lavendermountd.process import run_process
+
+
+def run_node(settings_file: Path) -> None:
+    """Run a node until it is told to stop.
+
+    :param settings_file: TOML file.
+    :raises ConfigurationError: with every finding.
+    :raises SupervisionError: if the tree gave up.
+    """
+    settings = load_file(NodeSchema, settings_file)
+    configure_logging(settings.log_level)
+    asyncio.run(run_process(settings))
--- /dev/null
+++ b/packages/node/src/lavendermountd/control/__init__.py
@@ -0,0 +1,1 @@
+"""Gossip and operators over gRPC."""
--- /dev/null
+++ b/packages/node/src/lavendermountd/control/channels.py
@@ -0,0 +1,76 @@
+"""gRPC channels to the control servers of other nodes.
+
+:errors: ``grpc.aio.AioRpcError`` from the calls made on a stub.
+"""
+
+from __future__ import annotations
+
+import grpc
+
+from lavendermount_core.structure.members import Member
+from lavendermountd.control.generated.control_pb2_grpc import ControlStub
+from lavendermountd.identity import Identity
+
+MAX_CHANNELS = 64
+CHANNEL_OPTIONS = (
+    ('grpc.enable_retries', 0),
+    ('grpc.max_reconnect_backoff_ms', 1000),
+    ('grpc.initial_reconnect_backoff_ms', 100),
+    ('grpc.min_reconnect_backoff_ms', 100),
+    ('grpc.use_local_subchannel_pool', 1),
+    ('grpc.enable_http_proxy', 0),
+)
+
+
+class ChannelPool:
+    """A bounded number of open channels by address.
+
+    :param identity: knows how members are reached.
+
+    A channel whose call failed is closed: a fresh connection is tried next
+    time, since the old one may be silent for good.
+    """
+
+    __slots__ = ('identity', 'channels')
+
+    def __init__(self, identity: Identity) -> None:
+        """Open no channel yet."""
+        self.identity = identity
+        self.channels: dict[str, grpc.aio.Channel] = {}
+
+    async def stub_of(self, member: Member) -> ControlStub:
+        """Find or open the channel to a member."""
+        return await self.stub(self.identity.control_address_of(member))
+
+    async def drop_of(self, member: Member) -> None:
+        """Close the channel to a member."""
+        await self.drop(self.identity.control_address_of(member))
+
+    async def stub(self, address: str) -> ControlStub:
+        """Find or open the channel to an address.
+
+        :param address: IP number and port.
+        :returns: a stub to call.
+        """
+        channel = self.channels.pop(address, None)
+        if channel is None:
+            await self.make_room()
+            channel = grpc.aio.insecure_channel(address, CHANNEL_OPTIONS)
+        self.channels[address] = channel
+        return ControlStub(channel)  # type: ignore[no-untyped-call]
+
+    async def make_room(self) -> None:
+        """Close the channel used least recently when there are too many."""
+        if len(self.channels) >= MAX_CHANNELS:
+            await self.drop(next(iter(self.channels)))
+
+    async def drop(self, address: str) -> None:
+        """Close the channel to an address."""
+        channel = self.channels.pop(address, None)
+        if channel is not None:
+            await channel.close()
+
+    async def close(self) -> None:
+        """Close all channels."""
+        for address in tuple(self.channels):
+            await self.drop(address)
--- /dev/null
+++ b/packages/node/src/lavendermountd/control/messages.py
@@ -0,0 +1,76 @@
+"""Conversion between records and the messages of gRPC.
+
+:shapes: a message has the fields of its record's slots, by name.
+"""
+
+from __future__ import annotations
+
+from typing import TypeVar
+
+from google.protobuf.message import Message
+
+from lavendermount_core.presets.records import InForce
+from lavendermount_core.structure.loads import LoadReport
+from lavendermount_core.structure.members import Member
+from lavendermount_core.structure.records import Record
+from lavendermountd.control.generated import control_pb2
+from lavendermountd.peer.frames import Suspected
+
+Converted = TypeVar('Converted', bound=Record)
+
+
+def _from_message(record_class: type[Converted], message: Message) -> Converted:
+    row = [getattr(message, name) for name in record_class.__slots__]
+    return record_class.from_row(row)
+
+
+def _fields_of(record: Record) -> dict[str, object]:
+    return dict(zip(record.__slots__, record.to_row(), strict=True))
+
+
+def member_message(member: Member) -> control_pb2.Member:
+    """Convert a member to its message."""
+    return control_pb2.Member(**_fields_of(member))  # type: ignore[arg-type]
+
+
+def member_record(message: control_pb2.Member) -> Member:
+    """Convert a message to a member."""
+    return _from_message(Member, message)
+
+
+def load_message(report: LoadReport, age_ms: float) -> control_pb2.AgedLoad:
+    """Convert a load report and its age to a message."""
+    converted = control_pb2.LoadReport(**_fields_of(report))  # type: ignore[arg-type]
+    return control_pb2.AgedLoad(report=converted, age_ms=int(age_ms))
+
+
+def load_record(message: control_pb2.AgedLoad) -> LoadReport:
+    """Convert a message to a load report, without its age."""
+    return _from_message(LoadReport, message.report)
+
+
+def suspicion_message(told: Suspected) -> control_pb2.Suspicion:
+    """Convert a suspicion to its message."""
+    return control_pb2.Suspicion(**_fields_of(told))  # type: ignore[arg-type]
+
+
+def suspicion_record(message: control_pb2.Suspicion) -> Suspected:
+    """Convert a message to a suspicion."""
+    return Suspected(
+        message.fingerprint,
+        list(message.victims),
+        message.remaining_ms,
+    )
+
+
+def preset_message(statement: InForce) -> control_pb2.PresetReply:
+    """Convert a statement of the preset in force to its message."""
+    return control_pb2.PresetReply(
+        is_settled=True,
+        **_fields_of(statement),  # type: ignore[arg-type]
+    )
+
+
+def preset_record(message: control_pb2.PresetReply) -> InForce:
+    """Convert a message to a statement of the preset in force."""
+    return _from_message(InForce, message)
--- /dev/null
+++ b/packages/node/src/lavendermountd/control/server.py
@@ -0,0 +1,166 @@
+"""The control server: gossip from nodes, questions from operators.
+
+:errors: a malformed message is answered by ``grpc`` itself.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+import grpc
+
+from lavendermountd.claims.claims import ClaimState, LocalClaim
+from lavendermountd.claims.holders import FORGOTTEN
+from lavendermountd.control.generated import control_pb2, control_pb2_grpc
+from lavendermountd.control.messages import (
+    load_message,
+    member_message,
+    preset_message,
+)
+from lavendermountd.membership.gossip import RPC_OVERHEAD_BYTES
+
+if TYPE_CHECKING:
+    from lavendermountd.node import Node
+
+MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+MS = 1000
+
+
+class ControlServicer(control_pb2_grpc.ControlServicer):
+    """Answers control calls for one node.
+
+    :param node: what it answers for.
+    """
+
+    def __init__(self, node: Node) -> None:
+        """Keep the node."""
+        self.node = node
+
+    async def Gossip(  # noqa: N802
+        self,
+        request: control_pb2.GossipRound,
+        context: object,
+    ) -> control_pb2.GossipRound:
+        """Merge a round and answer with one."""
+        self.node.guard.check()
+        answer = self.node.exchange.answer(request)
+        is_paid = request.sender.region != self.node.identity.member.region
+        size = request.ByteSize() + answer.ByteSize() + 2 * RPC_OVERHEAD_BYTES
+        self.node.budget.charge('gossip', size, is_paid)
+        return answer
+
+    async def Probe(  # noqa: N802
+        self,
+        request: control_pb2.ProbeRequest,
+        context: object,
+    ) -> control_pb2.ProbeReply:
+        """Probe another node on the caller's behalf."""
+        stub = await self.node.channels.stub(request.address)
+        message = self.node.exchange.least_round(None)
+        try:
+            await stub.Gossip(message, timeout=request.timeout_ms / MS)
+        except grpc.aio.AioRpcError:
+            await self.node.channels.drop(request.address)
+            return control_pb2.ProbeReply(is_alive=False)
+        return control_pb2.ProbeReply(is_alive=True)
+
+    async def Preset(  # noqa: N802
+        self,
+        request: control_pb2.PresetRequest,
+        context: object,
+    ) -> control_pb2.PresetReply:
+        """Say what is in force, if this node knows for certain."""
+        fold = self.node.holder.fold
+        if fold is None or not fold.is_settled or self.node.holder.current is None:
+            return control_pb2.PresetReply(is_settled=False)
+        return preset_message(fold.statement())
+
+    async def Claim(  # noqa: N802
+        self,
+        request: control_pb2.ClaimRequest,
+        context: object,
+    ) -> control_pb2.ClaimReply:
+        """Say what became of a claim of this node."""
+        local = self.node.claims.find(request.claim_id)
+        if local is None:
+            return control_pb2.ClaimReply(state=FORGOTTEN)
+        if local.state == ClaimState.RUNNING:
+            await asyncio.shield(local.finished)
+        return _claim_reply(local)
+
+    async def Status(  # noqa: N802
+        self,
+        request: control_pb2.StatusRequest,
+        context: object,
+    ) -> control_pb2.StatusReply:
+        """Say what this node knows."""
+        node = self.node
+        now = time.monotonic()
+        preset = node.holder.current
+        node.view.take_report(node.gate.load())
+        return control_pb2.StatusReply(
+            node=member_message(node.identity.member),
+            phase=str(node.phase),
+            revision=node.holder.revision,
+            preset='' if preset is None else preset.schema.name,
+            version='' if preset is None else preset.version,
+            members=map(member_message, node.table.members.values()),
+            loads=[
+                load_message(seen.report, (now - seen.seen_at) * MS)
+                for seen in node.view.loads.values()
+            ],
+            decisions=node.recorder.recorded,
+            decisions_dropped=node.recorder.dropped,
+            is_log_reachable=node.follower.is_reachable,
+        )
+
+    async def Drain(  # noqa: N802
+        self,
+        request: control_pb2.DrainRequest,
+        context: object,
+    ) -> control_pb2.DrainReply:
+        """Start a planned stop of the target, or of the whole node."""
+        self.node.drain_target()
+        if request.stop:
+            self.node.stop_requested.set()
+        admission = self.node.gate.admission
+        return control_pb2.DrainReply(
+            in_flight=admission.in_flight,
+            queued=admission.queued,
+        )
+
+
+def _claim_reply(local: LocalClaim) -> control_pb2.ClaimReply:
+    answer = control_pb2.ClaimReply(state=str(local.state))
+    if local.state != ClaimState.WHOLE:
+        return answer
+    reply = local.finished.result().unwrap()
+    answer.status = reply.status
+    answer.reason = reply.reason
+    answer.body = reply.body
+    for name, text in reply.headers:
+        answer.headers.add(name=name, text=text)
+    return answer
+
+
+async def serve_control(node: Node, host: str, port: int) -> None:
+    """Serve control calls until cancelled.
+
+    :param node: what is answered for.
+    :param host: IP number to listen on.
+    :param port: port to listen on.
+    """
+    options = (
+        ('grpc.max_receive_message_length', MAX_MESSAGE_BYTES),
+        ('grpc.so_reuseport', 0),
+    )
+    server = grpc.aio.server(options=options)
+    control_pb2_grpc.add_ControlServicer_to_server(ControlServicer(node), server)  # type: ignore[no-untyped-call]
+    server.add_insecure_port(f'{host}:{port}')
+    await server.start()
+    try:
+        await server.wait_for_termination()
+    finally:
+        await server.stop(None)
--- /dev/null
+++ b/packages/node/src/lavendermountd/gate/__init__.py
@@ -0,0 +1,1 @@
+"""The only way to the node's own target."""
--- /dev/null
+++ b/packages/node/src/lavendermountd/gate/admission.py
@@ -0,0 +1,238 @@
+"""Slots of the target and the short queue in front of them.
+
+:units: seconds on the node's monotonic clock; counts of requests.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+from collections import defaultdict
+from itertools import count
+
+from lavendermount_core.config.preset import ClassOptions
+
+
+class Ticket:
+    """A request's place in the queue.
+
+    :param call_class: name of its class.
+    :param deadline: when its answer is worth nothing.
+    :param is_exclusive: whether it must run alone.
+    """
+
+    __slots__ = ('call_class', 'deadline', 'is_exclusive', 'is_gone', 'started')
+
+    def __init__(
+        self,
+        call_class: str,
+        deadline: float,
+        is_exclusive: bool = False,
+    ) -> None:
+        """Start outside the queue."""
+        self.call_class = call_class
+        self.deadline = deadline
+        self.is_exclusive = is_exclusive
+        self.is_gone = False
+        self.started: asyncio.Future[None] | None = None
+
+
+class ClassRule:
+    """What the preset says of one class.
+
+    :param name: name of the class.
+    :param priority: lower goes first.
+    :param reserved: slots that other classes leave free for it.
+    :param queue_limit: tickets of it that may wait.
+    """
+
+    __slots__ = ('name', 'priority', 'reserved', 'queue_limit')
+
+    def __init__(
+        self,
+        name: str,
+        priority: int,
+        reserved: int,
+        queue_limit: int,
+    ) -> None:
+        """Keep the fields as given."""
+        self.name = name
+        self.priority = priority
+        self.reserved = reserved
+        self.queue_limit = queue_limit
+
+    @classmethod
+    def from_options(cls, options: ClassOptions) -> ClassRule:
+        """Read the rule from the preset."""
+        return cls(
+            options.name,
+            options.priority,
+            options.reserved_slots,
+            options.queue_limit,
+        )
+
+
+DEFAULT_RULE = ClassRule('', 9, 0, 12)
+
+
+class Admission:
+    """Decides which request takes a slot, and which one waits.
+
+    Classes are served in order of priority; within a class the earliest
+    deadline goes first.
+
+    :param slots: requests the target works on at once.
+    """
+
+    __slots__ = ('slots', 'rules', 'running', 'waiting', 'exclusive', 'ties')
+
+    def __init__(self, slots: int) -> None:
+        """Start with no classes and nothing running."""
+        self.slots = slots
+        self.rules: dict[str, ClassRule] = {}
+        self.running: dict[str, int] = defaultdict(int)
+        self.waiting: dict[str, list[tuple[float, int, Ticket]]] = {}
+        self.exclusive: Ticket | None = None
+        self.ties = count()
+
+    @property
+    def in_flight(self) -> int:
+        """Requests the target works on."""
+        return sum(self.running.values())
+
+    @property
+    def queued(self) -> int:
+        """Requests that wait for a slot."""
+        return sum(self.queued_of(name) for name in self.waiting)
+
+    def queued_of(self, call_class: str) -> int:
+        """Requests of one class that wait for a slot."""
+        heap = self.waiting.get(call_class, ())
+        return sum(1 for entry in heap if not entry[2].is_gone)
+
+    def set_rules(self, rules: list[ClassRule]) -> None:
+        """Take over the classes of a preset; waiting requests stay."""
+        self.rules = {rule.name: rule for rule in rules}
+
+    def rule_of(self, call_class: str) -> ClassRule:
+        """Find the rule of a class; an unknown class goes last."""
+        return self.rules.get(call_class, DEFAULT_RULE)
+
+    def has_room(self, ticket: Ticket) -> bool:
+        """Whether a request may take a slot now.
+
+        :param ticket: its place in the queue.
+        """
+        if self.exclusive is not None:
+            return False
+        busy = self.in_flight
+        if ticket.is_exclusive:
+            return busy == 0
+        free = self.slots - busy
+        if free <= 0:
+            return False
+        name = ticket.call_class
+        if self.running[name] < self.rule_of(name).reserved:
+            return True
+        return free > min(self.held_back_from(name), self.slots - 1)
+
+    def held_back_from(self, call_class: str) -> int:
+        """Slots that one class must leave free for the others."""
+        return sum(
+            max(0, rule.reserved - self.running[rule.name])
+            for rule in self.rules.values()
+            if rule.name != call_class
+        )
+
+    def try_start(self, ticket: Ticket) -> bool:
+        """Take a slot at once if there is one that nobody waits for.
+
+        Whoever waits found no room, and whatever gives room starts those who
+        wait; so only a request that must run alone can be overtaken here.
+
+        :param ticket: a request that just arrived.
+        :returns: whether it may run now.
+        """
+        if self.is_exclusive_waiting() or not self.has_room(ticket):
+            return False
+        self.take(ticket)
+        return True
+
+    def is_exclusive_waiting(self) -> bool:
+        """Whether a request that must run alone is first in its class."""
+        heads = (self.head_of(name) for name in self.waiting)
+        return any(head is not None and head.is_exclusive for head in heads)
+
+    def take(self, ticket: Ticket) -> None:
+        """Occupy a slot."""
+        self.running[ticket.call_class] += 1
+        if ticket.is_exclusive:
+            self.exclusive = ticket
+
+    def wait(self, ticket: Ticket) -> bool:
+        """Join the queue unless it is full.
+
+        :param ticket: a request that found no slot.
+        :returns: whether it waits now.
+        """
+        name = ticket.call_class
+        if self.queued_of(name) >= self.rule_of(name).queue_limit:
+            return False
+        heap = self.waiting.setdefault(name, [])
+        heapq.heappush(heap, (ticket.deadline, next(self.ties), ticket))
+        return True
+
+    def leave(self, ticket: Ticket) -> None:
+        """Leave the queue without having run."""
+        ticket.is_gone = True
+
+    def release(self, ticket: Ticket) -> list[Ticket]:
+        """Give a slot back.
+
+        :param ticket: the request that ended.
+        :returns: the waiting requests that run now, in order.
+        """
+        self.running[ticket.call_class] -= 1
+        if self.exclusive is ticket:
+            self.exclusive = None
+        return self.start_waiting()
+
+    def start_waiting(self) -> list[Ticket]:
+        """Start as many waiting requests as there is room for.
+
+        :returns: those that run now, in order.
+        """
+        started = []
+        while True:
+            ticket = self.pop_next()
+            if ticket is None:
+                return started
+            self.take(ticket)
+            started.append(ticket)
+
+    def pop_next(self) -> Ticket | None:
+        """Remove the next request that may take a slot.
+
+        A request that must run alone holds back those of later classes.
+        """
+        for name in sorted(self.waiting, key=self.rank_of):
+            head = self.head_of(name)
+            if head is None:
+                continue
+            if self.has_room(head):
+                heapq.heappop(self.waiting[name])
+                return head
+            if head.is_exclusive:
+                return None
+        return None
+
+    def rank_of(self, call_class: str) -> tuple[int, str]:
+        """Order of a class in the queue."""
+        return self.rule_of(call_class).priority, call_class
+
+    def head_of(self, call_class: str) -> Ticket | None:
+        """First waiting request of a class."""
+        heap = self.waiting[call_class]
+        while heap and heap[0][2].is_gone:
+            heapq.heappop(heap)
+        return heap[0][2] if heap else None
--- /dev/null
+++ b/packages/node/src/lavendermountd/gate/attempts.py
@@ -0,0 +1,71 @@
+"""Attempts at running a request on the node's own target.
+
+:units: seconds on the node's monotonic clock.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from enum import IntEnum
+
+from returns.result import Result
+
+from lavendermount_core.structure.calls import CallReply, CallRequest, Refusal
+
+AttemptResult = Result[CallReply, Refusal]
+
+
+class Progress(IntEnum):
+    """How far an attempt has come; it never goes back."""
+
+    WAITING = 0
+    WRITTEN = 1
+    DONE = 2
+
+
+class Attempt:
+    """One attempt, from its arrival at the gate to its end.
+
+    :param attempt_id: identifier, unique in the system.
+    :param request: the request with its deadline on this node's clock.
+    :param fingerprint: digest that tells requests apart for suspicion.
+    """
+
+    __slots__ = (
+        'attempt_id',
+        'request',
+        'fingerprint',
+        'progress',
+        'finished',
+        'finished_at',
+        'task',
+        'target_start',
+    )
+
+    def __init__(
+        self,
+        attempt_id: str,
+        request: CallRequest,
+        fingerprint: str,
+    ) -> None:
+        """Start waiting; nothing has been written yet."""
+        self.attempt_id = attempt_id
+        self.request = request
+        self.fingerprint = fingerprint
+        self.progress = Progress.WAITING
+        self.finished: asyncio.Future[AttemptResult] = asyncio.Future()
+        self.finished_at = 0.0
+        self.task: asyncio.Task[AttemptResult] | None = None
+        self.target_start = 0
+
+    @property
+    def has_left(self) -> bool:
+        """Whether a first byte may have reached the target."""
+        return self.progress != Progress.WAITING
+
+    def finish(self, outcome: AttemptResult, now: float) -> None:
+        """Keep the outcome for whoever asks later."""
+        self.progress = Progress.DONE
+        self.finished_at = now
+        if not self.finished.done():
+            self.finished.set_result(outcome)
--- /dev/null
+++ b/packages/node/src/lavendermountd/gate/gate.py
@@ -0,0 +1,323 @@
+"""The gate: the only way to the node's own target.
+
+It knows exactly what runs on the target. It answers ``not-run`` only for work
+whose first byte never left, and ``unknown`` in any doubt.
+
+:units: seconds on the node's monotonic clock; milliseconds in reports.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import time
+from collections.abc import Callable
+
+from returns.result import Failure, Success
+
+from lavendermount_core.structure.calls import (
+    CallReply,
+    Reason,
+    Refusal,
+    not_run,
+    unknown,
+)
+from lavendermount_core.structure.loads import LoadReport
+from lavendermountd.gate.admission import Admission, Ticket
+from lavendermountd.gate.attempts import Attempt, AttemptResult
+from lavendermountd.gate.ledger import HORIZON_S, Ledger, refuse_buried
+from lavendermountd.gate.suspects import SuspectTable, Verdict
+from lavendermountd.gate.target import Target, TargetState
+from lavendermountd.gate.target_client import TargetClient, TargetError
+from lavendermountd.identity import Identity
+from lavendermountd.peer.frames import Suspected
+
+log = logging.getLogger(__name__)
+
+FAILURE_STATUS = 500
+TOO_MANY_REQUESTS = 429
+SHORTEST_RETRY_S = 0.05
+JITTER = 0.5
+TARGET_DOWN_RETRY_S = 1.0
+NO_ADVICE = 0.0
+FULL_AGE_MS = HORIZON_S * 500
+
+
+class Gate:
+    """Admits, dispatches and remembers attempts.
+
+    :param identity: the node's own name and incarnation.
+    """
+
+    def __init__(self, identity: Identity) -> None:
+        """Start without a target."""
+        self.identity = identity
+        self.target = Target()
+        self.client = TargetClient(self.target)
+        self.admission = Admission(0)
+        self.ledger = Ledger()
+        self.suspects = SuspectTable()
+        self.sequence = 0
+        self.is_closed = False
+        self.on_suspect: Callable[[Suspected], None] = _ignore_suspect
+        self.on_load_change: Callable[[], None] = _ignore_change
+
+    def load(self) -> LoadReport:
+        """Report the target's load as it is now."""
+        self.sequence += 1
+        target = self.target
+        now = time.monotonic()
+        return LoadReport(
+            self.identity.node_id,
+            self.identity.incarnation,
+            self.sequence,
+            self.admission.in_flight,
+            self.admission.queued,
+            target.slots,
+            round(target.current_service_ms(now), 2),
+            round(target.failure_ratio, 3),
+            target.warm_ms(now),
+            target.is_accepting and not self.is_closed,
+        )
+
+    def start(self, attempt: Attempt) -> asyncio.Task[AttemptResult]:
+        """Run an attempt in a task of its own.
+
+        :param attempt: a new attempt.
+        :returns: the task; its result is the outcome.
+        """
+        task = asyncio.create_task(self.execute(attempt))
+        attempt.task = task
+        return task
+
+    async def execute(self, attempt: Attempt) -> AttemptResult:
+        """Run an attempt and keep its outcome.
+
+        :param attempt: a new attempt.
+        :returns: the reply, or why there is none.
+        """
+        if not self.ledger.open(attempt):
+            return refuse_buried()
+        try:
+            outcome = await self.admit_and_run(attempt)
+        except asyncio.CancelledError:
+            outcome = Failure(_interrupted(attempt, Reason.CANCELLED))
+        self.ledger.close(attempt, outcome, time.monotonic())
+        return outcome
+
+    async def admit_and_run(self, attempt: Attempt) -> AttemptResult:
+        """Wait for a slot and run the attempt in it."""
+        refusal = self.refusal_before_queue(attempt)
+        if refusal is not None:
+            return Failure(refusal)
+        request = attempt.request
+        verdict = self.suspects.verdict(attempt.fingerprint)
+        ticket = Ticket(
+            request.call_class.name,
+            request.deadline,
+            verdict == Verdict.ALONE,
+        )
+        refusal = await self.enter(ticket)
+        if refusal is not None:
+            return Failure(refusal)
+        try:
+            return await self.run(attempt)
+        finally:
+            self.leave(ticket)
+
+    def refusal_before_queue(self, attempt: Attempt) -> Refusal | None:
+        """Refuse at once what can't run here."""
+        if self.is_closed or self.target.state == TargetState.DRAINING:
+            return not_run(Reason.DRAINING, 'the target is leaving')
+        if not self.target.is_accepting:
+            return not_run(
+                Reason.TARGET_DOWN,
+                'the target does not accept connections',
+                TARGET_DOWN_RETRY_S,
+            )
+        if self.suspects.verdict(attempt.fingerprint) != Verdict.REFUSED:
+            return None
+        return not_run(
+            Reason.SUSPECT,
+            'two targets died while they ran this request',
+            self.suspects.remaining_s(attempt.fingerprint),
+        )
+
+    async def enter(self, ticket: Ticket) -> Refusal | None:
+        """Take a slot, now or after a wait.
+
+        :returns: why the request will not run, or ``None`` with a slot taken.
+        """
+        if self.admission.try_start(ticket):
+            return None
+        if self.wait_estimate_s() > ticket.deadline - time.monotonic():
+            return self.refuse(Reason.DEADLINE, 'the queue is too long to be in time')
+        if not self.admission.wait(ticket):
+            return self.refuse(Reason.QUEUE_FULL, 'the queue of the class is full')
+        ticket.started = asyncio.get_running_loop().create_future()
+        latest = ticket.deadline - self.target.service_ms / 1000
+        try:
+            async with asyncio.timeout_at(latest):
+                await ticket.started
+        except TimeoutError:
+            self.abandon(ticket)
+            return self.refuse(Reason.DEADLINE, 'no slot became free in time')
+        except asyncio.CancelledError:
+            self.abandon(ticket)
+            raise
+        return None
+
+    def abandon(self, ticket: Ticket) -> None:
+        """Leave the queue, or give back a slot got in the same moment."""
+        if ticket.started is not None and _is_granted(ticket.started):
+            self.leave(ticket)
+            return
+        self.admission.leave(ticket)
+        self.wake(self.admission.start_waiting())
+
+    def leave(self, ticket: Ticket) -> None:
+        """Give a slot back and start who waits for it."""
+        self.wake(self.admission.release(ticket))
+
+    def wake(self, tickets: list[Ticket]) -> None:
+        """Let requests run that were given a slot."""
+        for ticket in tickets:
+            if ticket.started is None or ticket.started.done():
+                self.leave(ticket)
+                continue
+            ticket.started.set_result(None)
+
+    async def run(self, attempt: Attempt) -> AttemptResult:
+        """Dispatch an attempt that holds a slot."""
+        begun = time.monotonic()
+        self.target.begin(attempt.attempt_id, begun)
+        try:
+            async with asyncio.timeout_at(attempt.request.deadline):
+                reply = await self.client.exchange(attempt)
+        except TargetError as error:
+            return Failure(await self.refusal_for(attempt, error))
+        except TimeoutError:
+            self.observe(begun, is_failure=True)
+            return Failure(_interrupted(attempt, Reason.DEADLINE))
+        finally:
+            self.target.end(attempt.attempt_id, time.monotonic())
+        self.observe(begun, is_failure=_is_failure(reply))
+        self.suspects.clear(attempt.fingerprint)
+        return Success(reply)
+
+    def observe(self, begun: float, is_failure: bool) -> None:
+        """Add an exchange to the target's averages."""
+        elapsed_ms = (time.monotonic() - begun) * 1000
+        self.target.observe(elapsed_ms, is_failure)
+
+    async def refusal_for(self, attempt: Attempt, error: TargetError) -> Refusal:
+        """Say what a failed exchange means for the caller."""
+        if error.reason == Reason.OVERLOADED:
+            return self.refuse(Reason.OVERLOADED, str(error))
+        self.target.observe(0, is_failure=True)
+        if error.reason == Reason.TARGET_DOWN:
+            self.mark_down()
+        if not attempt.has_left:
+            return not_run(error.reason, str(error), TARGET_DOWN_RETRY_S)
+        if error.reason == Reason.TARGET_REPLY and not await self.is_dead():
+            return unknown(error.reason, str(error), NO_ADVICE)
+        self.blame(attempt)
+        return unknown(Reason.TARGET_DIED, str(error), TARGET_DOWN_RETRY_S)
+
+    async def is_dead(self) -> bool:
+        """Whether the target refuses connections now."""
+        try:
+            stream = await self.client.connect()
+        except TargetError as error:
+            return error.reason == Reason.TARGET_DOWN
+        self.client.discard(stream)
+        return False
+
+    def blame(self, attempt: Attempt) -> None:
+        """Suspect a request that was in flight when the target died."""
+        victim = f'{self.identity.node_id}:{attempt.target_start}'
+        told = self.suspects.blame(attempt.fingerprint, victim)
+        log.warning(
+            'crash-suspect',
+            extra={
+                'attempt': attempt.attempt_id,
+                'fingerprint': attempt.fingerprint,
+                'victims': ','.join(told.victims),
+            },
+        )
+        self.on_suspect(told)
+
+    def mark_down(self) -> None:
+        """Take no work until the target accepts connections again."""
+        if self.target.state != TargetState.UP:
+            return
+        self.target.state = TargetState.DOWN
+        self.client.close_idle()
+        log.warning('target-down', extra={'service': self.target.service})
+        self.on_load_change()
+
+    def refuse(self, reason: Reason, detail: str) -> Refusal:
+        """Refuse work that never left, with the time the queue takes."""
+        drain_s = max(self.wait_estimate_s(), SHORTEST_RETRY_S)
+        jitter = 1 + random.random() * JITTER
+        return not_run(reason, detail, drain_s * jitter)
+
+    def wait_estimate_s(self) -> float:
+        """Time until all work now here is done."""
+        work = self.admission.in_flight + self.admission.queued
+        slots = max(self.target.slots, 1)
+        return work * self.target.service_ms / slots / 1000
+
+    def cancel(self, attempt_id: str) -> None:
+        """Call an attempt off, whether it waits or runs."""
+        attempt = self.ledger.attempts.get(attempt_id)
+        if attempt is not None and attempt.task is not None:
+            attempt.task.cancel()
+
+    async def outcome_of(
+        self,
+        attempt_id: str,
+        incarnation: int,
+        age_ms: float,
+    ) -> AttemptResult:
+        """Say what became of an attempt whose link was lost.
+
+        An attempt never seen is buried: it can't run any more.
+
+        :param attempt_id: which attempt.
+        :param incarnation: incarnation of the gate it was sent to.
+        :param age_ms: time since it was sent.
+        :returns: its outcome, as soon as there is one.
+        """
+        is_forgotten = incarnation != self.identity.incarnation
+        if is_forgotten or age_ms > FULL_AGE_MS:
+            return Failure(unknown(Reason.LINK_LOST, 'the gate has no memory of it'))
+        attempt = self.ledger.find_or_bury(attempt_id, time.monotonic())
+        if attempt is None:
+            return refuse_buried()
+        if attempt.finished_at and not attempt.finished.done():
+            return Failure(unknown(Reason.LINK_LOST, 'the reply is no longer kept'))
+        return await asyncio.shield(attempt.finished)
+
+
+def _interrupted(attempt: Attempt, reason: Reason) -> Refusal:
+    if attempt.has_left:
+        return unknown(reason, 'the target had not answered in time')
+    return not_run(reason, 'the request had not left the gate')
+
+
+def _is_failure(reply: CallReply) -> bool:
+    return reply.status >= FAILURE_STATUS or reply.status == TOO_MANY_REQUESTS
+
+
+def _is_granted(started: asyncio.Future[None]) -> bool:
+    return started.done() and not started.cancelled()
+
+
+def _ignore_suspect(told: Suspected) -> None:
+    """Tell nobody; replaced when the node is wired."""
+
+
+def _ignore_change() -> None:
+    """Tell nobody; replaced when the node is wired."""
--- /dev/null
+++ b/packages/node/src/lavendermountd/gate/suspects.py
@@ -0,0 +1,148 @@
+"""Requests that were in flight when a target died.
+
+:units: seconds on the node's monotonic clock.
+
+A request suspected once runs alone; suspected of two targets' deaths it is
+refused everywhere until the suspicion expires. One that completes is cleared.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import time
+from enum import IntEnum
+
+from lavendermount_core.structure.calls import CallRequest
+from lavendermountd.peer.frames import Suspected
+
+EXPIRY_S = 300.0
+MAX_VICTIMS = 2
+MAX_SUSPECTS = 10000
+FINGERPRINT_LENGTH = 16
+KEY_HEADER = 'idempotency-key'
+
+
+class Verdict(IntEnum):
+    """How a request may run."""
+
+    FREE = 0
+    ALONE = 1
+    REFUSED = 2
+
+
+class Suspect:
+    """One suspected request.
+
+    :param victims: targets that died with it, as ``node:start``.
+    :param expires_at: when the suspicion ends.
+    """
+
+    __slots__ = ('victims', 'expires_at')
+
+    def __init__(self, victims: set[str], expires_at: float) -> None:
+        """Keep the fields as given."""
+        self.victims = victims
+        self.expires_at = expires_at
+
+
+class SuspectTable:
+    """Suspected requests by fingerprint, merged with what others saw."""
+
+    __slots__ = ('suspects',)
+
+    def __init__(self) -> None:
+        """Start with no suspicion."""
+        self.suspects: dict[str, Suspect] = {}
+
+    def verdict(self, fingerprint: str) -> Verdict:
+        """Decide how a request may run.
+
+        :param fingerprint: its digest.
+        """
+        suspect = self.find(fingerprint)
+        if suspect is None:
+            return Verdict.FREE
+        if len(suspect.victims) >= MAX_VICTIMS:
+            return Verdict.REFUSED
+        return Verdict.ALONE
+
+    def find(self, fingerprint: str) -> Suspect | None:
+        """Find an unexpired suspicion."""
+        suspect = self.suspects.get(fingerprint)
+        if suspect is None or suspect.expires_at > time.monotonic():
+            return suspect
+        del self.suspects[fingerprint]
+        return None
+
+    def remaining_s(self, fingerprint: str) -> float:
+        """Time until a suspicion expires."""
+        suspect = self.find(fingerprint)
+        return suspect.expires_at - time.monotonic() if suspect else 0
+
+    def blame(self, fingerprint: str, victim: str) -> Suspected:
+        """Note that a target died while a request was in flight.
+
+        :param victim: the target, as ``node:start``.
+        :returns: the frame that tells other nodes.
+        """
+        told = Suspected(fingerprint, [victim], int(EXPIRY_S * 1000))
+        self.merge(told)
+        return self.describe(fingerprint)
+
+    def merge(self, told: Suspected) -> bool:
+        """Take over what another node saw.
+
+        :returns: whether it was news.
+        """
+        expires_at = time.monotonic() + min(told.remaining_ms / 1000, EXPIRY_S)
+        suspect = self.find(told.fingerprint)
+        if suspect is None:
+            self.make_room()
+            suspect = Suspect(set(), expires_at)
+            self.suspects[told.fingerprint] = suspect
+        before = len(suspect.victims)
+        suspect.victims.update(told.victims)
+        return len(suspect.victims) > before
+
+    def make_room(self) -> None:
+        """Forget the oldest suspicion when there are too many."""
+        if len(self.suspects) >= MAX_SUSPECTS:
+            del self.suspects[next(iter(self.suspects))]
+
+    def clear(self, fingerprint: str) -> None:
+        """Forget a suspicion: the request completed."""
+        self.suspects.pop(fingerprint, None)
+
+    def describe(self, fingerprint: str) -> Suspected:
+        """Build the frame that tells other nodes of a suspicion."""
+        suspect = self.suspects[fingerprint]
+        remaining_ms = int((suspect.expires_at - time.monotonic()) * 1000)
+        return Suspected(fingerprint, sorted(suspect.victims), remaining_ms)
+
+    def describe_all(self) -> list[Suspected]:
+        """Build the frames for every unexpired suspicion."""
+        return [
+            self.describe(fingerprint)
+            for fingerprint in list(self.suspects)
+            if self.find(fingerprint) is not None
+        ]
+
+
+def fingerprint_of(request: CallRequest) -> str:
+    """Digest what makes a request the same when it is sent again.
+
+    :returns: digest of the idempotency key, or of method, path and body.
+    """
+    digest = hashlib.sha256(request.call_class.service.encode())
+    digest.update(request.call_class.tenant.encode())
+    key = next(
+        (text for name, text in request.headers if name.lower() == KEY_HEADER),
+        '',
+    )
+    if key:
+        digest.update(key.encode())
+        return digest.hexdigest()[:FINGERPRINT_LENGTH]
+    digest.update(request.method.encode())
+    digest.update(request.path.encode())
+    digest.update(request.body)
+    return digest.hexdigest()[:FINGERPRINT_LENGTH]
--- /dev/null
+++ b/packages/node/src/lavendermountd/gate/target.py
@@ -0,0 +1,123 @@
+"""The target beside the node, as announced.
+
+:units: seconds on the node's monotonic clock, milliseconds in averages.
+"""
+
+from __future__ import annotations
+
+import time
+from enum import StrEnum
+
+SERVICE_WEIGHT = 0.1
+FAILURE_WEIGHT = 0.1
+MS = 1000
+
+
+class TargetState(StrEnum):
+    """Whether the target takes work."""
+
+    ABSENT = 'absent'
+    UP = 'up'
+    DRAINING = 'draining'
+    DOWN = 'down'
+
+
+class Target:
+    """The one target that this node's gate dispatches to."""
+
+    __slots__ = (
+        'service',
+        'host',
+        'port',
+        'slots',
+        'instance',
+        'state',
+        'ready_at',
+        'start',
+        'service_ms',
+        'failure_ratio',
+        'started_at',
+    )
+
+    def __init__(self) -> None:
+        """Start without a target."""
+        self.service = ''
+        self.host = ''
+        self.port = 0
+        self.slots = 0
+        self.instance = ''
+        self.state = TargetState.ABSENT
+        self.ready_at = 0.0
+        self.start = 0
+        self.service_ms = 0.0
+        self.failure_ratio = 0.0
+        self.started_at: dict[str, float] = {}
+
+    @property
+    def is_accepting(self) -> bool:
+        """Whether new work may start."""
+        return self.state == TargetState.UP
+
+    def announce(
+        self,
+        service: str,
+        host: str,
+        port: int,
+        slots: int,
+        instance: str,
+    ) -> bool:
+        """Take over an announcement.
+
+        :param instance: changes with each start of the target.
+        :returns: whether this is a new start of the target.
+        """
+        is_new = instance != self.instance or self.state != TargetState.UP
+        self.service = service
+        self.host = host
+        self.port = port
+        self.slots = slots
+        self.instance = instance
+        self.state = TargetState.UP
+        if is_new:
+            self.mark_started()
+        return is_new
+
+    def mark_started(self) -> None:
+        """Begin the averages anew for a target that just started."""
+        self.ready_at = time.monotonic()
+        self.start += 1
+        self.state = TargetState.UP
+        self.service_ms = 0.0
+        self.failure_ratio = 0.0
+
+    def begin(self, attempt_id: str, now: float) -> None:
+        """Note that a request went to the target."""
+        self.started_at[attempt_id] = now
+
+    def end(self, attempt_id: str, now: float) -> None:
+        """Note that a request is no longer at the target."""
+        self.started_at.pop(attempt_id, None)
+
+    def observe(self, elapsed_ms: float, is_failure: bool) -> None:
+        """Add one completed request to the averages.
+
+        :param elapsed_ms: from the write to the end of the reply.
+        :param is_failure: whether the reply was a failure of the target.
+        """
+        self.failure_ratio += FAILURE_WEIGHT * (is_failure - self.failure_ratio)
+        if is_failure:
+            return
+        if not self.service_ms:
+            self.service_ms = elapsed_ms
+        self.service_ms += SERVICE_WEIGHT * (elapsed_ms - self.service_ms)
+
+    def current_service_ms(self, now: float) -> float:
+        """Recent service time, or the age of the work in flight if longer."""
+        if not self.started_at:
+            return self.service_ms
+        ages = now * len(self.started_at) - sum(self.started_at.values())
+        return max(self.service_ms, ages * MS / len(self.started_at))
+
+    def warm_ms(self, now: float) -> int:
+        """Time since the target started."""
+        return int((now - self.ready_at) * MS)
--- /dev/null
+++ b/packages/node/src/lavendermountd/identity.py
@@ -0,0 +1,60 @@
+"""Who the node is.
+
+:units: milliseconds since the epoch for incarnations.
+"""
+
+from __future__ import annotations
+
+import time
+
+from lavendermount_core.config.node import NodeSchema
+from lavendermount_core.structure.members import Member, MemberStatus
+
+NANOSECONDS_PER_MS = 1000000
+
+
+class Identity:
+    """The node's own entry among the members.
+
+    :param settings: the node's settings.
+    """
+
+    __slots__ = ('settings', 'member', 'gateways')
+
+    def __init__(self, settings: NodeSchema) -> None:
+        """Begin a new incarnation at the present time."""
+        listen = settings.listen
+        self.settings = settings
+        self.gateways = {entry.region: entry.host for entry in settings.gateway}
+        self.member = Member(
+            settings.node_id,
+            time.time_ns() // NANOSECONDS_PER_MS,
+            0,
+            MemberStatus.ALIVE,
+            '',
+            settings.region,
+            settings.zone,
+            listen.host,
+            listen.peer_port,
+            listen.control_port,
+        )
+
+    @property
+    def node_id(self) -> str:
+        """Name of the node."""
+        return self.member.node_id
+
+    @property
+    def incarnation(self) -> int:
+        """Start of the process, in milliseconds since the epoch."""
+        return self.member.incarnation
+
+    def host_of(self, member: Member) -> str:
+        """Find the IP number by which a member is reached from here."""
+        if member.region == self.member.region:
+            return member.host
+        return self.gateways.get(member.region, member.host)
+
+    def control_address_of(self, member: Member) -> str:
+        """Find the control address of a member, as gRPC writes it."""
+        return f'{self.host_of(member)}:{member.control_port}'
--- /dev/null
+++ b/packages/node/src/lavendermountd/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Who is in the system."""
--- /dev/null
+++ b/packages/node/src/lavendermountd/membership/exchange.py
@@ -0,0 +1,149 @@
+"""Building and merging rounds of gossip.
+
+:shapes: a round is a ``GossipRound`` message.
+:units: milliseconds for ages.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+from lavendermount_core.presets.records import NO_REVISION
+from lavendermount_core.structure.members import Member, MemberStatus
+from lavendermountd.control.generated import control_pb2
+from lavendermountd.control.messages import (
+    load_message,
+    load_record,
+    member_message,
+    member_record,
+    suspicion_message,
+    suspicion_record,
+)
+from lavendermountd.gate.gate import Gate
+from lavendermountd.membership.table import MemberTable
+from lavendermountd.membership.updates import BUCKET_LIMIT, UpdateQueue
+from lavendermountd.routing.budgets import MeasuringBudget
+from lavendermountd.routing.view import LoadView
+
+LOADS_PER_ROUND = 8
+SUSPICIONS_PER_ROUND = 8
+FRESH_S = 5.0
+
+
+class GossipExchange:
+    """What this node says in a round, and what it learns from one.
+
+    :param table: members.
+    :param view: loads of the targets.
+    :param gate: the node's own gate.
+    :param budget: cost of measuring.
+    """
+
+    def __init__(
+        self,
+        table: MemberTable,
+        view: LoadView,
+        gate: Gate,
+        budget: MeasuringBudget,
+    ) -> None:
+        """Queue every member known so far as news."""
+        self.table = table
+        self.view = view
+        self.gate = gate
+        self.budget = budget
+        self.updates = UpdateQueue(table)
+        self.revision: Callable[[], int] = _no_revision
+        self.on_revision: Callable[[Member, int], None] = _ignore_revision
+
+    def build(self, receiver: Member | None) -> control_pb2.GossipRound:
+        """Build a round.
+
+        It always says what this node believes of the receiver, so that the
+        receiver can refute it.
+
+        :param receiver: who the round is for, as this node knows it.
+        """
+        is_paid = receiver is not None and receiver.region != self.table.own.region
+        bucket = self.budget.paid if is_paid else self.budget.local
+        bucket.fill()
+        message = self.least_round(receiver)
+        if bucket.tokens <= 0:
+            return message
+        message.members.extend(map(member_message, self.updates.take()))
+        message.loads.extend(self.recent_loads(is_paid=is_paid))
+        digests = self.updates.digests(self.updates.rotate())
+        for number, digest in digests.items():
+            message.digests.add(bucket=number, digest=digest)
+        return message
+
+    def least_round(self, receiver: Member | None) -> control_pb2.GossipRound:
+        """Build the least a round must say, whatever the budget."""
+        suspicions = self.gate.suspects.describe_all()[:SUSPICIONS_PER_ROUND]
+        message = control_pb2.GossipRound(
+            sender=member_message(self.table.own),
+            revision=self.revision(),
+            loads=[load_message(self.gate.load(), 0)],
+            suspicions=map(suspicion_message, suspicions),
+        )
+        if receiver is not None and receiver.status != MemberStatus.ALIVE:
+            message.members.append(member_message(receiver))
+        return message
+
+    def recent_loads(self, is_paid: bool) -> list[control_pb2.AgedLoad]:
+        """Choose the freshest reports of other targets in the own region."""
+        if is_paid:
+            return []
+        now = time.monotonic()
+        fresh = sorted(
+            (seen for seen in self.view.loads.values() if now - seen.seen_at < FRESH_S),
+            key=lambda seen: seen.seen_at,
+        )
+        return [
+            load_message(seen.report, (now - seen.seen_at) * 1000)
+            for seen in fresh[-LOADS_PER_ROUND:]
+        ]
+
+    def merge(self, message: control_pb2.GossipRound) -> list[Member]:
+        """Learn from a round.
+
+        :param message: from another node.
+        :returns: members that the other side seems not to know.
+        """
+        sender = member_record(message.sender)
+        self.table.merge(sender)
+        for entry in message.members:
+            self.table.merge(member_record(entry))
+        for aged in message.loads:
+            self.view.take_report(load_record(aged), aged.age_ms)
+        for suspicion in message.suspicions:
+            self.gate.suspects.merge(suspicion_record(suspicion))
+        if message.revision > self.revision():
+            self.on_revision(sender, message.revision)
+        return self.differing(message)
+
+    def differing(self, message: control_pb2.GossipRound) -> list[Member]:
+        """List the members of the buckets that the two sides see differently."""
+        theirs = {entry.bucket: entry.digest for entry in message.digests}
+        ours = self.updates.digests(list(theirs))
+        members: list[Member] = []
+        for bucket, digest in theirs.items():
+            if ours[bucket] != digest:
+                members.extend(self.updates.bucket_members(bucket)[:BUCKET_LIMIT])
+        return members
+
+    def answer(self, message: control_pb2.GossipRound) -> control_pb2.GossipRound:
+        """Merge a round and build the answer to it."""
+        differing = self.merge(message)
+        known = self.table.find(message.sender.node_id)
+        answer = self.build(known)
+        answer.members.extend(map(member_message, differing))
+        return answer
+
+
+def _no_revision() -> int:
+    return NO_REVISION
+
+
+def _ignore_revision(sender: Member, revision: int) -> None:
+    """Learn nothing; replaced when the node is wired."""
--- /dev/null
+++ b/packages/node/src/lavendermountd/membership/gossip.py
@@ -0,0 +1,194 @@
+"""Gossip between nodes: failure detection, membership and loads.
+
+:units: seconds on the node's monotonic clock; bytes on the wire.
+:errors: none escape; a member that does not answer is suspected.
+
+Each round probes one member of the own region. Few relays of each region also
+speak to a relay of another region over the paid link.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+
+import grpc
+
+from lavendermount_core.structure.members import Member, MemberStatus
+from lavendermountd.control.channels import ChannelPool
+from lavendermountd.control.generated import control_pb2
+from lavendermountd.membership.exchange import GossipExchange
+from lavendermountd.membership.relays import is_relay, relays_of
+from lavendermountd.membership.suspicion import SuspicionTimers
+
+log = logging.getLogger(__name__)
+
+HELPERS = 2
+DEAD_PROBE_SHARE = 0.1
+RPC_OVERHEAD_BYTES = 150
+TIMEOUT_SHARE = 0.5
+REGION_TIMEOUT_S = 1.0
+
+
+class Gossip:
+    """Speaks to one member each period.
+
+    :param exchange: builds and merges rounds.
+    :param channels: channels to the other nodes.
+    :param timers: suspicions that run out.
+    :param period_s: time between rounds.
+    """
+
+    def __init__(
+        self,
+        exchange: GossipExchange,
+        channels: ChannelPool,
+        timers: SuspicionTimers,
+        period_s: float,
+    ) -> None:
+        """Start with an empty order of probes."""
+        self.exchange = exchange
+        self.table = exchange.table
+        self.channels = channels
+        self.timers = timers
+        self.period_s = period_s
+        self.order: list[str] = []
+        self.rounds = 0
+
+    async def run(self) -> None:
+        """Gossip until cancelled."""
+        while True:
+            jitter = 0.9 + random.random() * 0.2
+            await asyncio.sleep(self.period_s * jitter)
+            await self.round()
+
+    async def round(self) -> None:
+        """Probe a member, speak to another region, and end suspicions."""
+        self.rounds += 1
+        self.timers.expire()
+        member = self.next_member()
+        if member is not None:
+            await self.probe(member)
+        far = self.next_far_relay()
+        if far is not None:
+            await self.speak_far(far)
+
+    def next_member(self) -> Member | None:
+        """Take the next member of the own region in a shuffled order.
+
+        Now and then a dead one is tried, so that a healed split is noticed.
+        """
+        dead = self.dead_nearby()
+        if dead and random.random() < DEAD_PROBE_SHARE:
+            return random.choice(dead)
+        if not self.order:
+            self.order = [member.node_id for member in self.nearby()]
+            random.shuffle(self.order)
+        while self.order:
+            member = self.table.find(self.order.pop())
+            if member is not None and member.status != MemberStatus.DEAD:
+                return member
+        return None
+
+    def nearby(self) -> list[Member]:
+        """List the living members of the own region."""
+        region = self.table.own.region
+        return [member for member in self.table.living() if member.region == region]
+
+    def dead_nearby(self) -> list[Member]:
+        """List the dead members of the own region that are remembered."""
+        region = self.table.own.region
+        return [
+            member
+            for member in self.table.members.values()
+            if member.status == MemberStatus.DEAD and member.region == region
+        ]
+
+    async def probe(self, member: Member) -> None:
+        """Speak to a member; suspect it if nobody can."""
+        if await self.speak(member, self.period_s * TIMEOUT_SHARE):
+            return
+        if member.status == MemberStatus.DEAD:
+            return
+        if await self.probe_through_others(member):
+            return
+        self.timers.suspect(member)
+
+    async def speak(self, member: Member, timeout_s: float) -> bool:
+        """Exchange one round with a member.
+
+        :returns: whether it answered.
+        """
+        message = self.exchange.build(member)
+        self.charge(member, message.ByteSize())
+        try:
+            stub = await self.channels.stub_of(member)
+            answer = await stub.Gossip(message, timeout=timeout_s)
+        except grpc.aio.AioRpcError as error:
+            log.debug(
+                'gossip-unanswered',
+                extra={'peer': member.node_id, 'cause': str(error.code())},
+            )
+            await self.channels.drop_of(member)
+            return False
+        self.charge(member, answer.ByteSize())
+        self.exchange.merge(answer)
+        return True
+
+    async def probe_through_others(self, member: Member) -> bool:
+        """Ask a few other members whether they reach a member."""
+        others = [other for other in self.nearby() if other.node_id != member.node_id]
+        helpers = random.sample(others, min(HELPERS, len(others)))
+        answers = await asyncio.gather(
+            *(self.ask_helper(helper, member) for helper in helpers),
+        )
+        return any(answers)
+
+    async def ask_helper(self, helper: Member, member: Member) -> bool:
+        """Ask one member whether it reaches another."""
+        timeout_s = self.period_s * TIMEOUT_SHARE
+        request = control_pb2.ProbeRequest(
+            address=self.channels.identity.control_address_of(member),
+            timeout_ms=int(timeout_s * 1000),
+        )
+        self.charge(helper, request.ByteSize())
+        try:
+            stub = await self.channels.stub_of(helper)
+            answer = await stub.Probe(request, timeout=2 * timeout_s)
+        except grpc.aio.AioRpcError:
+            return False
+        return bool(answer.is_alive)
+
+    def next_far_relay(self) -> Member | None:
+        """Pick a relay of another region, if this node is one itself."""
+        own = self.table.own
+        if not is_relay(self.table, own):
+            return None
+        regions = sorted({other.region for other in self.table.living()} - {own.region})
+        if not regions:
+            return None
+        region = regions[self.rounds % len(regions)]
+        relays = relays_of(self.table, region)
+        return random.choice(relays) if relays else None
+
+    async def speak_far(self, member: Member) -> None:
+        """Speak to another region if the paid budget allows it.
+
+        Silence is no reason to suspect: the link may be cut.
+        """
+        size = 2 * RPC_OVERHEAD_BYTES
+        if not self.exchange.budget.try_spend('gossip-connect', size, is_paid=True):
+            return
+        await self.speak(member, REGION_TIMEOUT_S)
+
+    def charge(self, member: Member, size: int) -> None:
+        """Count the bytes of a message."""
+        is_paid = member.region != self.table.own.region
+        self.exchange.budget.charge('gossip', size + RPC_OVERHEAD_BYTES, is_paid)
+
+    async def tell(self, members: list[Member]) -> None:
+        """Speak to some members at once, for news that can't wait."""
+        await asyncio.gather(
+            *(self.speak(member, self.period_s) for member in members),
+        )
--- /dev/null
+++ b/packages/node/src/lavendermountd/membership/joining.py
@@ -0,0 +1,139 @@
+"""Finding the first peers through the log.
+
+:shapes: a record of the stream is the row of a ``Member``.
+:errors: none escape while the log is down; seeds serve instead.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+
+from lavendermount_core.exceptions import (
+    LogEvictedError,
+    LogUnavailableError,
+    RecordError,
+)
+from lavendermount_core.platform.adapter import LogAdapter, LogBatch
+from lavendermount_core.structure.members import Member, MemberStatus
+from lavendermount_core.structure.records import pack, unpack
+from lavendermountd.membership.gossip import Gossip
+from lavendermountd.membership.relays import is_relay
+
+log = logging.getLogger(__name__)
+
+MEMBER_STREAM = 'members'
+CHECK_S = 2.0
+ALONE_READ_S = 5.0
+RETAIN_SHARE = 0.25
+
+
+class Joiner:
+    """Writes the node's join record and finds its first peers.
+
+    Relays write theirs again before the log evicts it, so that a node that
+    starts later always finds somebody.
+
+    :param gossip: speaks to the peers found.
+    :param platform_log: where the records are.
+    :param seeds: control addresses to try while the log is down.
+    :param retention_s: time after which the log evicts records.
+    """
+
+    def __init__(
+        self,
+        gossip: Gossip,
+        platform_log: LogAdapter,
+        seeds: list[str],
+        retention_s: float,
+    ) -> None:
+        """Start with nothing read or written."""
+        self.gossip = gossip
+        self.table = gossip.table
+        self.platform_log = platform_log
+        self.seeds = seeds
+        self.retention_s = retention_s
+        self.offset = 0
+        self.written_at = 0.0
+        self.read_at = 0.0
+        self.was_relay = False
+
+    async def run(self) -> None:
+        """Join, and keep being found, until cancelled."""
+        while True:
+            await self.step()
+            await asyncio.sleep(CHECK_S * (0.5 + random.random()))
+
+    async def step(self) -> None:
+        """Read and write what is due."""
+        try:
+            await self.read_if_due()
+            await self.write_if_due()
+        except LogUnavailableError as error:
+            log.info('join-delayed', extra={'cause': str(error)})
+        if not self.table.living():
+            await self.try_seeds()
+
+    async def read_if_due(self) -> None:
+        """Read the join records at the start and while the node is alone."""
+        now = asyncio.get_running_loop().time()
+        is_due = not self.table.living() and now - self.read_at > ALONE_READ_S
+        if self.read_at and not is_due:
+            return
+        await self.read_all()
+        self.read_at = now
+
+    async def read_all(self) -> None:
+        """Read from the last offset to the end."""
+        while True:
+            batch = await self.read_once()
+            if batch is None:
+                continue
+            for record in batch.records:
+                self.take(record.body)
+            self.offset = batch.next_offset
+            if self.offset >= batch.end:
+                return
+
+    async def read_once(self) -> LogBatch | None:
+        """Read a batch; skip what is evicted."""
+        try:
+            return await self.platform_log.read(MEMBER_STREAM, self.offset)
+        except LogEvictedError as error:
+            self.offset = error.oldest
+            return None
+
+    def take(self, body: bytes) -> None:
+        """Take over a join record; its writer may be gone by now."""
+        try:
+            member = Member.checked_from_row(unpack(body))
+        except RecordError as error:
+            log.warning('join-record-malformed', extra={'cause': str(error)})
+            return
+        self.table.merge(member)
+
+    async def write_if_due(self) -> None:
+        """Write the own record once, and again while this node is a relay."""
+        now = asyncio.get_running_loop().time()
+        relay = is_relay(self.table, self.table.own)
+        age = now - self.written_at
+        is_due = relay and (not self.was_relay or age > self.retention_s * RETAIN_SHARE)
+        self.was_relay = relay
+        if self.written_at and not is_due:
+            return
+        await self.platform_log.append(MEMBER_STREAM, pack(self.table.own.to_row()))
+        self.written_at = now
+
+    async def try_seeds(self) -> None:
+        """Speak to the addresses of the settings."""
+        identity = self.gossip.channels.identity
+        own = identity.control_address_of(identity.member)
+        for seed in self.seeds:
+            if seed != own:
+                await self.gossip.speak(_seed_member(seed, identity.member.region), 1)
+
+
+def _seed_member(address: str, region: str) -> Member:
+    host, _, port = address.rpartition(':')
+    return Member('', 0, 0, MemberStatus.ALIVE, '', region, '', host, 0, int(port))
--- /dev/null
+++ b/packages/node/src/lavendermountd/membership/relays.py
@@ -0,0 +1,47 @@
+"""Relays: the few members of each region that speak for it.
+
+:shapes: relays are the first living members of a region by digest of their
+    node id, one from each zone before a second from any.
+"""
+
+from __future__ import annotations
+
+import zlib
+
+from lavendermount_core.structure.members import Member, MemberStatus
+from lavendermountd.membership.table import MemberTable
+
+RELAYS = 2
+
+
+def relays_of(table: MemberTable, region: str) -> list[Member]:
+    """List the relays of a region as this node sees it.
+
+    :param table: members.
+    :param region: the region.
+    :returns: at most ``RELAYS`` members.
+    """
+    ranked = sorted(
+        (
+            member
+            for member in table.members.values()
+            if member.region == region and member.status <= MemberStatus.SUSPECT
+        ),
+        key=_rank,
+    )
+    first_of_zone: dict[str, Member] = {}
+    for member in ranked:
+        first_of_zone.setdefault(member.zone, member)
+    first = list(first_of_zone.values())
+    rest = [member for member in ranked if member not in first]
+    return (first + rest)[:RELAYS]
+
+
+def is_relay(table: MemberTable, member: Member) -> bool:
+    """Whether a member is a relay of its region."""
+    relays = relays_of(table, member.region)
+    return any(relay.node_id == member.node_id for relay in relays)
+
+
+def _rank(member: Member) -> tuple[int, str]:
+    return zlib.crc32(member.node_id.encode()), member.node_id
--- /dev/null
+++ b/packages/node/src/lavendermountd/membership/suspicion.py
@@ -0,0 +1,88 @@
+"""Suspected members have some time to refute before they count as dead.
+
+:units: seconds on the node's monotonic clock.
+"""
+
+from __future__ import annotations
+
+import logging
+import time
+
+from lavendermount_core.structure.members import Member, MemberStatus
+from lavendermountd.membership.table import MemberTable
+
+log = logging.getLogger(__name__)
+
+FORGET_FACTOR = 100
+
+
+class SuspicionTimers:
+    """When each suspected member counts as dead.
+
+    :param table: members.
+    :param suspicion_s: time in which a member may refute.
+    """
+
+    __slots__ = ('table', 'suspicion_s', 'since', 'dead_since')
+
+    def __init__(self, table: MemberTable, suspicion_s: float) -> None:
+        """Listen to the table, so that others' suspicions run out too."""
+        self.table = table
+        self.suspicion_s = suspicion_s
+        self.since: dict[str, float] = {}
+        self.dead_since: dict[str, float] = {}
+        table.listeners.append(self.observe)
+
+    def observe(self, member: Member) -> None:
+        """Start or stop the timers of a member that changed."""
+        if member.status == MemberStatus.SUSPECT:
+            self.since.setdefault(member.node_id, time.monotonic())
+        else:
+            self.since.pop(member.node_id, None)
+        if member.status == MemberStatus.DEAD:
+            self.dead_since.setdefault(member.node_id, time.monotonic())
+        else:
+            self.dead_since.pop(member.node_id, None)
+
+    def suspect(self, member: Member) -> None:
+        """Suspect a member that nobody could reach.
+
+        One that said it was leaving is gone.
+        """
+        known = self.table.find(member.node_id)
+        if known is None or known.rank != member.rank:
+            return
+        if known.status == MemberStatus.LEAVING:
+            self.bury(known)
+        if known.status != MemberStatus.ALIVE:
+            return
+        log.info('member-suspected', extra={'member': known.node_id})
+        self.table.merge(known.with_status(MemberStatus.SUSPECT))
+
+    def bury(self, member: Member) -> None:
+        """Count a member as dead."""
+        log.warning('member-dead', extra={'member': member.node_id})
+        self.table.merge(member.with_status(MemberStatus.DEAD))
+
+    def expire(self) -> None:
+        """Count as dead whose time ran out, and forget the long dead."""
+        now = time.monotonic()
+        for node_id in _older(self.since, now - self.suspicion_s):
+            member = self.table.find(node_id)
+            if member is not None:
+                self.bury(member)
+        for node_id in _older(self.dead_since, now - self.suspicion_s * FORGET_FACTOR):
+            del self.dead_since[node_id]
+            self.table.forget(node_id)
+
+    def restart(self) -> None:
+        """Give every suspected member its time again.
+
+        After a freeze of this node its own timers prove nothing.
+        """
+        now = time.monotonic()
+        self.since = dict.fromkeys(self.since, now)
+
+
+def _older(times: dict[str, float], limit: float) -> list[str]:
+    return [node_id for node_id, since in times.items() if since < limit]
--- /dev/null
+++ b/packages/node/src/lavendermountd/membership/table.py
@@ -0,0 +1,113 @@
+"""All known members, by node and by service.
+
+:shapes: one ``Member`` a node; lists are ordered by node id.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from lavendermount_core.structure.members import Member, MemberStatus
+
+Listener = Callable[[Member], None]
+
+
+class MemberTable:
+    """Members as this node believes them to be.
+
+    :param own: the node's own entry.
+    """
+
+    __slots__ = ('own', 'members', 'by_service', 'listeners')
+
+    def __init__(self, own: Member) -> None:
+        """Start alone."""
+        self.own = own
+        self.members: dict[str, Member] = {}
+        self.by_service: dict[str, list[Member]] = {}
+        self.listeners: list[Listener] = []
+        self.store(own)
+
+    def find(self, node_id: str) -> Member | None:
+        """Find a member by its node."""
+        return self.members.get(node_id)
+
+    def members_of(self, service: str) -> list[Member]:
+        """List the members beside targets of a service, dead ones left out."""
+        return self.by_service.get(service, [])
+
+    def living(self) -> list[Member]:
+        """List all members that are not dead, but this node."""
+        return [
+            member
+            for member in self.members.values()
+            if member.status != MemberStatus.DEAD and member.node_id != self.own.node_id
+        ]
+
+    def merge(self, member: Member) -> bool:
+        """Take over what somebody says of a member.
+
+        What others say of this node is answered, not believed: the node
+        makes a newer version of its own entry.
+
+        :param member: the member as somebody else believes it to be.
+        :returns: whether it was news.
+        """
+        if member.node_id == self.own.node_id:
+            return self.refute(member)
+        known = self.members.get(member.node_id)
+        if known is not None and not member.supersedes(known):
+            return False
+        self.store(member)
+        return True
+
+    def refute(self, rumour: Member) -> bool:
+        """Contradict what others say of this node, if it is wrong."""
+        own = self.own
+        if rumour.incarnation != own.incarnation or not rumour.supersedes(own):
+            return False
+        own.version = rumour.version + 1
+        self.store(own)
+        return True
+
+    def change_own(self, service: str, status: MemberStatus) -> None:
+        """Change the node's own entry and its version."""
+        own = self.own
+        self.unlist(own)
+        own.service = service
+        own.status = int(status)
+        own.version += 1
+        self.store(own)
+
+    def store(self, member: Member) -> None:
+        """Keep a member and tell the listeners."""
+        known = self.members.get(member.node_id)
+        if known is not None:
+            self.unlist(known)
+        self.members[member.node_id] = member
+        if member.service and member.status != MemberStatus.DEAD:
+            self.enlist(member)
+        for listener in self.listeners:
+            listener(member)
+
+    def enlist(self, member: Member) -> None:
+        """Add a member to its service."""
+        listed = self.by_service.setdefault(member.service, [])
+        listed.append(member)
+        listed.sort(key=_node_id_of)
+
+    def unlist(self, member: Member) -> None:
+        """Remove a member from its service."""
+        listed = self.by_service.get(member.service, [])
+        kept = [other for other in listed if other.node_id != member.node_id]
+        self.by_service[member.service] = kept
+
+    def forget(self, node_id: str) -> None:
+        """Drop a member that was dead for long."""
+        known = self.members.pop(node_id, None)
+        if known is not None:
+            self.unlist(known)
+
+
+def _node_id_of(member: Member) -> str:
+    return member.node_id
--- /dev/null
+++ b/packages/node/src/lavendermountd/membership/updates.py
@@ -0,0 +1,95 @@
+"""Which news of members go into the next rounds of gossip.
+
+:shapes: news are sent a number of times that grows with the logarithm of the
+    membership; digests of buckets find what was missed.
+"""
+
+from __future__ import annotations
+
+import math
+import zlib
+
+from lavendermount_core.structure.members import Member
+from lavendermountd.membership.table import MemberTable
+
+BUCKETS = 32
+BUCKETS_PER_ROUND = 4
+UPDATES_PER_ROUND = 16
+BUCKET_LIMIT = 64
+SPREAD_FACTOR = 3
+
+
+class UpdateQueue:
+    """News of members that still have to be sent.
+
+    :param table: whose changes are news.
+    """
+
+    __slots__ = ('table', 'sent', 'next_bucket')
+
+    def __init__(self, table: MemberTable) -> None:
+        """Listen to the table."""
+        self.table = table
+        self.sent: dict[str, int] = {}
+        self.next_bucket = 0
+        table.listeners.append(self.add)
+
+    def add(self, member: Member) -> None:
+        """Send a member in the next rounds."""
+        self.sent[member.node_id] = 0
+
+    def take(self) -> list[Member]:
+        """Take the news for one round, those sent least first."""
+        limit = self.transmissions()
+        chosen = sorted(self.sent, key=self.sent.__getitem__)[:UPDATES_PER_ROUND]
+        members = []
+        for node_id in chosen:
+            self.sent[node_id] += 1
+            if self.sent[node_id] >= limit:
+                del self.sent[node_id]
+            member = self.table.find(node_id)
+            if member is not None:
+                members.append(member)
+        return members
+
+    def transmissions(self) -> int:
+        """How often each piece of news is sent."""
+        size = len(self.table.members) + 1
+        return SPREAD_FACTOR * math.ceil(math.log2(size + 1))
+
+    def rotate(self) -> list[int]:
+        """Take the buckets whose digests go into the next round."""
+        first = self.next_bucket
+        self.next_bucket = (first + BUCKETS_PER_ROUND) % BUCKETS
+        return list(range(first, first + BUCKETS_PER_ROUND))
+
+    def bucket_members(self, bucket: int) -> list[Member]:
+        """List the members of a bucket."""
+        return [
+            member
+            for member in self.table.members.values()
+            if bucket_of(member.node_id) == bucket
+        ]
+
+    def digests(self, buckets: list[int]) -> dict[int, int]:
+        """Digest what is known of the members of some buckets.
+
+        :param buckets: numbers of buckets.
+        :returns: a digest for each; equal for equal knowledge.
+        """
+        digests = dict.fromkeys(buckets, 0)
+        for member in self.table.members.values():
+            bucket = bucket_of(member.node_id)
+            if bucket in digests:
+                digests[bucket] ^= _digest(member)
+        return digests
+
+
+def bucket_of(node_id: str) -> int:
+    """Find the bucket of a node."""
+    return zlib.crc32(node_id.encode()) % BUCKETS
+
+
+def _digest(member: Member) -> int:
+    text = f'{member.node_id}/{member.rank}'.encode()
+    return (zlib.crc32(text) << 32) | zlib.adler32(text)
--- /dev/null
+++ b/packages/node/src/lavendermountd/metrics.py
@@ -0,0 +1,86 @@
+"""Metrics of the node.
+
+:units: seconds, bytes and counts, as the names say.
+:source: ``aioprometheus``.
+"""
+
+from __future__ import annotations
+
+from aioprometheus import Counter, Gauge, Histogram, Registry
+from returns.result import Success
+
+from lavendermount_core.structure.calls import CallClass
+from lavendermountd.gate.attempts import AttemptResult
+
+CALL_BUCKETS = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10]
+MAX_TENANTS = 1000
+OTHER_TENANT = 'other'
+
+
+class NodeMetrics:
+    """All metrics of one node, in a registry of their own."""
+
+    def __init__(self) -> None:
+        """Register every metric."""
+        self.registry = Registry()
+        self.tenants: set[str] = set()
+        self.calls = Histogram(
+            'lavendermount_call_seconds',
+            'Time to the final answer, by service, class, tenant and outcome.',
+            registry=self.registry,
+            buckets=CALL_BUCKETS,
+        )
+        self.restarts = Counter(
+            'lavendermount_task_restarts_total',
+            'Tasks restarted by their supervisor.',
+            registry=self.registry,
+        )
+        self.measuring = Gauge(
+            'lavendermount_measuring_bytes',
+            'Bytes spent on measuring, by kind and link.',
+            registry=self.registry,
+        )
+        self.budget = Gauge(
+            'lavendermount_measuring_budget_bytes_per_second',
+            'Bytes that measuring may cost, by link.',
+            registry=self.registry,
+        )
+        self.state = Gauge(
+            'lavendermount_node_state',
+            'What the node holds, by name.',
+            registry=self.registry,
+        )
+
+    def observe_call(
+        self,
+        call_class: CallClass,
+        seconds: float,
+        outcome: AttemptResult,
+    ) -> None:
+        """Add one answered request.
+
+        :param seconds: from the arrival of the head to the answer.
+        """
+        label = 'whole'
+        if not isinstance(outcome, Success):
+            label = outcome.failure().outcome
+        labels = {
+            'service': call_class.service,
+            'class': call_class.name,
+            'tenant': self.tenant_label(call_class.tenant),
+            'outcome': label,
+        }
+        self.calls.observe(labels, seconds)
+
+    def tenant_label(self, tenant: str) -> str:
+        """Name a tenant, or the rest beyond a number of them."""
+        if tenant in self.tenants:
+            return tenant
+        if len(self.tenants) >= MAX_TENANTS:
+            return OTHER_TENANT
+        self.tenants.add(tenant)
+        return tenant
+
+    def count_restart(self, path: str) -> None:
+        """Count a task restarted by its supervisor."""
+        self.restarts.inc({'task': path})
--- /dev/null
+++ b/packages/node/src/lavendermountd/node.py
@@ -0,0 +1,363 @@
+"""One node: everything it holds, wired together.
+
+:units: seconds on the node's monotonic clock.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import time
+from enum import StrEnum
+
+from lavendermount_core.config.node import NodeSchema
+from lavendermount_core.platform.adapter import open_log
+from lavendermount_core.structure.members import MemberStatus
+from lavendermountd.admin.server import Announcement
+from lavendermountd.caller.server import CallerServer
+from lavendermountd.caller.service import CallService
+from lavendermountd.claims.claims import ClaimService
+from lavendermountd.claims.holders import HolderClient
+from lavendermountd.control.channels import ChannelPool
+from lavendermountd.gate.admission import ClassRule
+from lavendermountd.gate.gate import Gate
+from lavendermountd.gate.target import TargetState
+from lavendermountd.gate.watch import TargetWatch
+from lavendermountd.identity import Identity
+from lavendermountd.membership.exchange import GossipExchange
+from lavendermountd.membership.gossip import Gossip
+from lavendermountd.membership.joining import Joiner
+from lavendermountd.membership.suspicion import SuspicionTimers
+from lavendermountd.membership.table import MemberTable
+from lavendermountd.metrics import NodeMetrics
+from lavendermountd.peer.frames import Pong, Suspected
+from lavendermountd.peer.links import LinkPool
+from lavendermountd.peer.server import PeerServer
+from lavendermountd.presets.catchup import PresetCatchUp
+from lavendermountd.presets.follower import PresetFollower
+from lavendermountd.presets.holder import InForcePreset, PresetHolder
+from lavendermountd.presets.keeper import PresetKeeper
+from lavendermountd.recorder.recorder import Recorder
+from lavendermountd.routing.budgets import MeasuringBudget, TokenBucket
+from lavendermountd.routing.chooser import Chooser
+from lavendermountd.routing.router import Router
+from lavendermountd.routing.sender import Sender
+from lavendermountd.routing.view import LoadView
+from lavendermountd.supervision.freeze import FreezeGuard
+
+log = logging.getLogger(__name__)
+
+MS = 1000
+TOLD_AT_ONCE = 16
+START_BUDGET_BYTES = 20000
+
+
+class Phase(StrEnum):
+    """What the node does with callers."""
+
+    SERVING = 'serving'
+    STOPPING = 'stopping'
+
+
+class Node:
+    """The parts of one node; the supervisor tree runs them.
+
+    :param settings: validated settings.
+    """
+
+    def __init__(self, settings: NodeSchema) -> None:
+        """Build and wire the parts; nothing runs yet."""
+        self.settings = settings
+        self.phase = Phase.SERVING
+        self.stop_requested = asyncio.Event()
+        self.identity = Identity(settings)
+        self.metrics = NodeMetrics()
+        self.guard = FreezeGuard()
+        self.platform_log = open_log(
+            settings.log.adapter,
+            settings.log.url,
+            settings.log.timeout_ms / MS,
+        )
+        self.build_membership()
+        self.build_routing()
+        self.build_presets()
+        self.build_servers()
+        self.wire()
+
+    def build_membership(self) -> None:
+        """Build the gate, the members and gossip."""
+        membership = self.settings.membership
+        self.channels = ChannelPool(self.identity)
+        self.gate = Gate(self.identity)
+        self.view = LoadView(self.identity)
+        self.budget = MeasuringBudget(
+            TokenBucket(START_BUDGET_BYTES, START_BUDGET_BYTES),
+            TokenBucket(START_BUDGET_BYTES, START_BUDGET_BYTES),
+        )
+        self.table = MemberTable(self.identity.member)
+        self.timers = SuspicionTimers(self.table, membership.suspicion_ms / MS)
+        self.exchange = GossipExchange(
+            self.table,
+            self.view,
+            self.gate,
+            self.budget,
+        )
+        self.gossip = Gossip(
+            self.exchange,
+            self.channels,
+            self.timers,
+            membership.period_ms / MS,
+        )
+        self.joiner = Joiner(
+            self.gossip,
+            self.platform_log,
+            membership.seeds,
+            self.settings.log.retention_s,
+        )
+
+    def build_routing(self) -> None:
+        """Build what takes a request to a target."""
+        self.links = LinkPool(
+            self.identity, self.view.take_report, self.gate.suspects.merge
+        )
+        self.link_bucket = TokenBucket(0, 0)
+        self.chooser = Chooser(
+            self.table,
+            self.view,
+            self.link_bucket,
+            self.links.avoidance,
+        )
+        self.recorder = Recorder(
+            self.identity,
+            self.platform_log,
+            self.settings.recorder.buffer,
+        )
+        self.router = Router(
+            self.chooser,
+            Sender(self.gate, self.links),
+            self.recorder,
+            self.gate.suspects,
+        )
+        holders = HolderClient(self.table, self.channels)
+        self.claims = ClaimService(
+            self.identity,
+            self.platform_log,
+            self.router,
+            holders,
+        )
+
+    def build_presets(self) -> None:
+        """Build what follows and keeps the preset in force."""
+        self.holder = PresetHolder()
+        self.follower = PresetFollower(self.platform_log, self.holder)
+        self.keeper = PresetKeeper(
+            self.platform_log,
+            self.follower,
+            self.settings.log.retention_s,
+        )
+        self.catch_up = PresetCatchUp(self.holder, self.channels)
+
+    def build_servers(self) -> None:
+        """Build the servers; they listen when the tree runs them."""
+        self.service = CallService(
+            self.holder,
+            self.router,
+            self.claims,
+            self.metrics,
+        )
+        self.caller_server = CallerServer(self.service)
+        self.peer_server = PeerServer(self.gate, self.guard)
+        self.target_watch = TargetWatch(self.gate)
+
+    def wire(self) -> None:
+        """Connect the parts that tell each other of changes."""
+        self.holder.on_change.append(self.apply_preset)
+        self.exchange.revision = self.current_revision
+        self.exchange.on_revision = self.catch_up.note
+        self.gate.on_load_change = self.tell_load
+        self.gate.on_suspect = self.tell_suspect
+        self.guard.on_freeze.append(self.fence)
+        self.links.count_ping = self.count_ping
+        static = self.settings.target
+        if static.service:
+            self.gate.target.announce(
+                static.service,
+                static.host,
+                static.port,
+                static.slots,
+                'static',
+            )
+            self.gate.target.state = TargetState.DOWN
+            self.enlist()
+
+    def current_revision(self) -> int:
+        """Revision of the preset in force here."""
+        return self.holder.revision
+
+    def count_ping(self, member: object, size: int) -> None:
+        """Charge a sign of life to the budget."""
+        is_paid = getattr(member, 'region', '') != self.identity.member.region
+        self.budget.charge('ping', 2 * size, is_paid)
+
+    def apply_preset(self, preset: InForcePreset) -> None:
+        """Hand the numbers of a new preset to the parts that use them."""
+        schema = preset.schema
+        limits = schema.limits
+        rules = [ClassRule.from_options(entry) for entry in schema.class_]
+        self.gate.admission.set_rules(rules)
+        self.gate.client.limit = limits.connections
+        self.gate.client.silent_s = limits.silent_ms / MS
+        self.links.silent_s = limits.silent_ms / MS
+        self.gate.client.max_body = limits.body_bytes
+        self.links.max_body = limits.body_bytes
+        self.peer_server.max_body = limits.body_bytes
+        self.service.max_body = limits.body_bytes
+        self.router.configure(preset)
+        budget = schema.budget
+        self.budget.local.configure(
+            budget.local_bytes_s,
+            budget.local_bytes_s * budget.burst_s,
+        )
+        self.budget.paid.configure(
+            budget.paid_bytes_s,
+            budget.paid_bytes_s * budget.burst_s,
+        )
+        link_rate = schema.choosing.link_bytes_s
+        self.link_bucket.configure(link_rate, link_rate)
+        self.link_bucket.earn(link_rate)
+
+    def take_announcement(self, announcement: Announcement) -> None:
+        """Take over what the target beside the node says of itself."""
+        if announcement.state != 'ready':
+            self.drain_target()
+            return
+        target = self.gate.target
+        is_new = target.announce(
+            announcement.service,
+            announcement.host,
+            announcement.port,
+            announcement.slots,
+            announcement.instance,
+        )
+        if is_new:
+            log.info(
+                'target-announced',
+                extra={'service': target.service, 'slots': target.slots},
+            )
+            self.enlist()
+
+    def enlist(self) -> None:
+        """Tell the others which service the target answers for."""
+        target = self.gate.target
+        self.gate.client.close_idle()
+        self.gate.admission.slots = target.slots
+        self.table.change_own(target.service, MemberStatus.ALIVE)
+        self.tell_load()
+
+    def drain_target(self) -> None:
+        """Give the target no new work; what runs goes on."""
+        if self.gate.target.state == TargetState.ABSENT:
+            return
+        log.info('target-draining', extra={'service': self.gate.target.service})
+        self.gate.target.state = TargetState.DRAINING
+        self.table.change_own(self.gate.target.service, MemberStatus.LEAVING)
+        self.tell_load()
+
+    def tell_load(self) -> None:
+        """Tell the target's load to every node that sends work here."""
+        load = self.gate.load()
+        self.view.take_report(load)
+        self.peer_server.tell_all(Pong(0, load.to_row()))
+
+    def tell_suspect(self, told: Suspected) -> None:
+        """Tell a suspicion to every node that sends work here."""
+        self.peer_server.tell_all(told)
+
+    def fence(self) -> None:
+        """After a freeze, trust nothing that was held before it."""
+        self.peer_server.close_all()
+        self.links.close_all()
+        self.timers.restart()
+        self.service.is_current.clear()
+        self.follower.is_caught_up.clear()
+        self.joiner.read_at = 0
+
+    def why_not_ready(self) -> str:
+        """Say why the node does not serve callers; empty if it does."""
+        if self.phase != Phase.SERVING:
+            return str(self.phase)
+        if self.holder.current is None:
+            return 'no preset is in force'
+        return ''
+
+    async def refence(self) -> None:
+        """Let callers in again once the log was read after a freeze."""
+        while True:
+            await self.follower.is_caught_up.wait()
+            self.service.is_current.set()
+            await asyncio.sleep(self.settings.membership.period_ms / MS / 4)
+
+    async def stop(self) -> None:
+        """Stop without cutting anything off.
+
+        New work goes elsewhere at once; work under way ends first, within
+        the time that the settings allow.
+        """
+        log.info('node-stopping')
+        self.phase = Phase.STOPPING
+        self.service.is_stopping = True
+        self.gate.is_closed = True
+        self.table.change_own(self.gate.target.service, MemberStatus.LEAVING)
+        self.tell_load()
+        deadline = time.monotonic() + self.settings.drain_s
+        nearby = self.gossip.nearby()
+        told = random.sample(nearby, min(TOLD_AT_ONCE, len(nearby)))
+        await self.gossip.tell(told)
+        await asyncio.sleep(self.settings.membership.period_ms / MS)
+        self.caller_server.stop_listening()
+        while self.has_work() and time.monotonic() < deadline:
+            await asyncio.sleep(0.02)
+        await self.flush()
+        log.info('node-stopped', extra={'work_left': self.has_work()})
+
+    def has_work(self) -> bool:
+        """Whether anything is under way that a stop would cut off."""
+        admission = self.gate.admission
+        answers = any(session.tasks for session in self.peer_server.sessions)
+        callers = bool(self.service.under_way)
+        return callers or answers or bool(admission.in_flight + admission.queued)
+
+    async def flush(self) -> None:
+        """Append the last decisions if the log answers."""
+        try:
+            async with asyncio.timeout(2):
+                await self.recorder.flush()
+        except TimeoutError:
+            log.warning('decisions-lost', extra={'count': len(self.recorder.waiting)})
+
+    def refresh_metrics(self) -> None:
+        """Set the gauges to what the node holds now."""
+        for (kind, is_paid), size in self.budget.by_kind.items():
+            link = 'paid' if is_paid else 'local'
+            self.metrics.measuring.set({'kind': kind, 'link': link}, size)
+        self.metrics.budget.set({'link': 'local'}, self.budget.local.rate)
+        self.metrics.budget.set({'link': 'paid'}, self.budget.paid.rate)
+        for name, amount in self.state_gauges().items():
+            self.metrics.state.set({'name': name}, amount)
+
+    def state_gauges(self) -> dict[str, float]:
+        """List what the node holds, by name."""
+        return {
+            'in_flight': self.gate.admission.in_flight,
+            'queued': self.gate.admission.queued,
+            'revision': self.holder.revision,
+            'members': len(self.table.members),
+            'decisions': self.recorder.recorded,
+            'decisions_dropped': self.recorder.dropped,
+            'log_reachable': int(self.follower.is_reachable),
+            'retries': self.router.retries.spent,
+            'hedges': self.router.hedges.spent,
+            'freezes': self.guard.freezes,
+            'suspects': len(self.gate.suspects.suspects),
+        }
--- /dev/null
+++ b/packages/node/src/lavendermountd/peer/__init__.py
@@ -0,0 +1,1 @@
+"""Requests between nodes."""
--- /dev/null
+++ b/packages/node/src/lavendermountd/peer/frame_stream.py
@@ -0,0 +1,113 @@
+"""Frames over a TCP connection.
+
+:errors: ``PeerLinkError`` when the connection closes, ``RecordError`` when
+    the other side sends something that is no frame.
+:source: ``tornado.iostream`` and the streaming decoder of ``msgpack``.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+
+import msgpack
+from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
+
+from lavendermount_core.exceptions import PeerLinkError, RecordError
+from lavendermount_core.structure.records import Record
+from lavendermountd.peer.frames import (
+    PART_BYTES,
+    BodyPart,
+    decode_frame,
+    encode_frame,
+)
+
+READ_BYTES = 64 * 1024
+MAX_FRAME_BYTES = 2 * 1024 * 1024
+
+
+class FrameStream:
+    """Sends and receives frames; closes the connection on bad ones.
+
+    :param stream: an open connection.
+    """
+
+    __slots__ = ('stream', 'unpacker', 'bytes_sent', 'bytes_received')
+
+    def __init__(self, stream: IOStream) -> None:
+        """Take over the connection."""
+        stream.set_nodelay(True)
+        self.stream = stream
+        self.unpacker = msgpack.Unpacker(max_buffer_size=MAX_FRAME_BYTES)
+        self.bytes_sent = 0
+        self.bytes_received = 0
+
+    async def receive(self) -> Record:
+        """Wait for the next frame.
+
+        :raises PeerLinkError: if the connection closes first.
+        :raises RecordError: if the other side sent something else.
+        :returns: the frame.
+        """
+        while True:
+            row = self.next_row()
+            if row is not None:
+                return decode_frame(row)
+            await self.fill()
+
+    def next_row(self) -> object | None:
+        """Take a row that is already here.
+
+        :raises RecordError: if the bytes are no row.
+        :returns: the row, or ``None`` if more bytes are needed.
+        """
+        try:
+            return next(self.unpacker, None)
+        except (ValueError, msgpack.UnpackException) as error:
+            raise RecordError(f'malformed frame: {error}') from error
+
+    async def fill(self) -> None:
+        """Read more bytes."""
+        try:
+            chunk = await self.stream.read_bytes(READ_BYTES, partial=True)
+        except StreamClosedError as error:
+            raise PeerLinkError('connection closed') from error
+        self.bytes_received += len(chunk)
+        try:
+            self.unpacker.feed(chunk)
+        except msgpack.BufferFull as error:
+            raise RecordError('frame is too large') from error
+
+    def send(self, frame: Record) -> Awaitable[None]:
+        """Send a frame; bytes leave in the order of the calls.
+
+        :param frame: an instance of a registered class.
+        :raises PeerLinkError: if the connection is closed.
+        :returns: done when the bytes have left this process.
+        """
+        encoded = encode_frame(frame)
+        self.bytes_sent += len(encoded)
+        try:
+            return self.stream.write(encoded)
+        except (StreamClosedError, StreamBufferFullError) as error:
+            raise PeerLinkError('connection closed') from error
+
+    async def send_body(self, attempt_id: str, body: bytes) -> None:
+        """Send the rest of a large body, one part in the buffer at a time.
+
+        Frames of other attempts go out between the parts.
+
+        :param attempt_id: whose body it is.
+        :param body: the whole body; its first part was sent before.
+        """
+        for start in range(PART_BYTES, len(body), PART_BYTES):
+            part = BodyPart(attempt_id, body[start : start + PART_BYTES])
+            try:
+                await self.send(part)
+            except StreamClosedError as error:
+                raise PeerLinkError('connection closed') from error
+            await asyncio.sleep(0)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.stream.close()
--- /dev/null
+++ b/packages/node/src/lavendermountd/peer/frames.py
@@ -0,0 +1,271 @@
+"""Frames between nodes on the request path.
+
+:shapes: a frame is a msgpack row ``[kind, fields...]``; rows delimit
+    themselves, so a connection is a plain sequence of them.
+:units: milliseconds and bytes.
+:errors: ``RecordError`` for a row that is no frame.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from lavendermount_core.exceptions import RecordError
+from lavendermount_core.structure.records import Record, pack
+from lavendermount_core.utils.registry import Registry
+
+frame_kinds: Registry[int, type[Record]] = Registry('frame')
+KIND_OF_FRAME: dict[type[Record], int] = {}
+
+PART_BYTES = 64 * 1024
+
+
+@frame_kinds.register(1)
+class Dispatch(Record):
+    """Asks the gate to run a request on its target.
+
+    :param attempt_id: identifier of this attempt, unique in the system.
+    :param incarnation: incarnation of the gate that is meant.
+    :param method: HTTP method.
+    :param path: path and query.
+    :param headers: end-to-end headers as pairs.
+    :param call_class: row of a ``CallClass``.
+    :param remaining_ms: time left to answer.
+    :param fingerprint: digest that tells requests apart for crash suspicion.
+    :param body_size: size of the whole body.
+    :param body: first part of the body.
+    """
+
+    __slots__ = (
+        'attempt_id',
+        'incarnation',
+        'method',
+        'path',
+        'headers',
+        'call_class',
+        'remaining_ms',
+        'fingerprint',
+        'body_size',
+        'body',
+    )
+
+    def __init__(
+        self,
+        attempt_id: str,
+        incarnation: int,
+        method: str,
+        path: str,
+        headers: list[Any],
+        call_class: list[Any],
+        remaining_ms: float,
+        fingerprint: str,
+        body_size: int,
+        body: bytes,
+    ) -> None:
+        """Keep the fields as given."""
+        self.attempt_id = attempt_id
+        self.incarnation = incarnation
+        self.method = method
+        self.path = path
+        self.headers = headers
+        self.call_class = call_class
+        self.remaining_ms = remaining_ms
+        self.fingerprint = fingerprint
+        self.body_size = body_size
+        self.body = body
+
+
+@frame_kinds.register(2)
+class BodyPart(Record):
+    """The next part of a body larger than one frame.
+
+    :param attempt_id: whose body it is.
+    :param body: the part.
+    """
+
+    __slots__ = ('attempt_id', 'body')
+
+    def __init__(self, attempt_id: str, body: bytes) -> None:
+        """Keep the fields as given."""
+        self.attempt_id = attempt_id
+        self.body = body
+
+
+@frame_kinds.register(3)
+class Answer(Record):
+    """A reply of the target.
+
+    :param attempt_id: whose reply it is.
+    :param status: HTTP status code.
+    :param reason: HTTP reason phrase.
+    :param headers: end-to-end headers as pairs.
+    :param load: row of a ``LoadReport``.
+    :param body_size: size of the whole body.
+    :param body: first part of the body.
+    """
+
+    __slots__ = (
+        'attempt_id',
+        'status',
+        'reason',
+        'headers',
+        'load',
+        'body_size',
+        'body',
+    )
+
+    def __init__(
+        self,
+        attempt_id: str,
+        status: int,
+        reason: str,
+        headers: list[Any],
+        load: list[Any],
+        body_size: int,
+        body: bytes,
+    ) -> None:
+        """Keep the fields as given."""
+        self.attempt_id = attempt_id
+        self.status = status
+        self.reason = reason
+        self.headers = headers
+        self.load = load
+        self.body_size = body_size
+        self.body = body
+
+
+@frame_kinds.register(4)
+class Refused(Record):
+    """The gate's word that there is no reply.
+
+    :param attempt_id: whose refusal it is.
+    :param refusal: row of a ``Refusal``.
+    :param load: row of a ``LoadReport``.
+    """
+
+    __slots__ = ('attempt_id', 'refusal', 'load')
+
+    def __init__(
+        self,
+        attempt_id: str,
+        refusal: list[Any],
+        load: list[Any],
+    ) -> None:
+        """Keep the fields as given."""
+        self.attempt_id = attempt_id
+        self.refusal = refusal
+        self.load = load
+
+
+@frame_kinds.register(5)
+class Cancel(Record):
+    """Nobody waits for the attempt any more.
+
+    :param attempt_id: which attempt.
+    """
+
+    __slots__ = ('attempt_id',)
+
+    def __init__(self, attempt_id: str) -> None:
+        """Keep the field as given."""
+        self.attempt_id = attempt_id
+
+
+@frame_kinds.register(6)
+class Ask(Record):
+    """Asks what became of an attempt whose link was lost.
+
+    :param attempt_id: which attempt.
+    :param incarnation: incarnation of the gate it was sent to.
+    :param age_ms: time since it was sent.
+    """
+
+    __slots__ = ('attempt_id', 'incarnation', 'age_ms')
+
+    def __init__(self, attempt_id: str, incarnation: int, age_ms: float) -> None:
+        """Keep the fields as given."""
+        self.attempt_id = attempt_id
+        self.incarnation = incarnation
+        self.age_ms = age_ms
+
+
+@frame_kinds.register(7)
+class Ping(Record):
+    """Asks for a sign of life.
+
+    :param nonce: returned in the answer.
+    """
+
+    __slots__ = ('nonce',)
+
+    def __init__(self, nonce: int) -> None:
+        """Keep the field as given."""
+        self.nonce = nonce
+
+
+@frame_kinds.register(8)
+class Pong(Record):
+    """A sign of life, asked for or not, with the target's load.
+
+    :param nonce: that of the ping, 0 if none asked.
+    :param load: row of a ``LoadReport``.
+    """
+
+    __slots__ = ('nonce', 'load')
+
+    def __init__(self, nonce: int, load: list[Any]) -> None:
+        """Keep the fields as given."""
+        self.nonce = nonce
+        self.load = load
+
+
+@frame_kinds.register(9)
+class Suspected(Record):
+    """A request was in flight when its target died.
+
+    :param fingerprint: digest of the request.
+    :param victims: targets that died with it, as ``node:start``.
+    :param remaining_ms: time until the suspicion expires.
+    """
+
+    __slots__ = ('fingerprint', 'victims', 'remaining_ms')
+
+    def __init__(
+        self,
+        fingerprint: str,
+        victims: list[str],
+        remaining_ms: int,
+    ) -> None:
+        """Keep the fields as given."""
+        self.fingerprint = fingerprint
+        self.victims = victims
+        self.remaining_ms = remaining_ms
+
+
+KIND_OF_FRAME.update(
+    {frame_class: kind for kind, frame_class in frame_kinds.entries.items()},
+)
+
+
+def encode_frame(frame: Record) -> bytes:
+    """Encode a frame.
+
+    :param frame: an instance of a registered class.
+    :returns: bytes to write.
+    """
+    return pack([KIND_OF_FRAME[type(frame)], *frame.to_row()])
+
+
+def decode_frame(row: Any) -> Record:
+    """Decode a row read from a connection.
+
+    :param row: what msgpack read, from anyone.
+    :raises RecordError: if it is no frame.
+    :returns: the frame.
+    """
+    if not isinstance(row, list) or not row or not isinstance(row[0], int):
+        raise RecordError('frame is no row')
+    frame_class = frame_kinds.entries.get(row[0])
+    if frame_class is None:
+        raise RecordError(f'frame of unknown kind {row[0]}')
+    return frame_class.from_row(row[1:])
--- /dev/null
+++ b/packages/node/src/lavendermountd/peer/links.py
@@ -0,0 +1,97 @@
+"""Links to all gates this node sends work to, opened when first needed.
+
+:errors: ``PeerLinkError`` for a node that can't be reached.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from lavendermount_core.exceptions import PeerLinkError
+from lavendermount_core.structure.loads import LoadReport
+from lavendermount_core.structure.members import Member
+from lavendermountd.identity import Identity
+from lavendermountd.peer.avoidance import Avoidance
+from lavendermountd.peer.frames import Suspected
+from lavendermountd.peer.link import PeerLink
+
+
+class LinkPool:
+    """One link to each gate.
+
+    :param identity: knows how members are reached.
+    :param on_load: takes each load report.
+    :param on_suspect: takes each suspicion.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        on_load: Callable[[LoadReport], None],
+        on_suspect: Callable[[Suspected], object],
+    ) -> None:
+        """Open no link yet."""
+        self.identity = identity
+        self.on_load = on_load
+        self.on_suspect = on_suspect
+        self.links: dict[str, PeerLink] = {}
+        self.locks: dict[str, asyncio.Lock] = {}
+        self.avoidance = Avoidance()
+        self.max_body = 16 * 1024 * 1024
+        self.silent_s = 0.3
+        self.count_ping: Callable[[Member, int], None] | None = None
+
+    async def get(self, member: Member) -> PeerLink:
+        """Find the open link to a gate, or open one.
+
+        :param member: the node beside the target.
+        :raises PeerLinkError: if it can't be reached.
+        :returns: an open link to this very incarnation.
+        """
+        link = self.find_open(member)
+        if link is not None:
+            return link
+        lock = self.locks.setdefault(member.node_id, asyncio.Lock())
+        async with lock:
+            return self.find_open(member) or await self.open(member)
+
+    def find_open(self, member: Member) -> PeerLink | None:
+        """Find an open link to this incarnation of a node."""
+        link = self.links.get(member.node_id)
+        if link is None or not link.is_open:
+            return None
+        if link.member.incarnation != member.incarnation:
+            return None
+        return link
+
+    async def open(self, member: Member) -> PeerLink:
+        """Open a link in place of one that is closed or out of date."""
+        self.drop(member.node_id)
+        link = PeerLink(
+            member,
+            self.identity.host_of(member),
+            self.on_load,
+            self.on_suspect,
+            self.max_body,
+            self.silent_s,
+        )
+        link.count_ping = self.count_ping
+        try:
+            await link.open()
+        except PeerLinkError:
+            self.avoidance.note_failure(member.node_id)
+            raise
+        self.links[member.node_id] = link
+        return link
+
+    def drop(self, node_id: str) -> None:
+        """Close the link to a node that is gone."""
+        link = self.links.pop(node_id, None)
+        if link is not None:
+            link.close()
+
+    def close_all(self) -> None:
+        """Close every link."""
+        for node_id in tuple(self.links):
+            self.drop(node_id)
--- /dev/null
+++ b/packages/node/src/lavendermountd/peer/server.py
@@ -0,0 +1,261 @@
+"""The server that takes requests from other nodes to the gate.
+
+:errors: a connection that sends something that is no frame is closed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Awaitable, Callable
+
+from returns.result import Result, Success
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.tcpserver import TCPServer
+
+from lavendermount_core.exceptions import PeerLinkError, RecordError
+from lavendermount_core.structure.calls import (
+    CallClass,
+    CallReply,
+    CallRequest,
+    Reason,
+    Refusal,
+    not_run,
+)
+from lavendermount_core.structure.records import Record
+from lavendermount_core.utils.registry import Registry
+from lavendermountd.gate.attempts import Attempt, AttemptResult
+from lavendermountd.gate.gate import Gate
+from lavendermountd.peer.bodies import BodyAssembler
+from lavendermountd.peer.frame_stream import FrameStream
+from lavendermountd.peer.frames import (
+    PART_BYTES,
+    Answer,
+    Ask,
+    BodyPart,
+    Cancel,
+    Dispatch,
+    Ping,
+    Pong,
+    Refused,
+    Suspected,
+)
+from lavendermountd.supervision.freeze import FreezeGuard
+
+log = logging.getLogger(__name__)
+
+FrameHandler = Callable[['PeerSession', Record], Awaitable[None]]
+frame_handlers: Registry[type[Record], FrameHandler] = Registry('frame handler')
+
+
+class PeerSession:
+    """One connection from another node.
+
+    :param stream: the connection.
+    :param gate: where the requests go.
+    :param max_body: largest body in bytes.
+    """
+
+    __slots__ = ('frames', 'gate', 'bodies', 'tasks')
+
+    def __init__(self, stream: FrameStream, gate: Gate, max_body: int) -> None:
+        """Take over the connection."""
+        self.frames = stream
+        self.gate = gate
+        self.bodies = BodyAssembler(max_body)
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self, guard: FreezeGuard) -> None:
+        """Serve frames until the connection closes.
+
+        :param guard: closes the connection if the process was frozen.
+        """
+        try:
+            await self.serve_frames(guard)
+        except PeerLinkError:
+            log.debug('peer-disconnected')
+        except RecordError as error:
+            log.warning('peer-frame-malformed', extra={'cause': str(error)})
+        finally:
+            self.frames.close()
+
+    async def serve_frames(self, guard: FreezeGuard) -> None:
+        """Hand each frame to its handler."""
+        while True:
+            frame = await self.frames.receive()
+            if guard.check():
+                raise PeerLinkError('the process was frozen')
+            await frame_handlers.find(type(frame))(self, frame)
+
+    def dispatch(self, frame: Dispatch) -> None:
+        """Run a request in a task of its own and answer when it ends."""
+        if frame.incarnation != self.gate.identity.incarnation:
+            self.refuse_stale(frame)
+            return
+        work = self.gate.start(attempt_from(frame))
+        self.answer_later(frame.attempt_id, work)
+
+    def answer_later(
+        self,
+        attempt_id: str,
+        work: Awaitable[AttemptResult],
+    ) -> None:
+        """Send an outcome once it is known."""
+        task = asyncio.create_task(self.answer(attempt_id, work))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def answer(
+        self,
+        attempt_id: str,
+        work: Awaitable[AttemptResult],
+    ) -> None:
+        """Wait for an outcome and send it; a lost link keeps the outcome."""
+        outcome = await work
+        load = self.gate.load().to_row()
+        try:
+            await self.send_outcome(attempt_id, outcome, load)
+        except (PeerLinkError, StreamClosedError):
+            log.info('answer-undelivered', extra={'attempt': attempt_id})
+
+    async def send_outcome(
+        self,
+        attempt_id: str,
+        outcome: Result[CallReply, Refusal],
+        load: list[object],
+    ) -> None:
+        """Send a reply or a refusal with the target's load."""
+        if not isinstance(outcome, Success):
+            refusal = outcome.failure().to_row()
+            self.frames.send(Refused(attempt_id, refusal, load))
+            return
+        reply = outcome.unwrap()
+        self.frames.send(
+            Answer(
+                attempt_id,
+                reply.status,
+                reply.reason,
+                reply.headers,
+                load,
+                len(reply.body),
+                reply.body[:PART_BYTES],
+            ),
+        )
+        await self.frames.send_body(attempt_id, reply.body)
+
+    def refuse_stale(self, frame: Dispatch) -> None:
+        """Refuse work that was meant for a former process of this node."""
+        refusal = not_run(Reason.STALE_INCARNATION, 'the node was restarted')
+        load = self.gate.load().to_row()
+        self.frames.send(Refused(frame.attempt_id, refusal.to_row(), load))
+
+
+@frame_handlers.register(Dispatch)
+async def on_dispatch(session: PeerSession, frame: Record) -> None:
+    """Run a request, once its body is whole."""
+    assert isinstance(frame, Dispatch)
+    if session.bodies.begin(frame):
+        session.dispatch(frame)
+
+
+@frame_handlers.register(BodyPart)
+async def on_body_part(session: PeerSession, frame: Record) -> None:
+    """Add to a body; run the request once it is whole."""
+    assert isinstance(frame, BodyPart)
+    head = session.bodies.add(frame)
+    if isinstance(head, Dispatch):
+        session.dispatch(head)
+
+
+@frame_handlers.register(Cancel)
+async def on_cancel(session: PeerSession, frame: Record) -> None:
+    """Call an attempt off."""
+    assert isinstance(frame, Cancel)
+    session.gate.cancel(frame.attempt_id)
+
+
+@frame_handlers.register(Ask)
+async def on_ask(session: PeerSession, frame: Record) -> None:
+    """Say what became of an attempt, as soon as it is known."""
+    assert isinstance(frame, Ask)
+    work = session.gate.outcome_of(
+        frame.attempt_id,
+        frame.incarnation,
+        frame.age_ms,
+    )
+    session.answer_later(frame.attempt_id, work)
+
+
+@frame_handlers.register(Ping)
+async def on_ping(session: PeerSession, frame: Record) -> None:
+    """Give a sign of life."""
+    assert isinstance(frame, Ping)
+    session.frames.send(Pong(frame.nonce, session.gate.load().to_row()))
+
+
+@frame_handlers.register(Suspected)
+async def on_suspected(session: PeerSession, frame: Record) -> None:
+    """Take over a suspicion."""
+    assert isinstance(frame, Suspected)
+    session.gate.suspects.merge(frame)
+
+
+def attempt_from(frame: Dispatch) -> Attempt:
+    """Build an attempt whose deadline is on this node's clock."""
+    request = CallRequest(
+        frame.attempt_id.partition('-')[0],
+        frame.method,
+        frame.path,
+        frame.headers,
+        frame.body,
+        CallClass.from_row(frame.call_class),
+        time.monotonic() + frame.remaining_ms / 1000,
+    )
+    return Attempt(frame.attempt_id, request, frame.fingerprint)
+
+
+class PeerServer(TCPServer):
+    """Accepts connections from other nodes.
+
+    :param gate: where the requests go.
+    :param guard: notices that the process was frozen.
+    """
+
+    def __init__(self, gate: Gate, guard: FreezeGuard) -> None:
+        """Listen to nothing yet."""
+        super().__init__()
+        self.gate = gate
+        self.guard = guard
+        self.max_body = 16 * 1024 * 1024
+        self.sessions: set[PeerSession] = set()
+
+    async def handle_stream(self, stream: IOStream, address: object) -> None:
+        """Serve one connection until it closes."""
+        session = PeerSession(FrameStream(stream), self.gate, self.max_body)
+        self.sessions.add(session)
+        try:
+            await session.run(self.guard)
+        finally:
+            self.sessions.discard(session)
+
+    async def run(self, host: str, port: int) -> None:
+        """Listen until cancelled."""
+        self.listen(port, address=host)
+        try:
+            await asyncio.Event().wait()
+        finally:
+            self.stop()
+
+    def tell_all(self, frame: Record) -> None:
+        """Send a frame on every open connection."""
+        for session in tuple(self.sessions):
+            try:
+                session.frames.send(frame)
+            except PeerLinkError:
+                session.frames.close()
+
+    def close_all(self) -> None:
+        """Close every open connection; outcomes stay in the ledger."""
+        for session in tuple(self.sessions):
+            session.frames.close()
--- /dev/null
+++ b/packages/node/src/lavendermountd/presets/__init__.py
@@ -0,0 +1,1 @@
+"""Following and keeping the preset in force."""
