--- /dev/null
+++ b/packages/node/src/lavendermountd/presets/catchup.py
@@ -0,0 +1,68 @@
+"""Learning the preset in force from a peer that is ahead.
+
+:units: seconds.
+:errors: none escape; the next round of gossip names a peer again.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+import grpc
+
+from lavendermount_core.structure.members import Member
+from lavendermountd.control.channels import ChannelPool
+from lavendermountd.control.generated import control_pb2
+from lavendermountd.control.messages import preset_record
+from lavendermountd.presets.holder import PresetHolder
+
+log = logging.getLogger(__name__)
+
+TIMEOUT_S = 2.0
+PAUSE_S = 0.3
+
+
+class PresetCatchUp:
+    """Fetches the preset from a peer whose revision is higher.
+
+    :param holder: takes the preset.
+    :param channels: channels to the peers.
+    """
+
+    def __init__(self, holder: PresetHolder, channels: ChannelPool) -> None:
+        """Start with nobody ahead."""
+        self.holder = holder
+        self.channels = channels
+        self.ahead: Member | None = None
+        self.is_behind = asyncio.Event()
+
+    def note(self, member: Member, revision: int) -> None:
+        """Note that a peer is ahead."""
+        if revision > self.holder.revision:
+            self.ahead = member
+            self.is_behind.set()
+
+    async def run(self) -> None:
+        """Catch up whenever a peer is ahead, until cancelled."""
+        while True:
+            await self.is_behind.wait()
+            self.is_behind.clear()
+            if self.ahead is not None:
+                await self.fetch(self.ahead)
+            await asyncio.sleep(PAUSE_S)
+
+    async def fetch(self, member: Member) -> None:
+        """Ask a peer for the preset in force."""
+        try:
+            stub = await self.channels.stub_of(member)
+            answer = await stub.Preset(
+                control_pb2.PresetRequest(),
+                timeout=TIMEOUT_S,
+            )
+        except grpc.aio.AioRpcError as error:
+            log.info('preset-unfetched', extra={'cause': str(error.code())})
+            await self.channels.drop_of(member)
+            return
+        if answer.is_settled:
+            self.holder.adopt(preset_record(answer))
--- /dev/null
+++ b/packages/node/src/lavendermountd/presets/follower.py
@@ -0,0 +1,98 @@
+"""Follows the preset stream of the log.
+
+:errors: none escape while the log is down; the node goes on with what it has.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+from lavendermount_core.exceptions import LogEvictedError, LogUnavailableError
+from lavendermount_core.platform.adapter import LogAdapter, LogBatch
+from lavendermount_core.presets.fold import PresetFold
+from lavendermount_core.presets.records import PRESET_STREAM
+from lavendermountd.presets.holder import PresetHolder
+
+log = logging.getLogger(__name__)
+
+POLL_S = 20.0
+FIRST_RETRY_S = 0.2
+RETRY_LIMIT_S = 3.0
+
+
+class PresetFollower:
+    """Reads the preset stream into the fold.
+
+    :param platform_log: where the stream is.
+    :param holder: whose fold takes the records.
+    """
+
+    def __init__(self, platform_log: LogAdapter, holder: PresetHolder) -> None:
+        """Start without having read anything."""
+        self.platform_log = platform_log
+        self.holder = holder
+        self.is_reachable = False
+        self.is_caught_up = asyncio.Event()
+        self.retry_s = FIRST_RETRY_S
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            await self.step()
+
+    async def step(self) -> None:
+        """Read once, waiting at the end of the stream for more."""
+        fold = self.holder.fold
+        offset = 0 if fold is None else fold.next_offset
+        wait_s = POLL_S if self.is_caught_up.is_set() else 0
+        try:
+            batch = await self.platform_log.read(PRESET_STREAM, offset, wait_s)
+        except LogEvictedError as error:
+            self.skip_evicted(error.oldest)
+        except LogUnavailableError as error:
+            await self.wait_for_log(error)
+        else:
+            self.apply(batch)
+
+    def skip_evicted(self, oldest: int) -> None:
+        """Go on at the oldest record that is left."""
+        self.mark_reachable()
+        log.info('presets-evicted', extra={'oldest': oldest})
+        if self.holder.fold is None:
+            self.holder.fold = PresetFold(oldest)
+            return
+        self.holder.fold.restart(oldest)
+
+    async def wait_for_log(self, error: LogUnavailableError) -> None:
+        """Wait before the next try, longer each time."""
+        if self.is_reachable:
+            log.warning('log-unreachable', extra={'cause': str(error)})
+        self.is_reachable = False
+        await asyncio.sleep(self.retry_s)
+        self.retry_s = min(self.retry_s * 2, RETRY_LIMIT_S)
+
+    def mark_reachable(self) -> None:
+        """Note that the log answered."""
+        if not self.is_reachable:
+            log.info('log-reachable')
+        self.is_reachable = True
+        self.retry_s = FIRST_RETRY_S
+
+    def apply(self, batch: LogBatch) -> None:
+        """Apply the records; at the end of the stream put the preset in force.
+
+        A node that starts puts nothing in force before it has read all there
+        is, so that it never shows a preset that was replaced already.
+        """
+        self.mark_reachable()
+        if self.holder.fold is None:
+            self.holder.fold = PresetFold(batch.oldest)
+        fold = self.holder.fold
+        for record in batch.records:
+            fold.apply(record.offset, record.body)
+        fold.next_offset = max(fold.next_offset, batch.next_offset)
+        if fold.next_offset >= batch.end:
+            self.is_caught_up.set()
+        if self.is_caught_up.is_set() and fold.is_settled:
+            self.holder.refresh()
--- /dev/null
+++ b/packages/node/src/lavendermountd/presets/holder.py
@@ -0,0 +1,78 @@
+"""The preset in force on this node.
+
+:shapes: ``InForcePreset`` is never changed, only replaced by a newer one.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+from lavendermount_core.config.preset import ClassOptions, parse_preset
+from lavendermount_core.presets.fold import PresetFold
+from lavendermount_core.presets.records import NO_REVISION, InForce
+from lavendermount_core.routing.tuning import tuning_from
+
+log = logging.getLogger(__name__)
+
+
+class InForcePreset:
+    """A preset with the revision that put it in force.
+
+    :param statement: the record that names it.
+    """
+
+    __slots__ = ('revision', 'version', 'schema', 'classes', 'tuning')
+
+    def __init__(self, statement: InForce) -> None:
+        """Parse the preset; a fold only ever states a valid one."""
+        self.revision = statement.revision
+        self.version = statement.version
+        self.schema = parse_preset(statement.body, statement.name)
+        self.classes = {entry.name: entry for entry in self.schema.class_}
+        self.tuning = tuning_from(self.schema)
+
+    def class_options(self, name: str) -> ClassOptions:
+        """Find a class; routes only name classes that exist."""
+        return self.classes[name]
+
+
+class PresetHolder:
+    """Keeps the preset in force; it never goes back to an older one."""
+
+    __slots__ = ('fold', 'current', 'on_change')
+
+    def __init__(self) -> None:
+        """Start with nothing in force."""
+        self.fold: PresetFold | None = None
+        self.current: InForcePreset | None = None
+        self.on_change: list[Callable[[InForcePreset], None]] = []
+
+    @property
+    def revision(self) -> int:
+        """Revision in force, or ``NO_REVISION``."""
+        return NO_REVISION if self.current is None else self.current.revision
+
+    def refresh(self) -> None:
+        """Put in force what the fold says, if it is newer."""
+        if self.fold is None or self.fold.in_force.revision <= self.revision:
+            return
+        self.current = InForcePreset(self.fold.in_force)
+        log.info(
+            'preset-in-force',
+            extra={
+                'preset': self.current.schema.name,
+                'version': self.current.version,
+                'revision': self.current.revision,
+            },
+        )
+        for callback in self.on_change:
+            callback(self.current)
+
+    def adopt(self, statement: InForce) -> None:
+        """Take over what another settled node has in force."""
+        if self.fold is None:
+            self.fold = PresetFold.from_statement(statement)
+        else:
+            self.fold.adopt(statement)
+        self.refresh()
--- /dev/null
+++ b/packages/node/src/lavendermountd/presets/keeper.py
@@ -0,0 +1,83 @@
+"""Keeps the preset in force on the log although the log evicts records.
+
+:units: seconds.
+:errors: none escape while the log is down.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+
+from lavendermount_core.exceptions import LogUnavailableError
+from lavendermount_core.platform.adapter import LogAdapter
+from lavendermount_core.presets.fold import PresetFold
+from lavendermount_core.presets.records import (
+    NO_REVISION,
+    PRESET_STREAM,
+    encode_record,
+)
+from lavendermountd.presets.follower import PresetFollower
+
+log = logging.getLogger(__name__)
+
+EARLIEST_SHARE = 0.2
+LATEST_SHARE = 0.4
+
+
+class PresetKeeper:
+    """Appends the preset in force again before its record is evicted.
+
+    Every node may do so; whoever draws the shortest wait does, and the others
+    see its record and wait anew.
+
+    :param platform_log: where the stream is.
+    :param follower: reads the stream.
+    :param retention_s: time after which the log evicts records.
+    """
+
+    def __init__(
+        self,
+        platform_log: LogAdapter,
+        follower: PresetFollower,
+        retention_s: float,
+    ) -> None:
+        """Start with nothing seen."""
+        self.platform_log = platform_log
+        self.follower = follower
+        self.retention_s = retention_s
+
+    async def run(self) -> None:
+        """Keep until cancelled."""
+        while True:
+            fold = self.follower.holder.fold
+            stated = None if fold is None else fold.stated_offset
+            share = random.uniform(EARLIEST_SHARE, LATEST_SHARE)
+            await asyncio.sleep(self.retention_s * share)
+            await self.keep_unless_kept(stated)
+
+    async def keep_unless_kept(self, stated: int | None) -> None:
+        """Append unless somebody did since a look before.
+
+        :param stated: offset of the last statement at that look.
+        """
+        fold = self.follower.holder.fold
+        if fold is None or not fold.is_settled:
+            return
+        if fold.in_force.revision == NO_REVISION or fold.stated_offset != stated:
+            return
+        if not self.follower.is_reachable:
+            return
+        await self.append(fold)
+
+    async def append(self, fold: PresetFold) -> None:
+        """Append the preset in force and all published ones."""
+        records = [fold.statement(), *fold.published.values()]
+        try:
+            for record in records:
+                await self.platform_log.append(PRESET_STREAM, encode_record(record))
+        except LogUnavailableError as error:
+            log.info('keeping-delayed', extra={'cause': str(error)})
+            return
+        log.info('preset-kept', extra={'revision': fold.in_force.revision})
--- /dev/null
+++ b/packages/node/src/lavendermountd/recorder/__init__.py
@@ -0,0 +1,1 @@
+"""Recording decisions."""
--- /dev/null
+++ b/packages/node/src/lavendermountd/recorder/recorder.py
@@ -0,0 +1,105 @@
+"""Keeps decisions in memory and appends them to the log in batches.
+
+:units: milliseconds since the epoch in records; seconds for waits.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import deque
+
+from lavendermount_core.exceptions import LogUnavailableError
+from lavendermount_core.platform.adapter import LogAdapter
+from lavendermount_core.replay.records import (
+    DECISION_STREAM,
+    NO_CHAIN,
+    DecisionBatch,
+    DecisionRecord,
+    compress_rows,
+)
+from lavendermount_core.structure.records import pack
+from lavendermountd.identity import Identity
+
+log = logging.getLogger(__name__)
+
+BATCH_LIMIT = 2000
+SHUTDOWN_WAIT_S = 2.0
+
+
+class Recorder:
+    """Bounded buffer of decisions on their way to the log.
+
+    :param identity: who decides.
+    :param platform_log: where batches go.
+    :param limit: decisions kept while the log is down.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        platform_log: LogAdapter,
+        limit: int,
+    ) -> None:
+        """Start empty."""
+        self.identity = identity
+        self.platform_log = platform_log
+        self.waiting: deque[DecisionRecord] = deque()
+        self.limit = limit
+        self.sequence = 0
+        self.previous = NO_CHAIN
+        self.recorded = 0
+        self.dropped = 0
+        self.dropped_told = 0
+        self.unsent: bytes | None = None
+
+    def add(self, decision: DecisionRecord) -> None:
+        """Keep a decision; the oldest is dropped when the buffer is full."""
+        self.recorded += 1
+        self.waiting.append(decision)
+        if len(self.waiting) > self.limit:
+            self.waiting.popleft()
+            self.dropped += 1
+
+    async def run(self, period_s: float) -> None:
+        """Append a batch after each period until cancelled."""
+        while True:
+            await asyncio.sleep(period_s)
+            await self.flush()
+
+    async def flush(self) -> bool:
+        """Append all waiting decisions.
+
+        :returns: whether nothing is left; ``False`` while the log is down.
+        """
+        while self.unsent or self.waiting:
+            if self.unsent is None:
+                self.unsent = self.next_batch()
+            try:
+                await self.platform_log.append(DECISION_STREAM, self.unsent)
+            except LogUnavailableError as error:
+                log.warning('decisions-unsent', extra={'cause': str(error)})
+                return False
+            self.unsent = None
+        return True
+
+    def next_batch(self) -> bytes:
+        """Encode the next batch; it is sent until the log has taken it.
+
+        A batch whose answer was lost stands on the log twice; readers skip
+        the second by its sequence.
+        """
+        size = min(len(self.waiting), BATCH_LIMIT)
+        decisions = [self.waiting.popleft() for _ in range(size)]
+        batch = DecisionBatch(
+            self.identity.node_id,
+            self.identity.incarnation,
+            self.sequence,
+            self.previous,
+            self.dropped - self.dropped_told,
+            compress_rows(decisions),
+        )
+        self.dropped_told = self.dropped
+        self.sequence += 1
+        self.previous = batch.chain()
+        return pack(batch.to_row())
--- /dev/null
+++ b/packages/node/src/lavendermountd/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choosing targets, retries and hedges."""
--- /dev/null
+++ b/packages/node/src/lavendermountd/routing/chooser.py
@@ -0,0 +1,112 @@
+"""Choosing a target from what the node sees now.
+
+:units: milliseconds in candidates.
+"""
+
+from __future__ import annotations
+
+import random
+import time
+from collections import defaultdict
+
+from lavendermount_core.routing.candidates import Distance, Situation
+from lavendermount_core.routing.policies import decide
+from lavendermount_core.structure.members import Member
+from lavendermountd.membership.table import MemberTable
+from lavendermountd.peer.avoidance import Avoidance
+from lavendermountd.routing.budgets import TokenBucket
+from lavendermountd.routing.journey import Choice, Journey
+from lavendermountd.routing.view import LoadView
+
+SEED_BITS = 48
+
+
+class Chooser:
+    """Builds the inputs of a decision and takes it.
+
+    :param table: members of the system.
+    :param view: loads of the targets.
+    :param link_bucket: bytes of requests allowed across regions.
+    :param avoidance: nodes that could not be reached of late.
+    """
+
+    __slots__ = ('table', 'view', 'link_bucket', 'avoidance', 'seeds', 'turns')
+
+    def __init__(
+        self,
+        table: MemberTable,
+        view: LoadView,
+        link_bucket: TokenBucket,
+        avoidance: Avoidance,
+    ) -> None:
+        """Start with a seed of the system's randomness."""
+        self.table = table
+        self.view = view
+        self.link_bucket = link_bucket
+        self.avoidance = avoidance
+        self.seeds = random.Random()
+        self.turns: dict[str, int] = defaultdict(int)
+
+    def choose(self, journey: Journey, is_same_region: bool = False) -> Choice:
+        """Choose a target for the next attempt.
+
+        :param journey: the request; targets it tried are left out while
+            others are there.
+        :param is_same_region: whether to leave out other regions.
+        """
+        service = journey.request.call_class.service
+        members = self.eligible(service, journey.tried)
+        now = time.monotonic()
+        candidates = [self.view.candidate(member, now) for member in members]
+        if is_same_region:
+            candidates = [
+                seen for seen in candidates if seen.distance != Distance.OTHER_REGION
+            ]
+        self.turns[service] += 1
+        situation = Situation(
+            journey.preset.schema.choosing.policy,
+            journey.preset.tuning,
+            self.seeds.getrandbits(SEED_BITS),
+            self.turns[service],
+            self.is_link_allowed(journey),
+            candidates,
+        )
+        decision = decide(situation)
+        return Choice(situation, decision, self.table.find(decision.chosen))
+
+    def eligible(self, service: str, tried: set[str]) -> list[Member]:
+        """List the targets that may be chosen, ordered by node id.
+
+        Those that could not be reached of late are left out while there are
+        others.
+
+        :param service: service of the request.
+        :param tried: targets to leave out.
+        """
+        members = [
+            member
+            for member in self.table.members_of(service)
+            if member.node_id not in tried and self.view.is_accepting(member)
+        ]
+        reachable = [
+            member
+            for member in members
+            if not self.avoidance.is_avoided(member.node_id)
+        ]
+        return reachable or members
+
+    def charge_link(self, member: Member, size: int) -> None:
+        """Count bytes of a request or reply that crossed regions.
+
+        :param member: node at the other end.
+        :param size: bytes.
+        """
+        if self.view.distance_to(member) == Distance.OTHER_REGION:
+            self.link_bucket.fill()
+            self.link_bucket.tokens -= size
+            self.link_bucket.spent += size
+
+    def is_link_allowed(self, journey: Journey) -> bool:
+        """Whether the link between regions has bytes left for a request."""
+        self.link_bucket.fill()
+        return self.link_bucket.tokens > len(journey.request.body)
--- /dev/null
+++ b/packages/node/src/lavendermountd/routing/journey.py
@@ -0,0 +1,99 @@
+"""One request's way through attempts, retries and hedges.
+
+:units: seconds on the node's monotonic clock.
+"""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+from returns.result import Success
+
+from lavendermount_core.routing.candidates import Decision, Situation
+from lavendermount_core.structure.calls import CallRequest, Refusal
+from lavendermount_core.structure.members import Member
+from lavendermountd.gate.attempts import AttemptResult
+from lavendermountd.gate.suspects import fingerprint_of
+from lavendermountd.presets.holder import InForcePreset
+
+
+class Cause(StrEnum):
+    """Why an attempt is made."""
+
+    FIRST = 'first'
+    RETRY = 'retry'
+    HEDGE = 'hedge'
+
+
+class Journey:
+    """A request and what was tried for it.
+
+    :param request: the request.
+    :param preset: preset in force when it arrived.
+    """
+
+    __slots__ = (
+        'request',
+        'preset',
+        'fingerprint',
+        'attempts',
+        'tried',
+        'may_have_run',
+    )
+
+    def __init__(self, request: CallRequest, preset: InForcePreset) -> None:
+        """Start with nothing tried."""
+        self.request = request
+        self.preset = preset
+        self.fingerprint = fingerprint_of(request)
+        self.attempts = 0
+        self.tried: set[str] = set()
+        self.may_have_run = False
+
+    def next_attempt_id(self) -> str:
+        """Make the identifier of the next attempt."""
+        self.attempts += 1
+        return f'{self.request.request_id}-{self.attempts}'
+
+    def note(self, outcome: AttemptResult) -> None:
+        """Remember whether any attempt may have run."""
+        if isinstance(outcome, Success):
+            return
+        if not outcome.failure().is_not_run:
+            self.may_have_run = True
+
+    def final(self, refusal: Refusal) -> Refusal:
+        """Say what the last refusal means for the whole request.
+
+        :returns: the refusal, ``unknown`` if an earlier attempt may have run.
+        """
+        if not self.may_have_run or not refusal.is_not_run:
+            return refusal
+        return Refusal(
+            'unknown',
+            refusal.reason,
+            refusal.retry_after_s,
+            f'{refusal.detail}; an earlier attempt may have run',
+        )
+
+
+class Choice:
+    """A decision with its inputs and the member it names.
+
+    :param situation: inputs of the decision.
+    :param decision: the decision.
+    :param member: chosen node; ``None`` if none may be chosen.
+    """
+
+    __slots__ = ('situation', 'decision', 'member')
+
+    def __init__(
+        self,
+        situation: Situation,
+        decision: Decision,
+        member: Member | None,
+    ) -> None:
+        """Keep the fields as given."""
+        self.situation = situation
+        self.decision = decision
+        self.member = member
--- /dev/null
+++ b/packages/node/src/lavendermountd/routing/router.py
@@ -0,0 +1,310 @@
+"""Takes a request from its arrival to its final answer.
+
+:units: seconds on the node's monotonic clock; milliseconds in records.
+:errors: none; every failure becomes a refusal.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import defaultdict
+
+from returns.result import Failure, Success
+
+from lavendermount_core.replay.records import DecisionRecord
+from lavendermount_core.structure.calls import (
+    CallReply,
+    CallRequest,
+    Reason,
+    Refusal,
+    not_run,
+)
+from lavendermountd.gate.attempts import AttemptResult
+from lavendermountd.gate.suspects import SuspectTable, Verdict
+from lavendermountd.presets.holder import InForcePreset
+from lavendermountd.recorder.recorder import Recorder
+from lavendermountd.routing.budgets import TokenBucket
+from lavendermountd.routing.chooser import Chooser
+from lavendermountd.routing.journey import Cause, Choice, Journey
+from lavendermountd.routing.latency import LatencyWindow
+from lavendermountd.routing.sender import Sender
+
+NO_TARGET_RETRY_S = 1.0
+FAILURE_STATUS = 500
+TOO_MANY_REQUESTS = 429
+
+
+class Router:
+    """Chooses, sends, retries and hedges.
+
+    :param chooser: takes the decisions.
+    :param sender: sends the attempts.
+    :param recorder: keeps the decisions.
+    :param suspects: requests that may not run.
+    """
+
+    def __init__(
+        self,
+        chooser: Chooser,
+        sender: Sender,
+        recorder: Recorder,
+        suspects: SuspectTable,
+    ) -> None:
+        """Start with full retry and hedge buckets."""
+        self.chooser = chooser
+        self.sender = sender
+        self.recorder = recorder
+        self.suspects = suspects
+        self.retries = TokenBucket(0, 0)
+        self.hedges = TokenBucket(0, 0)
+        self.latencies: dict[str, LatencyWindow] = defaultdict(LatencyWindow)
+
+    def configure(self, preset: InForcePreset) -> None:
+        """Take over the budgets of a preset."""
+        retry = preset.schema.retry
+        hedge = preset.schema.hedge
+        if self.retries.burst != retry.burst:
+            self.retries = TokenBucket(0, retry.burst)
+        if self.hedges.burst != hedge.burst:
+            self.hedges = TokenBucket(0, hedge.burst)
+
+    async def route(
+        self,
+        request: CallRequest,
+        preset: InForcePreset,
+    ) -> AttemptResult:
+        """Take a request to its final answer.
+
+        :param request: the request.
+        :param preset: preset in force when it arrived.
+        :returns: the reply, or why there is none.
+        """
+        journey = Journey(request, preset)
+        if self.suspects.verdict(journey.fingerprint) == Verdict.REFUSED:
+            return Failure(self.refuse_suspect(journey))
+        self.retries.earn(preset.schema.retry.share)
+        self.hedges.earn(preset.schema.hedge.share)
+        cause = Cause.FIRST
+        while True:
+            outcome = await self.attempt(journey, cause)
+            journey.note(outcome)
+            if not self.may_retry(journey, outcome):
+                return outcome.lash(lambda last: Failure(journey.final(last)))
+            cause = Cause.RETRY
+
+    async def attempt(self, journey: Journey, cause: Cause) -> AttemptResult:
+        """Make one attempt, and a hedge beside it if it is slow."""
+        choice = self.chooser.choose(journey)
+        if choice.member is None:
+            return self.refuse_without_target(journey, choice, cause)
+        hedge_after_s = self.hedge_after_s(journey)
+        if hedge_after_s is None:
+            return await self.send(journey, choice, cause)
+        first = asyncio.create_task(self.send(journey, choice, cause))
+        done, _ = await _wait_for_any({first}, hedge_after_s)
+        if done:
+            return first.result()
+        hedge = self.start_hedge(journey)
+        return await _await_or_cancel({first} | hedge)
+
+    def hedge_after_s(self, journey: Journey) -> float | None:
+        """Time after which a second copy is worth sending.
+
+        :returns: seconds, or ``None`` for work that is never hedged.
+        """
+        hedge = journey.preset.schema.hedge
+        call_class = journey.request.call_class
+        if not call_class.is_repeatable or not hedge.share:
+            return None
+        window = self.latencies[_latency_key(journey)]
+        learned = window.quantile(hedge.quantile)
+        if learned is None:
+            return None
+        return max(learned, hedge.floor_ms) / 1000
+
+    def start_hedge(self, journey: Journey) -> set[asyncio.Task[AttemptResult]]:
+        """Send a second copy within the region, if the budget allows.
+
+        A suspected request is never hedged: it must run alone.
+        """
+        if self.suspects.verdict(journey.fingerprint) != Verdict.FREE:
+            return set()
+        if not self.hedges.try_spend(1):
+            return set()
+        choice = self.chooser.choose(journey, is_same_region=True)
+        if choice.member is None:
+            return set()
+        work = self.send(journey, choice, Cause.HEDGE)
+        return {asyncio.create_task(work)}
+
+    async def send(
+        self,
+        journey: Journey,
+        choice: Choice,
+        cause: Cause,
+    ) -> AttemptResult:
+        """Send one attempt and record its decision with the outcome."""
+        assert choice.member is not None
+        attempt_id = journey.next_attempt_id()
+        number = journey.attempts
+        node_id = choice.member.node_id
+        journey.tried.add(node_id)
+        view = self.chooser.view
+        view.begin(node_id, attempt_id)
+        begun = time.monotonic()
+        label = 'cancelled'
+        try:
+            outcome = await self.sender.send(journey, choice.member, attempt_id)
+            label = _label(outcome)
+        finally:
+            view.end(node_id, attempt_id)
+            elapsed_ms = (time.monotonic() - begun) * 1000
+            self.record(journey, choice, cause, number, label, elapsed_ms)
+            self.chooser.charge_link(choice.member, len(journey.request.body))
+        if isinstance(outcome, Success):
+            self.chooser.charge_link(choice.member, len(outcome.unwrap().body))
+            self.latencies[_latency_key(journey)].add(elapsed_ms)
+        return outcome
+
+    def record(
+        self,
+        journey: Journey,
+        choice: Choice,
+        cause: Cause,
+        number: int,
+        label: str,
+        elapsed_ms: float,
+    ) -> None:
+        """Keep a decision for replay."""
+        situation = choice.situation
+        call_class = journey.request.call_class
+        self.recorder.add(
+            DecisionRecord(
+                journey.request.request_id,
+                number,
+                str(cause),
+                int(time.time() * 1000),
+                journey.preset.revision,
+                call_class.service,
+                call_class.name,
+                call_class.tenant,
+                situation.policy,
+                situation.tuning.to_row(),
+                situation.seed,
+                situation.turn,
+                situation.is_link_allowed,
+                [seen.to_row() for seen in situation.candidates],
+                choice.decision.chosen,
+                choice.decision.scores,
+                label,
+                round(elapsed_ms, 2),
+            ),
+        )
+
+    def refuse_without_target(
+        self,
+        journey: Journey,
+        choice: Choice,
+        cause: Cause,
+    ) -> AttemptResult:
+        """Refuse a request for which no target may be chosen."""
+        self.record(journey, choice, cause, 0, 'not-run:no-target', 0)
+        service = journey.request.call_class.service
+        return Failure(
+            not_run(
+                Reason.NO_TARGET,
+                f'no target of {service} takes work now',
+                NO_TARGET_RETRY_S,
+            ),
+        )
+
+    def refuse_suspect(self, journey: Journey) -> Refusal:
+        """Refuse a request that two targets died of."""
+        return not_run(
+            Reason.SUSPECT,
+            'two targets died while they ran this request',
+            self.suspects.remaining_s(journey.fingerprint),
+        )
+
+    def may_retry(self, journey: Journey, outcome: AttemptResult) -> bool:
+        """Whether to try again: provably not run, or repeatable.
+
+        The order matters: the budget is spent last.
+        """
+        if isinstance(outcome, Success) and not _is_failure(outcome.unwrap()):
+            return False
+        if not _is_safe(journey, outcome) or not self.has_others(journey):
+            return False
+        if journey.attempts >= journey.preset.schema.retry.attempts:
+            return False
+        if time.monotonic() >= journey.request.deadline:
+            return False
+        return self.retries.try_spend(1)
+
+    def has_others(self, journey: Journey) -> bool:
+        """Whether a target is left that was not tried."""
+        service = journey.request.call_class.service
+        return bool(self.chooser.eligible(service, journey.tried))
+
+
+def _is_safe(journey: Journey, outcome: AttemptResult) -> bool:
+    if journey.request.call_class.is_repeatable:
+        return True
+    return not isinstance(outcome, Success) and outcome.failure().is_not_run
+
+
+def _is_failure(reply: CallReply) -> bool:
+    return reply.status >= FAILURE_STATUS or reply.status == TOO_MANY_REQUESTS
+
+
+def _label(outcome: AttemptResult) -> str:
+    if isinstance(outcome, Success):
+        return f'whole:{outcome.unwrap().status}'
+    refusal = outcome.failure()
+    return f'{refusal.outcome}:{refusal.reason}'
+
+
+def _latency_key(journey: Journey) -> str:
+    call_class = journey.request.call_class
+    return f'{call_class.service}/{call_class.name}'
+
+
+async def _wait_for_any(
+    tasks: set[asyncio.Task[AttemptResult]],
+    timeout_s: float | None,
+) -> tuple[set[asyncio.Task[AttemptResult]], set[asyncio.Task[AttemptResult]]]:
+    try:
+        return await asyncio.wait(
+            tasks,
+            timeout=timeout_s,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+    except asyncio.CancelledError:
+        for task in tasks:
+            task.cancel()
+        raise
+
+
+async def _await_or_cancel(
+    tasks: set[asyncio.Task[AttemptResult]],
+) -> AttemptResult:
+    """Take the first good reply and cancel the rest."""
+    pending = tasks
+    outcome: AttemptResult
+    while True:
+        done, pending = await _wait_for_any(pending, None)
+        outcome = _best([task.result() for task in done])
+        if not pending or _is_good(outcome):
+            break
+    for loser in pending:
+        loser.cancel()
+    return outcome
+
+
+def _best(outcomes: list[AttemptResult]) -> AttemptResult:
+    return next(filter(_is_good, outcomes), outcomes[0])
+
+
+def _is_good(outcome: AttemptResult) -> bool:
+    return isinstance(outcome, Success) and not _is_failure(outcome.unwrap())
--- /dev/null
+++ b/packages/node/src/lavendermountd/routing/sender.py
@@ -0,0 +1,166 @@
+"""Sending one attempt to a target's gate and learning its outcome.
+
+:errors: none; a lost link becomes a refusal that is true.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+
+from returns.result import Failure
+
+from lavendermount_core.exceptions import PeerLinkError
+from lavendermount_core.structure.calls import Reason, not_run, unknown
+from lavendermount_core.structure.members import Member
+from lavendermountd.gate.attempts import Attempt, AttemptResult
+from lavendermountd.gate.gate import Gate
+from lavendermountd.peer.frames import PART_BYTES, Ask, Cancel, Dispatch
+from lavendermountd.peer.links import LinkPool
+from lavendermountd.routing.journey import Journey
+
+log = logging.getLogger(__name__)
+
+ASK_ATTEMPTS = 3
+ASK_PAUSE_S = 0.1
+RETURN_MARGIN_S = 0.002
+UNREACHABLE_RETRY_S = 1.0
+
+
+class Sender:
+    """Sends attempts, to the own gate or over a link.
+
+    :param gate: the node's own gate.
+    :param links: links to the other gates.
+    """
+
+    __slots__ = ('gate', 'links')
+
+    def __init__(self, gate: Gate, links: LinkPool) -> None:
+        """Keep the gate and the links."""
+        self.gate = gate
+        self.links = links
+
+    async def send(
+        self,
+        journey: Journey,
+        member: Member,
+        attempt_id: str,
+    ) -> AttemptResult:
+        """Run one attempt at a target.
+
+        :param journey: the request.
+        :param member: node beside the target.
+        :param attempt_id: identifier of the attempt.
+        :returns: the reply, or a refusal that is true.
+        """
+        if member.node_id == self.gate.identity.node_id:
+            return await self.send_own(journey, attempt_id)
+        try:
+            link = await self.links.get(member)
+        except PeerLinkError as error:
+            refusal = not_run(Reason.LINK_LOST, str(error), UNREACHABLE_RETRY_S)
+            return Failure(refusal)
+        frame = _dispatch_frame(journey, member, attempt_id)
+        sent_at = time.monotonic()
+        try:
+            async with asyncio.timeout_at(journey.request.deadline):
+                return await link.dispatch(frame, journey.request.body)
+        except PeerLinkError:
+            return await self.ask(journey, member, attempt_id, sent_at)
+        except TimeoutError:
+            self.cancel(member, attempt_id)
+            return Failure(unknown(Reason.DEADLINE, 'the gate did not answer in time'))
+        except asyncio.CancelledError:
+            self.cancel(member, attempt_id)
+            raise
+
+    async def send_own(self, journey: Journey, attempt_id: str) -> AttemptResult:
+        """Run one attempt at the node's own target."""
+        attempt = Attempt(attempt_id, journey.request, journey.fingerprint)
+        work = self.gate.start(attempt)
+        try:
+            return await asyncio.shield(work)
+        except asyncio.CancelledError:
+            work.cancel()
+            raise
+
+    async def ask(
+        self,
+        journey: Journey,
+        member: Member,
+        attempt_id: str,
+        sent_at: float,
+    ) -> AttemptResult:
+        """Ask the gate what became of an attempt, over a fresh link.
+
+        :param sent_at: when the attempt was sent.
+        :returns: its outcome; ``unknown`` if the gate can't be asked.
+        """
+        for _ in range(ASK_ATTEMPTS):
+            try:
+                async with asyncio.timeout_at(journey.request.deadline):
+                    return await self.ask_once(member, attempt_id, sent_at)
+            except PeerLinkError as error:
+                log.info(
+                    'ask-failed', extra={'attempt': attempt_id, 'cause': str(error)}
+                )
+            except TimeoutError:
+                break
+            await asyncio.sleep(ASK_PAUSE_S)
+        return Failure(
+            unknown(
+                Reason.LINK_LOST, 'the link to the gate was lost', UNREACHABLE_RETRY_S
+            ),
+        )
+
+    async def ask_once(
+        self,
+        member: Member,
+        attempt_id: str,
+        sent_at: float,
+    ) -> AttemptResult:
+        """Ask once.
+
+        :raises PeerLinkError: if the gate can't be reached.
+        """
+        link = await self.links.get(member)
+        age_ms = (time.monotonic() - sent_at) * 1000
+        frame = Ask(attempt_id, member.incarnation, age_ms)
+        try:
+            return await link.call(frame, attempt_id)
+        except PeerLinkError:
+            self.links.avoidance.note_failure(member.node_id)
+            raise
+
+    def cancel(self, member: Member, attempt_id: str) -> None:
+        """Tell the gate that nobody waits any more."""
+        link = self.links.find_open(member)
+        if link is None:
+            return
+        try:
+            link.frames.send(Cancel(attempt_id))
+        except PeerLinkError:
+            link.close()
+
+
+def _dispatch_frame(
+    journey: Journey,
+    member: Member,
+    attempt_id: str,
+) -> Dispatch:
+    request = journey.request
+    remaining_s = request.deadline - time.monotonic() - RETURN_MARGIN_S
+    return Dispatch(
+        attempt_id,
+        member.incarnation,
+        request.method,
+        request.path,
+        request.headers,
+        request.call_class.to_row(),
+        round(remaining_s * 1000, 1),
+        journey.fingerprint,
+        len(request.body),
+        request.body[:PART_BYTES],
+    )
--- /dev/null
+++ b/packages/node/src/lavendermountd/routing/view.py
@@ -0,0 +1,143 @@
+"""What this node knows of each target's load, and how old that is.
+
+:units: seconds on the node's monotonic clock, milliseconds in candidates.
+"""
+
+from __future__ import annotations
+
+import time
+
+from lavendermount_core.routing.candidates import Candidate, Distance
+from lavendermount_core.structure.loads import LoadReport
+from lavendermount_core.structure.members import Member
+from lavendermountd.identity import Identity
+
+UNKNOWN_AGE_MS = 3_600_000
+SETTLED_WARM_MS = 3_600_000
+
+
+class SeenLoad:
+    """The newest report of one target, and what was sent there since.
+
+    :param report: the report.
+    :param seen_at: when the report was true.
+    """
+
+    __slots__ = ('report', 'seen_at')
+
+    def __init__(self, report: LoadReport, seen_at: float) -> None:
+        """Keep the fields as given."""
+        self.report = report
+        self.seen_at = seen_at
+
+
+class LoadView:
+    """Loads of all targets as this node sees them.
+
+    :param identity: the node's own place.
+    """
+
+    __slots__ = ('identity', 'loads', 'under_way')
+
+    def __init__(self, identity: Identity) -> None:
+        """Start with no report."""
+        self.identity = identity
+        self.loads: dict[str, SeenLoad] = {}
+        self.under_way: dict[str, dict[str, float]] = {}
+
+    def take_report(self, report: LoadReport, age_ms: float = 0) -> bool:
+        """Keep a report if it is newer than the one known.
+
+        :param report: from the target's gate, perhaps through others.
+        :param age_ms: how long ago it was true.
+        :returns: whether it was newer.
+        """
+        known = self.loads.get(report.node_id)
+        if known is not None and _order(known.report) >= _order(report):
+            return False
+        seen_at = time.monotonic() - age_ms / 1000
+        self.loads[report.node_id] = SeenLoad(report, seen_at)
+        return True
+
+    def forget(self, node_id: str) -> None:
+        """Forget a target that is gone."""
+        self.loads.pop(node_id, None)
+        self.under_way.pop(node_id, None)
+
+    def begin(self, node_id: str, attempt_id: str) -> None:
+        """Note that work went to a target."""
+        sent = self.under_way.setdefault(node_id, {})
+        sent[attempt_id] = time.monotonic()
+
+    def end(self, node_id: str, attempt_id: str) -> None:
+        """Note that work at a target ended."""
+        self.under_way.get(node_id, {}).pop(attempt_id, None)
+
+    def is_accepting(self, member: Member) -> bool:
+        """Whether a target takes new work, as far as known."""
+        if not member.is_available:
+            return False
+        seen = self.loads.get(member.node_id)
+        return seen is None or seen.report.is_accepting
+
+    def candidate(self, member: Member, now: float) -> Candidate:
+        """Describe a target for a decision.
+
+        :param member: the node beside the target.
+        :param now: the present.
+        """
+        distance = self.distance_to(member)
+        sent = self.under_way.get(member.node_id, {})
+        seen = self.loads.get(member.node_id)
+        if seen is None:
+            return _unknown_candidate(member.node_id, distance, len(sent))
+        report = seen.report
+        return Candidate(
+            member.node_id,
+            distance,
+            report.in_flight,
+            report.queued,
+            sum(1 for at in sent.values() if at > seen.seen_at),
+            report.slots,
+            max(report.service_ms, _oldest_ms(sent, now)),
+            report.failure_ratio,
+            max(0, int((now - seen.seen_at) * 1000)),
+            report.warm_ms,
+        )
+
+    def distance_to(self, member: Member) -> Distance:
+        """How far a member is from this node."""
+        mine = self.identity.member
+        if member.node_id == mine.node_id:
+            return Distance.SAME_VM
+        if member.region != mine.region:
+            return Distance.OTHER_REGION
+        if member.zone != mine.zone:
+            return Distance.SAME_REGION
+        return Distance.SAME_ZONE
+
+
+def _unknown_candidate(node_id: str, distance: int, sent: int) -> Candidate:
+    return Candidate(
+        node_id,
+        distance,
+        0,
+        0,
+        sent,
+        1,
+        0,
+        0,
+        UNKNOWN_AGE_MS,
+        SETTLED_WARM_MS,
+    )
+
+
+def _oldest_ms(sent: dict[str, float], now: float) -> float:
+    if not sent:
+        return 0
+    oldest = next(iter(sent.values()))
+    return round((now - oldest) * 1000, 1)
+
+
+def _order(report: LoadReport) -> tuple[int, int]:
+    return report.incarnation, report.sequence
--- /dev/null
+++ b/packages/node/src/lavendermountd/supervision/__init__.py
@@ -0,0 +1,1 @@
+"""Supervision of the node's tasks."""
--- /dev/null
+++ b/packages/node/src/lavendermountd/supervision/freeze.py
@@ -0,0 +1,59 @@
+"""Noticing that the process was frozen and resumed.
+
+:units: seconds on the node's monotonic clock.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+
+log = logging.getLogger(__name__)
+
+TICK_S = 0.25
+FREEZE_S = 2.0
+
+
+class FreezeGuard:
+    """Compares the clock with a regular tick.
+
+    What the node held before a gap may be out of date: it must not take work
+    from connections that were open, nor trust its view of the others.
+    """
+
+    __slots__ = ('last_tick', 'freezes', 'on_freeze')
+
+    def __init__(self) -> None:
+        """Start at the present."""
+        self.last_tick = time.monotonic()
+        self.freezes = 0
+        self.on_freeze: list[Callable[[], None]] = []
+
+    def check(self) -> bool:
+        """Look at the clock.
+
+        Every part that is about to take work calls this first, since the
+        regular tick may come after the first bytes are read.
+
+        :returns: whether the process was frozen since the last look.
+        """
+        now = time.monotonic()
+        gap = now - self.last_tick
+        self.last_tick = max(self.last_tick, now - TICK_S)
+        if gap < FREEZE_S:
+            return False
+        self.last_tick = now
+        self.freezes += 1
+        log.warning('process-was-frozen', extra={'seconds': round(gap, 2)})
+        for callback in self.on_freeze:
+            callback()
+        return True
+
+    async def run(self) -> None:
+        """Tick until cancelled."""
+        while True:
+            self.check()
+            self.last_tick = time.monotonic()
+            await asyncio.sleep(TICK_S)
--- /dev/null
+++ b/packages/node/src/lavendermountd/supervision/supervisor.py
@@ -0,0 +1,132 @@
+"""Supervisors restart their children when those fail.
+
+:errors: ``SupervisionError`` when a child fails too often; the parent
+    supervisor then restarts the whole branch, and the root ends the process.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections import deque
+from collections.abc import Awaitable, Callable, Sequence
+
+from lavendermount_core.exceptions import LavendermountError
+
+log = logging.getLogger(__name__)
+
+FIRST_BACKOFF_S = 0.05
+BACKOFF_LIMIT_S = 5.0
+BACKOFF_FACTOR = 2
+MAX_RESTARTS = 8
+RESTART_WINDOW_S = 60.0
+
+Run = Callable[[], Awaitable[None]]
+
+
+class SupervisionError(LavendermountError):
+    """A child failed more often than its supervisor allows."""
+
+    exit_code = 70
+
+
+class Child:
+    """One supervised task.
+
+    :param name: name in logs and metrics.
+    :param run: runs until cancelled; returning counts as a failure.
+    """
+
+    __slots__ = ('name', 'run')
+
+    def __init__(self, name: str, run: Run) -> None:
+        """Keep the fields as given."""
+        self.name = name
+        self.run = run
+
+
+class Supervisor:
+    """Runs children, each in a task, and restarts the one that fails.
+
+    :param name: name in logs and metrics.
+    :param children: what to run, started in order.
+    :param on_restart: called with the child's path at each restart.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        children: Sequence[Child],
+        on_restart: Callable[[str], None],
+    ) -> None:
+        """Keep the children; nothing runs yet."""
+        self.name = name
+        self.children = tuple(children)
+        self.on_restart = on_restart
+        self.tasks: dict[str, asyncio.Task[None]] = {}
+
+    async def run(self) -> None:
+        """Run all children until cancelled or until one fails too often.
+
+        :raises SupervisionError: if a child fails too often.
+        """
+        keepers = [
+            asyncio.create_task(self.keep(child), name=f'keep-{child.name}')
+            for child in self.children
+        ]
+        try:
+            await asyncio.gather(*keepers)
+        finally:
+            await _cancel_all(keepers)
+
+    async def keep(self, child: Child) -> None:
+        """Run one child again and again.
+
+        :param child: what to run.
+        :raises SupervisionError: if it fails too often.
+        """
+        failures: deque[float] = deque(maxlen=MAX_RESTARTS)
+        while True:
+            await self.run_once(child)
+            failures.append(time.monotonic())
+            self.check_restarts(child, failures)
+            await asyncio.sleep(_backoff_s(failures))
+
+    async def run_once(self, child: Child) -> None:
+        """Run one child until it ends, and log why it did."""
+        path = f'{self.name}/{child.name}'
+        task = asyncio.ensure_future(child.run())
+        self.tasks[child.name] = task
+        try:
+            await asyncio.wait({task})
+        finally:
+            task.cancel()
+        failure = None if task.cancelled() else task.exception()
+        log.error(
+            'task-restarted',
+            exc_info=failure,
+            extra={'task': path, 'cause': repr(failure)},
+        )
+        self.on_restart(path)
+
+    def check_restarts(self, child: Child, failures: deque[float]) -> None:
+        """Give up on a child that failed too often of late."""
+        if len(failures) < MAX_RESTARTS:
+            return
+        if failures[-1] - failures[0] < RESTART_WINDOW_S:
+            raise SupervisionError(
+                f'{self.name}/{child.name} failed {MAX_RESTARTS} times '
+                f'within {RESTART_WINDOW_S:g} s',
+            )
+
+
+def _backoff_s(failures: deque[float]) -> float:
+    recent = sum(1 for at in failures if failures[-1] - at < RESTART_WINDOW_S)
+    return min(FIRST_BACKOFF_S * BACKOFF_FACTOR ** (recent - 1), BACKOFF_LIMIT_S)
+
+
+async def _cancel_all(tasks: Sequence[asyncio.Task[None]]) -> None:
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/packages/node/src/lavendermountd/tree.py
@@ -0,0 +1,130 @@
+"""The supervisor tree of a node.
+
+::
+
+    node
+    ├── log        preset-follower, preset-keeper, recorder, joiner
+    ├── members    control-server, gossip, preset-catch-up
+    ├── target     peer-server, target-watch
+    ├── callers    caller-server, admin-server
+    └── clock      freeze-guard, fence
+
+A task that fails is restarted after a backoff. A branch whose task fails too
+often is restarted whole by the root; if that happens too often the process
+ends with exit code 70, and the node is found dead by the others.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+
+from lavendermountd.admin.server import serve_admin
+from lavendermountd.control.server import serve_control
+from lavendermountd.node import MS, Node
+from lavendermountd.supervision.supervisor import Child, Supervisor
+
+
+class NodeTree:
+    """Builds the supervisors of a node.
+
+    :param node: whose parts are run.
+    """
+
+    def __init__(self, node: Node) -> None:
+        """Keep the node."""
+        self.node = node
+
+    def root(self) -> Supervisor:
+        """Build the root supervisor."""
+        branches = [
+            self.log(),
+            self.members(),
+            self.target(),
+            self.callers(),
+            self.clock(),
+        ]
+        children = [Child(branch.name, branch.run) for branch in branches]
+        return self.supervisor('node', children)
+
+    def log(self) -> Supervisor:
+        """Build the branch that speaks to the platform's log."""
+        node = self.node
+        return self.supervisor(
+            'log',
+            [
+                Child('preset-follower', node.follower.run),
+                Child('preset-keeper', node.keeper.run),
+                Child('recorder', self.run_recorder),
+                Child('joiner', node.joiner.run),
+            ],
+        )
+
+    def members(self) -> Supervisor:
+        """Build the branch that speaks to other nodes about members."""
+        node = self.node
+        return self.supervisor(
+            'members',
+            [
+                Child('control-server', self.run_control),
+                Child('gossip', node.gossip.run),
+                Child('preset-catch-up', node.catch_up.run),
+            ],
+        )
+
+    def target(self) -> Supervisor:
+        """Build the branch in front of the target."""
+        return self.supervisor(
+            'target',
+            [
+                Child('peer-server', self.run_peers),
+                Child('target-watch', self.node.target_watch.run),
+            ],
+        )
+
+    def callers(self) -> Supervisor:
+        """Build the branch that serves callers and operators."""
+        return self.supervisor(
+            'callers',
+            [
+                Child('caller-server', self.run_callers),
+                Child('admin-server', self.run_admin),
+            ],
+        )
+
+    def clock(self) -> Supervisor:
+        """Build the branch that notices a freeze."""
+        return self.supervisor(
+            'clock',
+            [
+                Child('freeze-guard', self.node.guard.run),
+                Child('fence', self.node.refence),
+            ],
+        )
+
+    def supervisor(self, name: str, children: list[Child]) -> Supervisor:
+        """Build a supervisor that counts restarts."""
+        return Supervisor(name, children, self.node.metrics.count_restart)
+
+    def run_recorder(self) -> Awaitable[None]:
+        """Append decisions in batches."""
+        return self.node.recorder.run(self.node.settings.recorder.flush_ms / MS)
+
+    def run_control(self) -> Awaitable[None]:
+        """Serve gossip and operators."""
+        listen = self.node.settings.listen
+        return serve_control(self.node, listen.host, listen.control_port)
+
+    def run_peers(self) -> Awaitable[None]:
+        """Serve other nodes."""
+        listen = self.node.settings.listen
+        return self.node.peer_server.run(listen.host, listen.peer_port)
+
+    def run_callers(self) -> Awaitable[None]:
+        """Serve callers."""
+        listen = self.node.settings.listen
+        return self.node.caller_server.run(listen.host, listen.caller_port)
+
+    def run_admin(self) -> Awaitable[None]:
+        """Serve metrics and announcements."""
+        listen = self.node.settings.listen
+        return serve_admin(self.node, listen.host, listen.admin_port)
--- /dev/null
+++ b/packages/testbed/src/lavendermount_testbed/__main__.py
@@ -0,0 +1,56 @@
+"""Command line of the stand-ins."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import click
+
+PORT = click.IntRange(1, 65535)
+
+
+@click.group()
+def cli() -> None:
+    """Run a stand-in."""
+
+
+@cli.command()
+@click.option('--port', type=PORT, required=True)
+@click.option('--host', default='127.0.0.1')
+def log(port: int, host: str) -> None:
+    """Run the platform's log."""
+    from lavendermount_testbed.log_server import serve_log
+
+    asyncio.run(serve_log(host, port))
+
+
+@cli.command()
+@click.argument('settings_file', type=click.Path(path_type=Path))
+def target(settings_file: Path) -> None:
+    """Run a target with a settings file."""
+    from lavendermount_testbed.target_server import run_target
+
+    asyncio.run(run_target(settings_file))
+
+
+@cli.command()
+@click.argument('settings_file', type=click.Path(path_type=Path))
+def relay(settings_file: Path) -> None:
+    """Run a delaying relay with a settings file."""
+    from lavendermount_testbed.relay import run_relay
+
+    asyncio.run(run_relay(settings_file))
+
+
+@cli.command()
+@click.argument('plan_file', type=click.Path(path_type=Path))
+def load(plan_file: Path) -> None:
+    """Send requests as a plan says and print one result a line."""
+    from lavendermount_testbed.load import run_load
+
+    asyncio.run(run_load(plan_file))
+
+
+if __name__ == '__main__':
+    cli()
--- /dev/null
+++ b/packages/testbed/src/lavendermount_testbed/caller.py
@@ -0,0 +1,194 @@
+"""A caller's HTTP connection, kept alive, on tornado's low-level client.
+
+:errors: ``CallerError`` when no whole reply came.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import IOStream, StreamClosedError
+
+MAX_BODY = 64 * 1024 * 1024
+
+
+class CallerError(Exception):
+    """The connection ended before the reply was whole."""
+
+
+class Received(HTTPMessageDelegate):
+    """One reply as the caller received it."""
+
+    def __init__(self) -> None:
+        """Start with nothing received."""
+        self.status = 0
+        self.headers = HTTPHeaders()
+        self.parts: list[bytes] = []
+        self.is_whole = False
+
+    def headers_received(
+        self,
+        start_line: RequestStartLine | ResponseStartLine,
+        headers: HTTPHeaders,
+    ) -> None:
+        """Keep the head."""
+        assert isinstance(start_line, ResponseStartLine)
+        self.status = start_line.code
+        self.headers = headers
+
+    def data_received(self, chunk: bytes) -> None:
+        """Keep a part of the body."""
+        self.parts.append(chunk)
+
+    def finish(self) -> None:
+        """Note that the reply is whole."""
+        self.is_whole = True
+
+    def on_connection_close(self) -> None:
+        """Note that the reply was cut off."""
+        self.is_whole = False
+
+    @property
+    def body(self) -> bytes:
+        """The whole body."""
+        return b''.join(self.parts)
+
+    @property
+    def outcome(self) -> str:
+        """What the reply says became of the request."""
+        return self.headers.get('X-Outcome', 'whole')
+
+    def document(self) -> dict[str, object]:
+        """Parse the body as a JSON object, without padding."""
+        text = self.body.rstrip(b'.')
+        parsed: dict[str, object] = json.loads(text)
+        return parsed
+
+
+class CallerConnection:
+    """One connection of a caller to a node.
+
+    :param port: caller port of the node.
+    :param host: IP number of the node.
+    """
+
+    def __init__(self, port: int, host: str = '127.0.0.1') -> None:
+        """Connect when first used."""
+        self.address = (host, port)
+        self.stream: IOStream | None = None
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        body: bytes = b'',
+    ) -> Received:
+        """Send a request and wait for its whole reply.
+
+        :raises CallerError: if the connection ends first.
+        """
+        if self.stream is None or self.stream.closed():
+            self.stream = await self.connect()
+        sent = HTTPHeaders(headers)
+        if body or method == 'POST':
+            sent['Content-Length'] = str(len(body))
+        params = HTTP1ConnectionParameters(max_body_size=MAX_BODY)
+        connection = HTTP1Connection(self.stream, True, params)
+        received = Received()
+        try:
+            connection.write_headers(
+                RequestStartLine(method, path, 'HTTP/1.1'),
+                sent,
+                body or None,
+            )
+            connection.finish()
+            await connection.read_response(received)
+        except StreamClosedError as error:
+            self.close()
+            raise CallerError('the connection closed') from error
+        except asyncio.CancelledError:
+            self.close()
+            raise
+        if not received.is_whole:
+            self.close()
+            raise CallerError('the reply was cut off')
+        if received.headers.get('Connection', '') == 'close':
+            self.close()
+        return received
+
+    async def connect(self) -> IOStream:
+        """Open the connection.
+
+        :raises CallerError: if nobody listens.
+        """
+        stream = IOStream(socket.socket(), max_buffer_size=2 * MAX_BODY)
+        try:
+            await stream.connect(self.address)
+        except (StreamClosedError, OSError) as error:
+            raise CallerError('nobody listens') from error
+        stream.set_nodelay(True)
+        return stream
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self.stream is not None:
+            self.stream.close()
+            self.stream = None
+
+
+class CallerPool:
+    """Connections to one node, each used by one request at a time.
+
+    :param port: caller port of the node.
+    """
+
+    def __init__(self, port: int) -> None:
+        """Start with no connection."""
+        self.port = port
+        self.idle: list[CallerConnection] = []
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        body: bytes = b'',
+    ) -> Received:
+        """Send a request on an idle connection or a new one."""
+        connection = self.idle.pop() if self.idle else CallerConnection(self.port)
+        received = await connection.call(method, path, headers, body)
+        self.idle.append(connection)
+        return received
+
+
+def call_once(
+    port: int,
+    method: str = 'GET',
+    path: str = '/',
+    headers: dict[str, str] | None = None,
+    body: bytes = b'',
+) -> Received:
+    """Send one request on a connection of its own, from code without a loop.
+
+    :param port: caller port of a node.
+    :raises CallerError: if no whole reply came.
+    """
+
+    async def run() -> Received:
+        connection = CallerConnection(port)
+        try:
+            return await connection.call(method, path, headers or {}, body)
+        finally:
+            connection.close()
+
+    return asyncio.run(run())
--- /dev/null
+++ b/packages/testbed/src/lavendermount_testbed/deployment.py
@@ -0,0 +1,345 @@
+"""A whole deployment on one machine: log, links, nodes and targets.
+
+:shapes: every node is a process of its own with a target process beside it;
+    nodes of another region are reached through a relay.
+:units: milliseconds and megabits a second as the names say.
+"""
+
+from __future__ import annotations
+
+import json
+import socket
+import urllib.request
+from collections.abc import Iterable
+
+from lavendermount_testbed.caller import Received, call_once
+from lavendermount_testbed.processes import (
+    Process,
+    Workbench,
+    wait_for_port,
+    wait_until,
+)
+
+RELAY_HOST = '127.1.0.{0}'
+FETCH_LIMIT_S = 5.0
+
+
+class Place:
+    """Where an instance runs.
+
+    :param service: its service.
+    :param region: region of its VM.
+    :param zone: availability zone of its VM.
+    """
+
+    __slots__ = ('service', 'region', 'zone')
+
+    def __init__(self, service: str, region: str, zone: str) -> None:
+        """Keep the fields as given."""
+        self.service = service
+        self.region = region
+        self.zone = zone
+
+
+class TargetShape:
+    """How the targets of a deployment work.
+
+    :param slots: requests each works on at once.
+    :param service_ms: mean time of a request.
+    :param is_random: whether times are drawn, not fixed.
+    """
+
+    __slots__ = ('slots', 'service_ms', 'is_random')
+
+    def __init__(self, slots: int, service_ms: float, is_random: bool = False) -> None:
+        """Keep the fields as given."""
+        self.slots = slots
+        self.service_ms = service_ms
+        self.is_random = is_random
+
+
+class Instance:
+    """One node with the target beside it.
+
+    :param name: node id.
+    :param place: where it runs.
+    :param ports: caller, admin, peer, control and target port.
+    """
+
+    def __init__(self, name: str, place: Place, ports: list[int]) -> None:
+        """Keep the fields as given; nothing runs yet."""
+        self.name = name
+        self.place = place
+        self.caller_port = ports[0]
+        self.admin_port = ports[1]
+        self.peer_port = ports[2]
+        self.control_port = ports[3]
+        self.target_port = ports[4]
+        self.node: Process = None  # type: ignore[assignment]
+        self.target: Process = None  # type: ignore[assignment]
+
+    def call(
+        self,
+        method: str = 'GET',
+        path: str = '/',
+        headers: dict[str, str] | None = None,
+        body: bytes = b'',
+    ) -> Received:
+        """Send one request to the node as a caller."""
+        return call_once(self.caller_port, method, path, headers, body)
+
+    def control_target(self, **faults: object) -> dict[str, object]:
+        """Set faults of the target and read what it ran."""
+        url = f'http://127.0.0.1:{self.target_port}/.control'
+        return fetch_json(url, faults)
+
+    def is_ready(self) -> bool:
+        """Whether the node serves callers."""
+        url = f'http://127.0.0.1:{self.admin_port}/ready'
+        try:
+            return bool(fetch_json(url)['ready'])
+        except OSError:
+            return False
+
+
+class Settings:
+    """What a deployment's nodes have in common.
+
+    :param period_ms: time between rounds of gossip.
+    :param retention_s: time after which the log evicts.
+    :param flush_ms: time between batches of decisions.
+    :param delay_ms: one-way delay between regions.
+    :param mbit: bandwidth between regions.
+    """
+
+    __slots__ = (
+        'period_ms',
+        'retention_s',
+        'flush_ms',
+        'delay_ms',
+        'mbit',
+        'log_level',
+        'drain_s',
+    )
+
+    def __init__(self) -> None:
+        """Start with values for quick tests."""
+        self.period_ms = 200
+        self.retention_s = 3600.0
+        self.flush_ms = 300
+        self.delay_ms = 20.0
+        self.mbit = 30.0
+        self.log_level = 'info'
+        self.drain_s = 10.0
+
+
+class Deployment:
+    """Everything that runs in a test, demo or bench.
+
+    :param settings: what the nodes have in common.
+    :param shape: how the targets work.
+    """
+
+    def __init__(self, settings: Settings, shape: TargetShape) -> None:
+        """Start the log only."""
+        self.bench = Workbench()
+        self.settings = settings
+        self.shape = shape
+        self.instances: dict[str, Instance] = {}
+        self.relays: dict[str, tuple[str, int]] = {}
+        self.log_port = self.bench.ports.take()
+        self.start_log()
+
+    @property
+    def log_url(self) -> str:
+        """Where the log answers."""
+        return f'http://127.0.0.1:{self.log_port}'
+
+    def start_log(self) -> None:
+        """Start the stand-in of the platform's log."""
+        arguments = ['-m', 'lavendermount_testbed', 'log', '--port', str(self.log_port)]
+        self.bench.start('log', arguments)
+        wait_for_port(self.log_port)
+
+    def control_log(self, **faults: object) -> dict[str, object]:
+        """Set faults of the log and read what it holds."""
+        return fetch_json(f'{self.log_url}/control', faults)
+
+    def add(self, name: str, place: Place) -> Instance:
+        """Prepare an instance; nothing of it runs yet."""
+        ports = [self.bench.ports.take() for _ in range(5)]
+        instance = Instance(name, place, ports)
+        self.instances[name] = instance
+        return instance
+
+    def regions(self) -> list[str]:
+        """List the regions that instances run in."""
+        return sorted({entry.place.region for entry in self.instances.values()})
+
+    def start_links(self) -> None:
+        """Start a relay in front of each region if there are several."""
+        regions = self.regions()
+        if len(regions) < 2:
+            return
+        for number, region in enumerate(regions, start=1):
+            self.start_link(region, RELAY_HOST.format(number))
+
+    def start_link(self, region: str, host: str) -> None:
+        """Start the relay by which other regions reach one region."""
+        ports = [
+            port
+            for instance in self.instances.values()
+            if instance.place.region == region
+            for port in (instance.peer_port, instance.control_port)
+        ]
+        control_port = self.bench.ports.take()
+        path = self.bench.file(
+            f'relay-{region}.toml',
+            '\n'.join(
+                (
+                    f'host = "{host}"',
+                    f'ports = {ports}',
+                    'forward_host = "127.0.0.1"',
+                    f'delay_ms = {self.settings.delay_ms}',
+                    f'mbit = {self.settings.mbit}',
+                    f'control_port = {control_port}',
+                ),
+            ),
+        )
+        self.bench.start(
+            f'relay-{region}',
+            ['-m', 'lavendermount_testbed', 'relay', str(path)],
+        )
+        wait_for_port(control_port, host)
+        self.relays[region] = (host, control_port)
+
+    def control_link(self, region: str, **faults: object) -> dict[str, object]:
+        """Set faults of the way into a region and read what it carried."""
+        with socket.create_connection(self.relays[region]) as connection:
+            connection.sendall(json.dumps(faults).encode() + b'\n')
+            told: dict[str, object] = json.loads(connection.makefile().readline())
+        return told
+
+    def node_settings(self, instance: Instance) -> str:
+        """Write the settings of a node."""
+        own = self.settings
+        lines = [
+            f'node_id = "{instance.name}"',
+            f'region = "{instance.place.region}"',
+            f'zone = "{instance.place.zone}"',
+            f'log_level = "{own.log_level}"',
+            f'drain_s = {own.drain_s}',
+            '[listen]',
+            f'caller_port = {instance.caller_port}',
+            f'admin_port = {instance.admin_port}',
+            f'peer_port = {instance.peer_port}',
+            f'control_port = {instance.control_port}',
+            '[log]',
+            f'url = "{self.log_url}"',
+            f'retention_s = {own.retention_s}',
+            'timeout_ms = 1000',
+            '[membership]',
+            f'period_ms = {own.period_ms}',
+            f'suspicion_ms = {own.period_ms * 5}',
+            f'seeds = {self.seeds_for(instance)}',
+            '[recorder]',
+            f'flush_ms = {own.flush_ms}',
+        ]
+        for region, (host, _) in self.relays.items():
+            if region != instance.place.region:
+                lines += ['[[gateway]]', f'region = "{region}"', f'host = "{host}"']
+        return '\n'.join(lines) + '\n'
+
+    def seeds_for(self, instance: Instance) -> list[str]:
+        """List the control addresses of two others in the region."""
+        others = [
+            f'127.0.0.1:{other.control_port}'
+            for other in self.instances.values()
+            if other is not instance and other.place.region == instance.place.region
+        ]
+        return others[:2]
+
+    def start_node(self, instance: Instance) -> None:
+        """Start a node."""
+        path = self.bench.file(f'{instance.name}.toml', self.node_settings(instance))
+        instance.node = self.bench.start(
+            instance.name,
+            ['-m', 'lavendermountd', 'run', str(path)],
+        )
+
+    def start_target(self, instance: Instance) -> None:
+        """Start the target beside a node; it announces itself."""
+        shape = self.shape
+        path = self.bench.file(
+            f'{instance.name}-target.toml',
+            '\n'.join(
+                (
+                    f'name = "{instance.name}"',
+                    f'service = "{instance.place.service}"',
+                    f'port = {instance.target_port}',
+                    f'slots = {shape.slots}',
+                    f'service_ms = {shape.service_ms}',
+                    f'is_random = {str(shape.is_random).lower()}',
+                    f'announce_url = "http://127.0.0.1:{instance.admin_port}/announce"',
+                ),
+            ),
+        )
+        instance.target = self.bench.start(
+            f'{instance.name}-target',
+            ['-m', 'lavendermount_testbed', 'target', str(path)],
+        )
+
+    def start_all(self) -> None:
+        """Start links, nodes and targets, and wait until they listen."""
+        self.start_links()
+        for instance in self.instances.values():
+            self.start_node(instance)
+            self.start_target(instance)
+        for instance in self.instances.values():
+            wait_for_port(instance.caller_port)
+            wait_for_port(instance.target_port)
+
+    def operate(self, *arguments: str) -> Process:
+        """Run the operators' command line to its end.
+
+        :returns: the ended process.
+        """
+        name = f'operator-{len(self.bench.processes)}'
+        first = next(iter(self.instances.values()), None)
+        node = [] if first is None else ['--node', f'127.0.0.1:{first.control_port}']
+        command = ['-m', 'lavendermount', '--log', self.log_url, *node, *arguments]
+        process = self.bench.start(name, command)
+        process.wait()
+        return process
+
+    def put_in_force(self, preset: str, *options: str) -> Process:
+        """Publish a preset and switch to it, waiting for all nodes."""
+        path = self.bench.file(f'preset-{len(self.bench.processes)}.toml', preset)
+        published = self.operate('preset', 'publish', str(path))
+        if published.popen.returncode:
+            return published
+        name = preset.partition('name = "')[2].partition('"')[0]
+        return self.operate('preset', 'switch', name, '--wait', '15', *options)
+
+    def wait_ready(self, instances: Iterable[Instance] | None = None) -> None:
+        """Wait until nodes serve callers."""
+        chosen = list(instances or self.instances.values())
+        wait_until(
+            lambda: all(instance.is_ready() for instance in chosen),
+            'all nodes are ready',
+        )
+
+    def close(self) -> None:
+        """End everything."""
+        self.bench.close()
+
+
+def fetch_json(url: str, wishes: dict[str, object] | None = None) -> dict[str, object]:
+    """Fetch JSON over HTTP; wishes that are not empty are posted.
+
+    :raises OSError: if nobody answers well.
+    """
+    body = json.dumps(wishes).encode() if wishes else None
+    with urllib.request.urlopen(url, body, FETCH_LIMIT_S) as response:  # noqa: S310
+        fetched: dict[str, object] = json.loads(response.read())
+    return fetched
--- /dev/null
+++ b/packages/testbed/src/lavendermount_testbed/log_server.py
@@ -0,0 +1,211 @@
+"""Stand-in of the platform's append-only log, spoken to over HTTP.
+
+:shapes: ``POST /streams/S`` appends, ``GET /streams/S?offset=&wait_ms=``
+    reads, ``POST /control`` sets faults.
+:units: milliseconds and seconds as the names say.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+
+from tornado.httpserver import HTTPServer
+from tornado.web import Application, RequestHandler
+
+from lavendermount_core.structure.records import pack
+
+BATCH_LIMIT = 500
+GONE = 410
+UNAVAILABLE = 503
+POLL_S = 0.05
+
+
+class Stream:
+    """One stream of records with growing offsets."""
+
+    __slots__ = ('records', 'times', 'oldest', 'grown')
+
+    def __init__(self) -> None:
+        """Start empty at offset 0."""
+        self.records: list[bytes] = []
+        self.times: list[float] = []
+        self.oldest = 0
+        self.grown = asyncio.Event()
+
+    @property
+    def end(self) -> int:
+        """Offset of the next record."""
+        return self.oldest + len(self.records)
+
+    def append(self, body: bytes) -> int:
+        """Add a record and wake who waits for it."""
+        self.records.append(body)
+        self.times.append(time.monotonic())
+        self.grown.set()
+        self.grown = asyncio.Event()
+        return self.end - 1
+
+    def evict_below(self, offset: int) -> None:
+        """Drop the records below an offset."""
+        count = max(0, min(offset, self.end) - self.oldest)
+        del self.records[:count]
+        del self.times[:count]
+        self.oldest += count
+
+    def evict_older(self, limit: float) -> None:
+        """Drop the records appended before a time."""
+        count = 0
+        while count < len(self.times) and self.times[count] < limit:
+            count += 1
+        self.evict_below(self.oldest + count)
+
+    def read(self, offset: int) -> bytes:
+        """Encode a batch from an offset on."""
+        first = max(0, offset - self.oldest)
+        bodies = self.records[first : first + BATCH_LIMIT]
+        rows = [
+            [self.oldest + first + index, body] for index, body in enumerate(bodies)
+        ]
+        next_offset = offset + len(rows)
+        return pack([self.oldest, next_offset, self.end, rows])
+
+
+class Faults:
+    """What is wrong with the log now."""
+
+    __slots__ = ('outage', 'slow_ms', 'lose_answers', 'retention_s')
+
+    def __init__(self) -> None:
+        """Start with nothing wrong."""
+        self.outage = False
+        self.slow_ms = 0
+        self.lose_answers = 0
+        self.retention_s = float('inf')
+
+
+class LogState:
+    """All streams and faults."""
+
+    __slots__ = ('streams', 'faults', 'appends')
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.streams: dict[str, Stream] = {}
+        self.faults = Faults()
+        self.appends = 0
+
+    def stream(self, name: str) -> Stream:
+        """Find or make a stream, without what is too old."""
+        stream = self.streams.setdefault(name, Stream())
+        stream.evict_older(time.monotonic() - self.faults.retention_s)
+        return stream
+
+
+class LogHandler(RequestHandler):
+    """Base of the handlers; knows the state."""
+
+    def initialize(self, state: LogState) -> None:
+        """Keep the state."""
+        self.state = state
+
+    async def is_broken(self) -> bool:
+        """Apply outage and slowness; answers for an outage."""
+        faults = self.state.faults
+        if faults.slow_ms:
+            await asyncio.sleep(faults.slow_ms / 1000)
+        if faults.outage:
+            self.set_status(UNAVAILABLE)
+        return faults.outage
+
+
+class StreamHandler(LogHandler):
+    """Appends to and reads from one stream."""
+
+    async def post(self, name: str) -> None:
+        """Append the body as a record."""
+        if await self.is_broken():
+            return
+        self.state.appends += 1
+        offset = self.state.stream(name).append(self.request.body)
+        if self.state.faults.lose_answers:
+            self.state.faults.lose_answers -= 1
+            self.set_status(UNAVAILABLE)
+            return
+        self.write(str(offset))
+
+    async def get(self, name: str) -> None:
+        """Read from an offset, waiting at the end if asked to."""
+        if await self.is_broken():
+            return
+        offset = int(self.get_argument('offset'))
+        wait_s = int(self.get_argument('wait_ms', '0')) / 1000
+        await self.wait_for(name, offset, wait_s)
+        if self.state.faults.outage:
+            self.set_status(UNAVAILABLE)
+            return
+        stream = self.state.stream(name)
+        if offset < stream.oldest:
+            self.set_status(GONE)
+            self.write(str(stream.oldest))
+            return
+        self.write(stream.read(offset))
+
+    async def wait_for(self, name: str, offset: int, wait_s: float) -> None:
+        """Wait for a record at an offset, an outage or the time."""
+        until = time.monotonic() + wait_s
+        while not self.state.faults.outage and time.monotonic() < until:
+            stream = self.state.stream(name)
+            if stream.end > offset:
+                return
+            try:
+                async with asyncio.timeout(POLL_S):
+                    await stream.grown.wait()
+            except TimeoutError:
+                continue
+
+
+class ControlHandler(LogHandler):
+    """Sets faults and evicts records."""
+
+    def post(self) -> None:
+        """Apply the wishes of a JSON object."""
+        wishes = json.loads(self.request.body)
+        evict = wishes.pop('evict', {})
+        for name, limit in evict.items():
+            self.state.stream(name).evict_below(limit)
+        for name, setting in wishes.items():
+            setattr(self.state.faults, name, setting)
+
+    def get(self) -> None:
+        """Tell what the log holds."""
+        ends = {name: stream.end for name, stream in self.state.streams.items()}
+        self.write({'appends': self.state.appends, 'ends': ends})
+
+
+def build_application(state: LogState) -> Application:
+    """Build the HTTP application around a state."""
+    known = {'state': state}
+    return Application(
+        [
+            ('/streams/([^/]+)', StreamHandler, known),
+            ('/control', ControlHandler, known),
+        ],
+        log_function=_log_nothing,
+    )
+
+
+async def serve_log(host: str, port: int) -> None:
+    """Serve until cancelled.
+
+    :param host: IP number to listen on.
+    :param port: port to listen on.
+    """
+    server = HTTPServer(build_application(LogState()))
+    server.listen(port, address=host)
+    await asyncio.Event().wait()
+
+
+def _log_nothing(handler: RequestHandler) -> None:
+    """Keep the stand-in quiet."""
--- /dev/null
+++ b/packages/testbed/src/lavendermount_testbed/relay.py
@@ -0,0 +1,188 @@
+"""Stand-in of the link between regions: delay, bandwidth, cuts, silence.
+
+:shapes: one relay listens on many ports of its own IP number and forwards
+    each to the same port of another.
+:units: milliseconds and megabits a second as the names say.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+import tomllib
+from collections import deque
+from pathlib import Path
+
+CHUNK = 64 * 1024
+BITS = 8
+MEGA = 1_000_000
+
+
+class Link:
+    """The state that all connections of a relay share."""
+
+    __slots__ = ('delay_s', 'bytes_s', 'is_cut', 'is_silent', 'free_at', 'carried')
+
+    def __init__(self, delay_ms: float, mbit: float) -> None:
+        """Start open."""
+        self.delay_s = delay_ms / 1000
+        self.bytes_s = mbit * MEGA / BITS
+        self.is_cut = False
+        self.is_silent = False
+        self.free_at = {'up': 0.0, 'down': 0.0}
+        self.carried = 0
+
+    def arrival(self, direction: str, size: int) -> float:
+        """When bytes that leave now arrive, after those before them."""
+        now = time.monotonic()
+        self.carried += size
+        begin = max(now, self.free_at[direction])
+        self.free_at[direction] = begin + size / self.bytes_s
+        return self.free_at[direction] + self.delay_s
+
+
+class Pipe:
+    """One direction of one connection.
+
+    :param link: shared state.
+    :param direction: ``up`` or ``down``.
+    """
+
+    def __init__(self, link: Link, direction: str) -> None:
+        """Start empty."""
+        self.link = link
+        self.direction = direction
+        self.waiting: deque[tuple[float, bytes]] = deque()
+        self.filled = asyncio.Event()
+
+    async def pump_in(self, reader: asyncio.StreamReader) -> None:
+        """Take bytes and note when they arrive."""
+        while True:
+            chunk = await reader.read(CHUNK)
+            if self.link.is_silent:
+                if not chunk:
+                    return
+                continue
+            arrival = self.link.arrival(self.direction, len(chunk))
+            self.waiting.append((arrival, chunk))
+            self.filled.set()
+            if not chunk:
+                return
+
+    async def pump_out(self, writer: asyncio.StreamWriter) -> None:
+        """Write bytes when they arrive."""
+        while True:
+            while not self.waiting:
+                self.filled.clear()
+                await self.filled.wait()
+            arrival, chunk = self.waiting.popleft()
+            await asyncio.sleep(max(0, arrival - time.monotonic()))
+            if not chunk:
+                return
+            writer.write(chunk)
+            await writer.drain()
+
+
+class Relay:
+    """Forwards connections over a link.
+
+    :param link: shared state.
+    :param forward_host: IP number that connections go to.
+    """
+
+    def __init__(self, link: Link, forward_host: str) -> None:
+        """Start with no connection."""
+        self.link = link
+        self.forward_host = forward_host
+        self.writers: set[asyncio.StreamWriter] = set()
+
+    async def serve_port(self, host: str, port: int) -> asyncio.Server:
+        """Listen on one port."""
+
+        async def accept(
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            await self.forward(reader, writer, port)
+
+        return await asyncio.start_server(accept, host, port)
+
+    async def forward(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        port: int,
+    ) -> None:
+        """Forward one connection until either side closes it."""
+        if self.link.is_cut:
+            writer.transport.abort()
+            return
+        await asyncio.sleep(self.link.delay_s)
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                self.forward_host,
+                port,
+            )
+        except OSError:
+            writer.transport.abort()
+            return
+        self.writers |= {writer, far_writer}
+        up = Pipe(self.link, 'up')
+        down = Pipe(self.link, 'down')
+        tasks = [
+            asyncio.create_task(up.pump_in(reader)),
+            asyncio.create_task(up.pump_out(far_writer)),
+            asyncio.create_task(down.pump_in(far_reader)),
+            asyncio.create_task(down.pump_out(writer)),
+        ]
+        await asyncio.wait(
+            (tasks[1], tasks[3]),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for side in (writer, far_writer):
+            self.writers.discard(side)
+            side.transport.abort()
+
+    async def control(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Take one line of JSON that sets the link's state; answer with it."""
+        line = await reader.readline()
+        for name, setting in json.loads(line or b'{}').items():
+            setattr(self.link, name, setting)
+        if self.link.is_cut:
+            self.cut_all()
+        told = {'carried': self.link.carried, 'connections': len(self.writers) // 2}
+        writer.write(json.dumps(told).encode() + b'\n')
+        await writer.drain()
+        writer.close()
+
+    def cut_all(self) -> None:
+        """Break every connection."""
+        for writer in tuple(self.writers):
+            writer.transport.abort()
+
+
+async def run_relay(settings_file: Path) -> None:
+    """Run a relay until cancelled.
+
+    :param settings_file: TOML with ``host``, ``ports``, ``forward_host``,
+        ``delay_ms``, ``mbit`` and ``control_port``.
+    """
+    settings = tomllib.loads(settings_file.read_text())
+    link = Link(settings['delay_ms'], settings['mbit'])
+    relay = Relay(link, settings['forward_host'])
+    for port in settings['ports']:
+        await relay.serve_port(settings['host'], port)
+    await asyncio.start_server(
+        relay.control,
+        settings['host'],
+        settings['control_port'],
+    )
+    await asyncio.Event().wait()
--- /dev/null
+++ b/packages/testbed/src/lavendermount_testbed/target_server.py
@@ -0,0 +1,253 @@
+"""Stand-in of a target with slots, service times and faults.
+
+:shapes: any path answers with what ran; ``POST /.control`` sets faults and
+    ``GET /.control`` tells what ran.
+:units: milliseconds as the names say.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import json
+import os
+import random
+import sys
+import tomllib
+from collections import Counter
+from pathlib import Path
+
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+from tornado.httpserver import HTTPServer
+from tornado.httputil import (
+    HTTPConnection,
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import StreamClosedError
+
+from lavendermount_core.utils.digests import random_identifier
+
+CONTROL_PATH = '/.control'
+CRASH_STATUS = 13
+ANNOUNCE_RETRY_S = 0.2
+MAX_BODY_BYTES = 64 * 1024 * 1024
+
+
+class Behaviour:
+    """How the target answers; changed while it runs."""
+
+    __slots__ = (
+        'service_ms',
+        'is_random',
+        'factor',
+        'fail_status',
+        'retry_after',
+        'truncate',
+        'silent',
+        'ran',
+        'overlap',
+        'started',
+    )
+
+    def __init__(self, service_ms: float, is_random: bool) -> None:
+        """Start without faults."""
+        self.service_ms = service_ms
+        self.is_random = is_random
+        self.factor = 1.0
+        self.fail_status = 0
+        self.retry_after = ''
+        self.truncate = False
+        self.silent = False
+        self.ran: Counter[str] = Counter()
+        self.overlap = 0
+        self.started = 0
+
+    def next_service_s(self) -> float:
+        """Draw the time that the next request takes."""
+        mean_s = self.service_ms * self.factor / 1000
+        if not self.is_random:
+            return mean_s
+        return random.expovariate(1 / mean_s)
+
+
+class TargetExchange(HTTPMessageDelegate):
+    """One request and the answer to it.
+
+    :param server: the target.
+    :param connection: where the answer goes.
+    """
+
+    def __init__(self, server: TargetServer, connection: HTTPConnection) -> None:
+        """Start with nothing received."""
+        self.server = server
+        self.connection = connection
+        self.start_line = RequestStartLine('', '', '')
+        self.headers = HTTPHeaders()
+        self.parts: list[bytes] = []
+
+    def headers_received(
+        self,
+        start_line: RequestStartLine | ResponseStartLine,
+        headers: HTTPHeaders,
+    ) -> None:
+        """Keep the head."""
+        assert isinstance(start_line, RequestStartLine)
+        self.start_line = start_line
+        self.headers = headers
+
+    def data_received(self, chunk: bytes) -> None:
+        """Keep a part of the body."""
+        self.parts.append(chunk)
+
+    def finish(self) -> None:
+        """Answer in a task of its own."""
+        task = asyncio.create_task(self.answer())
+        self.server.tasks.add(task)
+        task.add_done_callback(self.server.tasks.discard)
+
+    def on_connection_close(self) -> None:
+        """Forget the request."""
+
+    async def answer(self) -> None:
+        """Run the request and write the answer."""
+        if self.start_line.path == CONTROL_PATH:
+            self.control()
+            return
+        if 'X-Crash' in self.headers:
+            os._exit(CRASH_STATUS)
+        behaviour = self.server.behaviour
+        if behaviour.silent:
+            return
+        if behaviour.fail_status:
+            self.write(behaviour.fail_status, b'failed')
+            return
+        async with self.server.slots:
+            self.count()
+            await asyncio.sleep(behaviour.next_service_s())
+        self.write(200, self.body())
+
+    def control(self) -> None:
+        """Set faults, or tell what ran."""
+        behaviour = self.server.behaviour
+        if self.start_line.method == 'POST':
+            for name, setting in json.loads(b''.join(self.parts)).items():
+                setattr(behaviour, name, setting)
+        told = {
+            'ran': dict(behaviour.ran),
+            'repeated': sum(1 for times in behaviour.ran.values() if times > 1),
+            'started': behaviour.started,
+            'pid': os.getpid(),
+        }
+        self.write(200, json.dumps(told).encode())
+
+    def count(self) -> None:
+        """Count a run by the identifier that its caller gave it."""
+        behaviour = self.server.behaviour
+        behaviour.started += 1
+        run_id = self.headers.get('X-Run-Id', '')
+        if run_id:
+            behaviour.ran[run_id] += 1
+
+    def body(self) -> bytes:
+        """Build a body that names the request it belongs to."""
+        size = int(self.headers.get('X-Reply-Size', '0'))
+        received = b''.join(self.parts)
+        told = {
+            'target': self.server.name,
+            'run': self.headers.get('X-Run-Id', ''),
+            'path': self.start_line.path,
+            'received': len(received),
+            'digest': hashlib.sha256(received).hexdigest(),
+            'deadline_ms': self.headers.get('X-Deadline-Ms', ''),
+        }
+        text = json.dumps(told).encode()
+        return text + b'.' * max(0, size - len(text))
+
+    def write(self, status: int, body: bytes) -> None:
+        """Write an answer, cut off if so told."""
+        behaviour = self.server.behaviour
+        headers = HTTPHeaders({'Content-Type': 'application/json'})
+        headers['Content-Length'] = str(len(body))
+        if behaviour.fail_status and behaviour.retry_after:
+            headers['Retry-After'] = behaviour.retry_after
+        start_line = ResponseStartLine('HTTP/1.1', status, 'OK')
+        try:
+            if behaviour.truncate and self.start_line.path != CONTROL_PATH:
+                self.connection.write_headers(start_line, headers, body[:1])
+                self.connection.stream.close()  # type: ignore[attr-defined]
+                return
+            self.connection.write_headers(start_line, headers, body)
+            self.connection.finish()
+        except StreamClosedError:
+            return
+
+
+class TargetServer(HTTPServerConnectionDelegate):
+    """A target.
+
+    :param name: name in its answers.
+    :param slots: requests it works on at once.
+    :param behaviour: how it answers.
+    """
+
+    def __init__(self, name: str, slots: int, behaviour: Behaviour) -> None:
+        """Start with all slots free."""
+        self.name = name
+        self.slots = asyncio.Semaphore(slots)
+        self.behaviour = behaviour
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def start_request(
+        self,
+        server_conn: object,
+        request_conn: HTTPConnection,
+    ) -> HTTPMessageDelegate:
+        """Begin an exchange."""
+        return TargetExchange(self, request_conn)
+
+
+async def run_target(settings_file: Path) -> None:
+    """Run a target until cancelled, announcing itself to its node.
+
+    :param settings_file: TOML with ``name``, ``service``, ``port``,
+        ``slots``, ``service_ms``, ``is_random`` and ``announce_url``.
+    """
+    settings = tomllib.loads(settings_file.read_text())
+    behaviour = Behaviour(settings['service_ms'], settings.get('is_random', False))
+    target = TargetServer(settings['name'], settings['slots'], behaviour)
+    server = HTTPServer(
+        target,  # type: ignore[arg-type]
+        max_body_size=MAX_BODY_BYTES,
+        max_buffer_size=MAX_BODY_BYTES,
+    )
+    server.listen(settings['port'], address='127.0.0.1')
+    if settings.get('announce_url'):
+        await _announce(settings)
+    await asyncio.Event().wait()
+
+
+async def _announce(settings: dict[str, object]) -> None:
+    body = json.dumps(
+        {
+            'service': settings['service'],
+            'port': settings['port'],
+            'slots': settings['slots'],
+            'instance': random_identifier(),
+        },
+    )
+    url = str(settings['announce_url'])
+    while True:
+        request = HTTPRequest(url, method='POST', body=body, request_timeout=1)
+        try:
+            await AsyncHTTPClient().fetch(request)
+        except OSError as error:
+            sys.stderr.write(f'event=announce-failed cause="{error}"\n')
+        except Exception as error:  # noqa: BLE001
+            sys.stderr.write(f'event=announce-refused cause="{error}"\n')
+        else:
+            return
+        await asyncio.sleep(ANNOUNCE_RETRY_S)
