--- /dev/null
+++ b/Makefile
@@ -0,0 +1,56 @@
+PYTHON ?= python3
+BIN := .venv/bin
+STAMP := .venv/ready
+
+.PHONY: setup test demo lint format features generate docs report \
+	bench-path bench-policy bench-control
+
+setup: $(STAMP)
+
+$(STAMP): requirements.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install -q -r requirements-dev.txt
+	$(BIN)/pip install -q --no-deps --no-build-isolation \
+		-e packages/core -e packages/node -e packages/client -e packages/testbed
+	touch $(STAMP)
+
+test: lint features docs
+
+lint: setup
+	$(BIN)/ruff format --check packages features benches
+	$(BIN)/ruff check packages features benches
+	$(BIN)/flake8 packages features benches
+	$(BIN)/mypy packages/core/src packages/node/src packages/client/src packages/testbed/src
+
+format: setup
+	$(BIN)/ruff check --fix -q packages features benches
+	$(BIN)/ruff format packages features benches
+
+features: setup
+	$(BIN)/python -m lavendermount_testbed features
+
+demo: setup
+	$(BIN)/python -m lavendermount_testbed demo
+
+docs: setup
+	$(BIN)/python -m lavendermount_testbed reference --check
+	$(BIN)/mkdocs build -q --strict
+
+report: setup
+	$(BIN)/python benches/report.py
+
+bench-path: setup
+	$(BIN)/python benches/path.py
+
+bench-policy: setup
+	$(BIN)/python benches/policy.py
+
+bench-control: setup
+	$(BIN)/python benches/control.py
+
+generate: setup
+	cd packages/node/src/lavendermountd/control && \
+	../../../../../$(BIN)/python -m grpc_tools.protoc -I. --python_out=generated \
+		--pyi_out=generated --grpc_python_out=generated control.proto && \
+	sed -i 's/^import control_pb2 as/from lavendermountd.control.generated import control_pb2 as/' \
+		generated/control_pb2_grpc.py
--- /dev/null
+++ b/features/builders.py
@@ -0,0 +1,128 @@
+"""Builders of test data: presets, deployments, requests and load reports."""
+
+from __future__ import annotations
+
+from lavendermount_core.structure.calls import CallClass, CallRequest
+from lavendermount_core.structure.loads import LoadReport
+from lavendermount_core.structure.members import Member, MemberStatus
+from lavendermount_testbed.deployment import (
+    Deployment,
+    Place,
+    Settings,
+    TargetShape,
+)
+
+DEALER = 'dealer-desk'
+DOCS = 'field-docs'
+ZONES = {'north': ('hn-a', 'hn-b'), 'south': ('hcm-a', 'hcm-b')}
+
+
+def preset_text(name: str = 'ordinary', **changes: str) -> str:
+    """Build a preset for the pump makers.
+
+    :param name: name of the preset.
+    :param changes: further tables by name, as TOML lines.
+    """
+    tables = ''.join(f'[{key}]\n{lines}\n' for key, lines in changes.items())
+    return f"""name = "{name}"
+{tables}
+[[class]]
+name = "dealer"
+priority = 0
+reserved_slots = 2
+deadline_ms = 5000
+
+[[class]]
+name = "lookup"
+priority = 5
+queue_limit = 4
+deadline_ms = 3000
+
+[[route]]
+service = "{DOCS}"
+host = "field-docs"
+class = "dealer"
+
+[[route]]
+service = "{DEALER}"
+path = "/prices"
+class = "lookup"
+
+[[route]]
+service = "{DEALER}"
+path = "/"
+class = "dealer"
+tenant_header = "X-Tenant"
+"""
+
+
+class DeploymentBuilder:
+    """Builds a deployment step by step."""
+
+    def __init__(self) -> None:
+        """Start with quick targets in one region."""
+        self.settings = Settings()
+        self.shape = TargetShape(6, 5)
+        self.places: list[tuple[str, Place]] = []
+
+    def with_nodes(self, count: int, region: str = 'north', service: str = DEALER) -> DeploymentBuilder:
+        """Add nodes, in turn in each zone of a region."""
+        for number in range(count):
+            zones = ZONES[region]
+            place = Place(service, region, zones[number % len(zones)])
+            self.places.append((f'{region}-{service}-{number}', place))
+        return self
+
+    def build(self) -> Deployment:
+        """Prepare the deployment; only its log runs."""
+        deployment = Deployment(self.settings, self.shape)
+        for name, place in self.places:
+            deployment.add(name, place)
+        return deployment
+
+
+def call_request(
+    method: str = 'GET',
+    path: str = '/stock',
+    body: bytes = b'',
+    call_class: str = 'dealer',
+    key: str = '',
+) -> CallRequest:
+    """Build a request as a node routes it."""
+    headers = [('Idempotency-Key', key)] if key else []
+    is_repeatable = method == 'GET'
+    described = CallClass(DEALER, 'default', call_class, is_repeatable)
+    return CallRequest('0' * 16, method, path, headers, body, described, 0)
+
+
+def load_report(node_id: str, sequence: int = 1, **changes: object) -> LoadReport:
+    """Build the report of an idle target."""
+    report = LoadReport(node_id, 1, sequence, 0, 0, 6, 5, 0, 60000, is_accepting=True)
+    for name, value in changes.items():
+        setattr(report, name, value)
+    return report
+
+
+def member(
+    node_id: str,
+    service: str = DEALER,
+    region: str = 'north',
+    zone: str = 'hn-a',
+    **changes: object,
+) -> Member:
+    """Build a living member."""
+    built = Member(
+        node_id,
+        1,
+        0,
+        MemberStatus.ALIVE,
+        service,
+        region,
+        zone,
+        '127.0.0.1',
+        1,
+        2,
+    )
+    for name, value in changes.items():
+        setattr(built, name, value)
+    return built
--- a/packages/client/src/lavendermount/__main__.py
+++ b/packages/client/src/lavendermount/__main__.py
@@ -12,7 +12,7 @@
 
 from lavendermount.context import LavendermountGroup, Operator
 
-FILE = click.Path(path_type=Path, dir_okay=False)
+PRESET_FILE = click.Path(path_type=Path, dir_okay=False)
 
 
 @click.group(
@@ -45,7 +45,7 @@
 
 
 @preset.command()
-@click.argument('files', nargs=-1, required=True, type=FILE)
+@click.argument('files', nargs=-1, required=True, type=PRESET_FILE)
 def check(files: tuple[Path, ...]) -> None:
     """Check preset files and report every finding."""
     from lavendermount.commands.check import check_presets
@@ -54,13 +54,13 @@
 
 
 @preset.command()
-@click.argument('file', type=FILE)
+@click.argument('preset_file', type=PRESET_FILE)
 @click.pass_obj
-def publish(operator: Operator, file: Path) -> None:
+def publish(operator: Operator, preset_file: Path) -> None:
     """Make a preset available under its name."""
     from lavendermount.commands.publish import publish_preset
 
-    publish_preset(operator, file)
+    publish_preset(operator, preset_file)
 
 
 @preset.command()
--- a/packages/client/src/lavendermount/commands/publish.py
+++ b/packages/client/src/lavendermount/commands/publish.py
@@ -14,6 +14,7 @@
 from lavendermount_core.config.preset import PresetSchema
 from lavendermount_core.presets.records import Publish
 from lavendermount_core.utils.digests import random_identifier, short_digest
+from lavendermount_core.utils.units import MS_PER_S
 
 
 def publish_preset(operator: Operator, path: Path) -> None:
@@ -30,7 +31,7 @@
         short_digest(body.encode()),
         body,
         operator.name,
-        int(time.time() * 1000),
+        int(time.time() * MS_PER_S),
     )
     asyncio.run(_publish(operator, record))
     click.echo(f'published {name}@{record.version}')
--- a/packages/client/src/lavendermount/commands/replay.py
+++ b/packages/client/src/lavendermount/commands/replay.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+from typing import Any
 
 import click
 
@@ -55,13 +56,15 @@
     replay = Replay(_bodies(stream, fold))
     replay.report.differences.extend(read.findings)
     replay.report.dropped = read.dropped
-    with click.progressbar(
-        read.decisions,
+    bar: Any = click.progressbar(  # type: ignore[operator]
+        length=len(read.decisions),
         label='replaying',
         file=click.get_text_stream('stderr'),
-    ) as decisions:
-        for entry in decisions:
+    )
+    with bar as progress:
+        for entry in read.decisions:
             replay.check(entry)
+            progress.update(1)
     return replay.report
 
 
--- a/packages/client/src/lavendermount/commands/switch.py
+++ b/packages/client/src/lavendermount/commands/switch.py
@@ -19,6 +19,7 @@
 from lavendermount_core.presets.records import Switch
 from lavendermount_core.structure.members import MemberStatus
 from lavendermount_core.utils.digests import random_identifier
+from lavendermount_core.utils.units import MS_PER_S
 
 POLL_S = 0.2
 SETTLE_S = 15.0
@@ -63,7 +64,7 @@
         published.version,
         published.body,
         operator.name,
-        int(time.time() * 1000),
+        int(time.time() * MS_PER_S),
     )
     await stream.append_once(record, record.record_id)
     judgement = fold.judgements.get(record.record_id)
--- a/packages/client/src/lavendermount/nodes.py
+++ b/packages/client/src/lavendermount/nodes.py
@@ -53,11 +53,15 @@
 
     async def status(self) -> control_pb2.StatusReply:
         """Ask what the node knows."""
-        return await self.ask(self.stub.Status, control_pb2.StatusRequest())
+        answer: control_pb2.StatusReply
+        answer = await self.ask(self.stub.Status, control_pb2.StatusRequest())
+        return answer
 
     async def drain(self, stop: bool) -> control_pb2.DrainReply:
         """Start a planned stop."""
-        return await self.ask(self.stub.Drain, control_pb2.DrainRequest(stop=stop))
+        request = control_pb2.DrainRequest(stop=stop)
+        answer: control_pb2.DrainReply = await self.ask(self.stub.Drain, request)
+        return answer
 
     async def preset(self) -> InForce | None:
         """Ask for the preset in force."""
--- a/packages/client/src/lavendermount/presets.py
+++ b/packages/client/src/lavendermount/presets.py
@@ -15,7 +15,7 @@
     PresetNotAcceptedError,
     RecordError,
 )
-from lavendermount_core.platform.adapter import LogAdapter
+from lavendermount_core.platform.adapter import LogAdapter, LogBatch
 from lavendermount_core.presets.fold import PresetFold
 from lavendermount_core.presets.records import (
     PRESET_STREAM,
@@ -55,13 +55,18 @@
             except LogEvictedError as error:
                 self.restart(error.oldest)
                 continue
-            if self.fold is None:
-                self.fold = PresetFold(batch.oldest)
-            for record in batch.records:
-                self.note_switch(record.offset, record.body)
-                self.fold.apply(record.offset, record.body)
+            fold = self.take(batch)
             if batch.next_offset >= batch.end:
-                return self.fold
+                return fold
+
+    def take(self, batch: LogBatch) -> PresetFold:
+        """Apply the records of a batch."""
+        if self.fold is None:
+            self.fold = PresetFold(batch.oldest)
+        for record in batch.records:
+            self.note_switch(record.offset, record.body)
+            self.fold.apply(record.offset, record.body)
+        return self.fold
 
     def restart(self, oldest: int) -> None:
         """Go on above what was evicted."""
--- a/packages/core/src/lavendermount_core/config/options.py
+++ b/packages/core/src/lavendermount_core/config/options.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Mapping
 from typing import Any, Generic, Self, TypeVar, overload
 
@@ -121,7 +122,7 @@
     """
 
     kind = 'number'
-    types: tuple[type, ...] = (int, float)
+    types: tuple[type[float], ...] = (int, float)
 
     def __init__(
         self,
@@ -129,7 +130,7 @@
         about: str = '',
         unit: str = '',
         low: float = 0,
-        high: float = float('inf'),
+        high: float = math.inf,
     ) -> None:
         """Keep the bounds."""
         super().__init__(default, about, unit)
@@ -140,7 +141,7 @@
         """Check the type and the bounds."""
         if isinstance(raw, bool) or not isinstance(raw, self.types):
             return raw, [Finding(place, f'must be a {self.kind}, not {raw!r}')]
-        if self.low <= raw <= self.high:
+        if self.low <= float(raw) <= self.high:
             return raw, []
         bounds = f'{self.low:g} to {self.high:g}'
         return raw, [Finding(place, f'{raw!r} is outside {bounds}')]
@@ -152,7 +153,7 @@
     kind = 'whole number'
     types = (int,)
 
-    @overload  # type: ignore[override]
+    @overload
     def __get__(self, instance: None, owner: type[Schema]) -> Self: ...
 
     @overload
@@ -255,7 +256,7 @@
         """
         return {
             option.table_key: option
-            for option in vars(cls).values()
+            for option in cls.__dict__.values()
             if isinstance(option, Option)
         }
 
--- a/packages/core/src/lavendermount_core/platform/http_log.py
+++ b/packages/core/src/lavendermount_core/platform/http_log.py
@@ -20,6 +20,7 @@
     log_adapters,
 )
 from lavendermount_core.structure.records import unpack
+from lavendermount_core.utils.units import MS_PER_S
 
 GONE = 410
 MAX_CLIENTS = 64
@@ -62,7 +63,7 @@
         wait_s: float = 0,
     ) -> LogBatch:
         """Read with one GET that the log may hold for the wait."""
-        query = f'?offset={offset}&wait_ms={int(wait_s * 1000)}'
+        query = f'?offset={offset}&wait_ms={int(wait_s * MS_PER_S)}'
         response = await self.fetch(
             httpclient.HTTPRequest(
                 self.stream_url(stream) + query,
--- a/packages/core/src/lavendermount_core/presets/fold.py
+++ b/packages/core/src/lavendermount_core/presets/fold.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Any
 
 from lavendermount_core.config.preset import parse_preset
 from lavendermount_core.exceptions import ConfigurationError, RecordError
@@ -26,7 +27,7 @@
 from lavendermount_core.utils.digests import short_digest
 from lavendermount_core.utils.registry import Registry
 
-Apply = Callable[['PresetFold', int, Record], None]
+Apply = Callable[['PresetFold', int, Any], None]
 appliers: Registry[type[Record], Apply] = Registry('applier')
 NOTHING_IN_FORCE = InForce(NO_REVISION, 0, '', '', '')
 
--- a/packages/core/src/lavendermount_core/presets/records.py
+++ b/packages/core/src/lavendermount_core/presets/records.py
@@ -131,7 +131,7 @@
     :returns: bytes to append.
     """
     for kind, record_class in record_kinds.entries.items():
-        if type(record) is record_class:
+        if type(record) is record_class:  # noqa: WPS516
             return pack([kind, *record.to_row()])
     raise RecordError(f'{type(record).__name__} is no preset record')
 
--- a/packages/core/src/lavendermount_core/replay/explain.py
+++ b/packages/core/src/lavendermount_core/replay/explain.py
@@ -6,16 +6,21 @@
 from __future__ import annotations
 
 from datetime import UTC, datetime
+from types import MappingProxyType
+from typing import Any
 
 from lavendermount_core.replay.records import DecisionRecord
 from lavendermount_core.routing.candidates import Candidate, Distance
+from lavendermount_core.utils.units import MS_PER_S
 
-WORDS = {
-    Distance.SAME_VM: 'on the same VM',
-    Distance.SAME_ZONE: 'in the same availability zone',
-    Distance.SAME_REGION: 'in another availability zone',
-    Distance.OTHER_REGION: 'in another region',
-}
+WORDS = MappingProxyType(
+    {
+        Distance.SAME_VM: 'on the same VM',
+        Distance.SAME_ZONE: 'in the same availability zone',
+        Distance.SAME_REGION: 'in another availability zone',
+        Distance.OTHER_REGION: 'in another region',
+    }
+)
 
 
 def explain_decision(recorded: DecisionRecord) -> list[str]:
@@ -24,35 +29,43 @@
     :param recorded: the decision with its inputs.
     :returns: lines for a terminal.
     """
-    at = datetime.fromtimestamp(recorded.time_ms / 1000, tz=UTC)
-    lines = [
+    at = datetime.fromtimestamp(recorded.time_ms / MS_PER_S, tz=UTC)
+    link = 'allowed' if recorded.is_link_allowed else 'out of budget'
+    head = (
         f'request {recorded.request_id}, attempt {recorded.attempt} '
-        f'({recorded.cause}) at {at.isoformat(timespec="milliseconds")}',
+        f'({recorded.cause}) at {at.isoformat(timespec="milliseconds")}'
+    )
+    subject = (
         f'  service {recorded.service}, class {recorded.call_class}, '
-        f'tenant {recorded.tenant}, preset revision {recorded.revision}',
+        f'tenant {recorded.tenant}, preset revision {recorded.revision}'
+    )
+    inputs = (
         f'  policy {recorded.policy}, seed {recorded.seed}, '
-        f'turn {recorded.turn}, link between regions '
-        f'{"allowed" if recorded.is_link_allowed else "out of budget"}',
-        f'  {len(recorded.candidates)} targets were seen:',
-    ]
-    scores = {node_id: score for node_id, score in recorded.scores}
-    for row in recorded.candidates:
-        lines.append('    ' + _candidate_line(Candidate.from_row(row), scores))
+        f'turn {recorded.turn}, link between regions {link}'
+    )
+    count = f'  {len(recorded.candidates)} targets were seen:'
+    lines = [head, subject, inputs, count]
+    scores = dict(recorded.scores)
+    lines.extend(_candidate_line(row, scores) for row in recorded.candidates)
     lines.append(f'  {_chosen_line(recorded)}')
     lines.append(f'  outcome {recorded.outcome} after {recorded.elapsed_ms:g} ms')
     return lines
 
 
-def _candidate_line(seen: Candidate, scores: dict[str, float]) -> str:
+def _candidate_line(row: list[Any], scores: dict[str, float]) -> str:
+    seen = Candidate.from_row(row)
     score = scores.get(seen.node_id)
     compared = 'not compared' if score is None else f'expected {score:g} ms'
-    return (
-        f'{seen.node_id}: {compared}; {WORDS[Distance(seen.distance)]}, '
+    place = WORDS[Distance(seen.distance)]
+    load = (
         f'{seen.in_flight} running and {seen.queued} waiting '
-        f'on {seen.slots} slots {seen.age_ms} ms ago, '
+        f'on {seen.slots} slots {seen.age_ms} ms ago'
+    )
+    history = (
         f'{seen.sent_since} sent since, service {seen.service_ms:.1f} ms, '
         f'{seen.failure_ratio:.0%} failed'
     )
+    return f'    {seen.node_id}: {compared}; {place}, {load}, {history}'
 
 
 def _chosen_line(recorded: DecisionRecord) -> str:
--- a/packages/core/src/lavendermount_core/replay/replay.py
+++ b/packages/core/src/lavendermount_core/replay/replay.py
@@ -12,6 +12,8 @@
 from lavendermount_core.routing.policies import decide
 from lavendermount_core.routing.tuning import tuning_from
 
+MALFORMED = (RecordError, LookupError, TypeError, ValueError)
+
 
 class ReplayReport:
     """What a replay found.
@@ -84,7 +86,7 @@
 def _check_decision(recorded: DecisionRecord) -> list[str]:
     try:
         taken = decide(recorded.to_situation())
-    except (RecordError, LookupError, TypeError, ValueError) as error:
+    except MALFORMED as error:
         return [f'the inputs are malformed: {error}']
     if taken.chosen != recorded.chosen:
         return [f'chose {recorded.chosen!r}, replay chose {taken.chosen!r}']
--- a/packages/core/src/lavendermount_core/routing/policies.py
+++ b/packages/core/src/lavendermount_core/routing/policies.py
@@ -80,8 +80,8 @@
 def _split_by_region(
     candidates: list[Candidate],
 ) -> tuple[list[Candidate], list[Candidate]]:
-    near = []
-    far = []
+    near: list[Candidate] = []
+    far: list[Candidate] = []
     for seen in candidates:
         side = far if seen.distance == Distance.OTHER_REGION else near
         side.append(seen)
--- a/packages/core/src/lavendermount_core/structure/records.py
+++ b/packages/core/src/lavendermount_core/structure/records.py
@@ -25,7 +25,7 @@
 
     def __eq__(self, other: object) -> bool:
         """Compare field by field with a record of the same class."""
-        if type(other) is not type(self):
+        if type(other) is not type(self):  # noqa: WPS516
             return NotImplemented
         return self.to_row() == other.to_row()
 
@@ -60,9 +60,9 @@
         :returns: the record.
         """
         record = cls.from_row(row)
-        for name, expected in field_types(cls).items():
+        for name, expected in field_types(cls).items():  # type: ignore[arg-type]
             field = getattr(record, name)
-            if type(field) is not expected:
+            if type(field) is not expected:  # noqa: WPS516
                 raise RecordError(f'{cls.__name__}.{name} has a wrong type')
         return record
 
--- a/packages/core/src/lavendermount_core/utils/logs.py
+++ b/packages/core/src/lavendermount_core/utils/logs.py
@@ -5,14 +5,14 @@
 
 from __future__ import annotations
 
+import json
 import logging
+import string
 from typing import Any
 
 from pythonjsonlogger.core import BaseJsonFormatter
 
-_UNQUOTED = frozenset(
-    'abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._:/@+-'
-)
+_UNQUOTED = frozenset(f'{string.ascii_letters}{string.digits}._:/@+-')
 _FORMAT = '%(asctime)s %(levelname)s %(name)s %(message)s'
 
 
@@ -24,8 +24,7 @@
     """
     if text and _UNQUOTED.issuperset(text):
         return text
-    escaped = text.replace('\\', '\\\\').replace('"', '\\"')
-    return '"{0}"'.format(escaped.replace('\n', '\\n'))
+    return json.dumps(text, ensure_ascii=False)
 
 
 class KeyValueFormatter(BaseJsonFormatter):
@@ -46,8 +45,8 @@
 
     :param level: name of a standard logging level.
     """
-    handler = logging.StreamHandler()
-    handler.setFormatter(
+    stream_handler = logging.StreamHandler()
+    stream_handler.setFormatter(
         KeyValueFormatter(
             _FORMAT,
             rename_fields={
@@ -57,4 +56,4 @@
             },
         ),
     )
-    logging.basicConfig(level=level.upper(), handlers=[handler], force=True)
+    logging.basicConfig(level=level.upper(), handlers=[stream_handler], force=True)
--- a/packages/core/src/lavendermount_core/utils/registry.py
+++ b/packages/core/src/lavendermount_core/utils/registry.py
@@ -5,10 +5,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Hashable
+from collections.abc import Callable
 from typing import Generic, TypeVar
 
-Key = TypeVar('Key', bound=Hashable)
+Key = TypeVar('Key')
 Entry = TypeVar('Entry')
 
 
--- a/packages/node/src/lavendermountd/admin/server.py
+++ b/packages/node/src/lavendermountd/admin/server.py
@@ -9,18 +9,20 @@
 import json
 from typing import TYPE_CHECKING
 
-from aioprometheus import render
+from aioprometheus.renderer import render
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
 from lavendermount_core.config import options as opt
 from lavendermount_core.config.findings import Finding
+from lavendermount_core.config.node import PORT_LIMIT
 
 if TYPE_CHECKING:
     from lavendermountd.node import Node
 
 BAD_REQUEST = 400
 NOT_READY = 503
+SLOT_LIMIT = 10000
 STATES = ('ready', 'draining', 'stopped')
 
 
@@ -33,8 +35,10 @@
 
     service = opt.Text(about='Service of the target.')
     host = opt.Text('127.0.0.1', 'IP number of the target.')
-    port = opt.Integer(None, 'Port of the target.', 'port', low=1, high=65535)
-    slots = opt.Integer(1, 'Requests it works on at once.', 'slots', low=1, high=10000)
+    port = opt.Integer(None, 'Port of the target.', 'port', low=1, high=PORT_LIMIT)
+    slots = opt.Integer(
+        1, 'Requests it works on at once.', 'slots', low=1, high=SLOT_LIMIT
+    )
     instance = opt.Text('', 'Changes with each start of the target.')
     state = opt.Text('ready', 'What the target does now.', _states)
 
@@ -118,5 +122,5 @@
         server.stop()
 
 
-def _log_nothing(handler: RequestHandler) -> None:
+def _log_nothing(request: RequestHandler) -> None:
     """Keep requests of probes and scrapers out of the logs."""
--- a/packages/node/src/lavendermountd/caller/problems.py
+++ b/packages/node/src/lavendermountd/caller/problems.py
@@ -7,24 +7,30 @@
 
 import json
 import math
+from types import MappingProxyType
 
 from lavendermount_core.structure.calls import CallReply, Reason, Refusal
+from lavendermount_core.utils.units import MS_PER_S
 
 PROBLEM_TYPE = 'application/problem+json'
 TYPE_PREFIX = 'urn:lavendermount:problem:'
 UNKNOWN_STATUS = 502
 NOT_RUN_STATUS = 503
-STATUS_BY_REASON = {
-    Reason.MALFORMED: 400,
-    Reason.NO_ROUTE: 404,
-    Reason.CLAIMED: 409,
-    Reason.TOO_LARGE: 413,
-}
+STATUS_BY_REASON = MappingProxyType(
+    {
+        Reason.MALFORMED: 400,
+        Reason.NO_ROUTE: 404,
+        Reason.CLAIMED: 409,
+        Reason.TOO_LARGE: 413,
+    }
+)
 UNKNOWN_DEADLINE_STATUS = 504
-TITLES = {
-    'not-run': 'The request was not run',
-    'unknown': 'The request may have been run',
-}
+TITLES = MappingProxyType(
+    {
+        'not-run': 'The request was not run',
+        'unknown': 'The request may have been run',
+    }
+)
 
 
 def status_of(refusal: Refusal) -> int:
@@ -47,7 +53,7 @@
     :returns: a problem document, with Retry-After where coming back helps.
     """
     status = status_of(refusal)
-    retry_after_ms = int(refusal.retry_after_s * 1000)
+    retry_after_ms = int(refusal.retry_after_s * MS_PER_S)
     document = {
         'type': TYPE_PREFIX + refusal.reason,
         'title': TITLES[refusal.outcome],
--- a/packages/node/src/lavendermountd/caller/server.py
+++ b/packages/node/src/lavendermountd/caller/server.py
@@ -10,8 +10,9 @@
 import asyncio
 import logging
 import time
+from typing import cast
 
-from returns.result import Failure, Success
+from returns.result import Success
 from tornado.httpserver import HTTPServer
 from tornado.httputil import (
     HTTPConnection,
@@ -32,6 +33,7 @@
     unknown,
 )
 from lavendermount_core.utils.digests import random_identifier
+from lavendermount_core.utils.units import MS_PER_S
 from lavendermountd.caller.classification import Classified, classify
 from lavendermountd.caller.headers import end_to_end, without
 from lavendermountd.caller.problems import problem_reply
@@ -43,9 +45,10 @@
 OWN_HEADERS = frozenset(('content-length', 'x-request-id', 'x-deadline-ms'))
 REPLY_OWN_HEADERS = frozenset(('content-length', 'x-request-id'))
 NO_BODY_STATUS = frozenset((204, 304))
-MAX_HEADER_BYTES = 64 * 1024
+MAX_HEADER_BYTES = 65536
 SERVER_BODY_LIMIT = 2 * 1024**3
 IDLE_CONNECTION_S = 300
+DROPPED_BODY_BYTES = 268435456
 
 
 class CallExchange(HTTPMessageDelegate):
@@ -65,6 +68,7 @@
         'size',
         'arrived_at',
         'is_answered',
+        'is_too_large',
         'task',
     )
 
@@ -79,6 +83,7 @@
         self.size = 0
         self.arrived_at = time.monotonic()
         self.is_answered = False
+        self.is_too_large = False
         self.task: asyncio.Task[None] | None = None
 
     def headers_received(
@@ -93,28 +98,43 @@
         self.arrived_at = time.monotonic()
         announced = headers.get('Content-Length', '')
         if announced.isdigit() and int(announced) > self.service.max_body:
-            self.refuse_body()
+            self.refuse_body(int(announced))
 
     def data_received(self, chunk: bytes) -> None:
         """Keep a part of the body unless it grows too large."""
         self.size += len(chunk)
-        if self.is_answered:
-            return
         if self.size > self.service.max_body:
-            self.refuse_body()
-            return
-        self.parts.append(chunk)
+            self.refuse_body(self.size)
+        if not self.is_too_large:
+            self.parts.append(chunk)
+
+    def refuse_body(self, size: int) -> None:
+        """Refuse a body that is too large.
+
+        A caller that is still sending would lose an answer written now: the
+        connection would be reset under it. So a body of a bearable size is
+        read and dropped first; a caller that asked before sending, or that
+        sends without end, is answered at once.
 
-    def refuse_body(self) -> None:
-        """Refuse a body that is too large, and close the connection."""
+        :param size: bytes announced or received so far.
+        """
+        self.is_too_large = True
         self.parts.clear()
+        if 'Expect' in self.headers or size > DROPPED_BODY_BYTES:
+            self.write_too_large()
+
+    def write_too_large(self) -> None:
+        """Answer that the body is too large, once."""
+        if self.is_answered:
+            return
         limit = self.service.max_body
         detail = f'the body is larger than {limit} bytes'
         self.write(self.problem(not_run(Reason.TOO_LARGE, detail)))
 
     def finish(self) -> None:
         """Answer in a task of its own once the request is whole."""
-        if self.is_answered:
+        if self.is_too_large:
+            self.write_too_large()
             return
         self.connection.set_close_callback(self.on_caller_gone)  # type: ignore[attr-defined]
         self.task = asyncio.create_task(self.serve())
@@ -167,12 +187,9 @@
             time.monotonic() - self.arrived_at,
             outcome,
         )
-        match outcome:
-            case Success(reply):
-                return reply
-            case Failure(refusal):
-                return self.problem(refusal)
-        raise AssertionError('a result is a success or a failure')
+        if isinstance(outcome, Success):
+            return cast(CallReply, outcome.unwrap())
+        return self.problem(outcome.failure())
 
     def classified(self) -> Classified | None:
         """Apply the preset in force to the head of the request."""
@@ -194,7 +211,7 @@
             headers,
             b''.join(self.parts),
             classified.call_class,
-            self.arrived_at + classified.deadline_ms / 1000,
+            self.arrived_at + classified.deadline_ms / MS_PER_S,
         )
 
     def problem(self, refusal: Refusal) -> CallReply:
@@ -260,7 +277,7 @@
     async def run(self, host: str, port: int) -> None:
         """Listen until cancelled."""
         server = HTTPServer(
-            self,  # type: ignore[arg-type]
+            self,
             max_header_size=MAX_HEADER_BYTES,
             max_body_size=SERVER_BODY_LIMIT,
             idle_connection_timeout=IDLE_CONNECTION_S,
--- a/packages/node/src/lavendermountd/caller/service.py
+++ b/packages/node/src/lavendermountd/caller/service.py
@@ -8,6 +8,7 @@
 import asyncio
 
 from lavendermount_core.structure.calls import CallRequest
+from lavendermount_core.utils.units import DEFAULT_BODY_BYTES
 from lavendermountd.claims.claims import ClaimService
 from lavendermountd.gate.attempts import AttemptResult
 from lavendermountd.metrics import NodeMetrics
@@ -15,7 +16,6 @@
 from lavendermountd.routing.router import Router
 
 FENCE_WAIT_S = 0.5
-DEFAULT_MAX_BODY = 16 * 1024 * 1024
 
 
 class CallService:
@@ -40,7 +40,7 @@
         self.claims = claims
         self.metrics = metrics
         self.under_way: set[asyncio.Task[None]] = set()
-        self.max_body = DEFAULT_MAX_BODY
+        self.max_body = DEFAULT_BODY_BYTES
         self.is_stopping = False
         self.is_current = asyncio.Event()
         self.is_current.set()
--- a/packages/node/src/lavendermountd/claims/records.py
+++ b/packages/node/src/lavendermountd/claims/records.py
@@ -76,7 +76,7 @@
 
 def stream_of(service: str) -> str:
     """Name the claim stream of a service."""
-    return 'claims.' + quote(service, safe='')
+    return f'claims.{quote(service, safe="")}'
 
 
 def encode_claims(records: list[Record]) -> bytes:
--- a/packages/node/src/lavendermountd/claims/stream.py
+++ b/packages/node/src/lavendermountd/claims/stream.py
@@ -67,14 +67,15 @@
         """Free the key if the holder itself gives it up."""
         holder = self.holders.get(release.key)
         if holder is not None and holder.claim_id == release.claim_id:
-            del self.holders[release.key]
-            del self.offsets[release.key]
+            self.holders.pop(release.key)
+            self.offsets.pop(release.key)
 
     def forget_below(self, oldest: int) -> None:
         """Forget claims that the log has evicted."""
-        for key in [key for key, at in self.offsets.items() if at < oldest]:
-            del self.holders[key]
-            del self.offsets[key]
+        evicted = [key for key, at in self.offsets.items() if at < oldest]
+        for key in evicted:
+            self.holders.pop(key)
+            self.offsets.pop(key)
 
 
 class ClaimStream:
--- a/packages/node/src/lavendermountd/control/server.py
+++ b/packages/node/src/lavendermountd/control/server.py
@@ -11,6 +11,7 @@
 
 import grpc
 
+from lavendermount_core.utils.units import MS_PER_S
 from lavendermountd.claims.claims import ClaimState, LocalClaim
 from lavendermountd.claims.holders import FORGOTTEN
 from lavendermountd.control.generated import control_pb2, control_pb2_grpc
@@ -25,7 +26,6 @@
     from lavendermountd.node import Node
 
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
-MS = 1000
 
 
 class ControlServicer(control_pb2_grpc.ControlServicer):
@@ -60,7 +60,7 @@
         stub = await self.node.channels.stub(request.address)
         message = self.node.exchange.least_round(None)
         try:
-            await stub.Gossip(message, timeout=request.timeout_ms / MS)
+            await stub.Gossip(message, timeout=request.timeout_ms / MS_PER_S)
         except grpc.aio.AioRpcError:
             await self.node.channels.drop(request.address)
             return control_pb2.ProbeReply(is_alive=False)
@@ -108,7 +108,7 @@
             version='' if preset is None else preset.version,
             members=map(member_message, node.table.members.values()),
             loads=[
-                load_message(seen.report, (now - seen.seen_at) * MS)
+                load_message(seen.report, (now - seen.seen_at) * MS_PER_S)
                 for seen in node.view.loads.values()
             ],
             decisions=node.recorder.recorded,
--- a/packages/node/src/lavendermountd/gate/admission.py
+++ b/packages/node/src/lavendermountd/gate/admission.py
@@ -37,6 +37,9 @@
         self.started: asyncio.Future[None] | None = None
 
 
+Place = tuple[float, int, Ticket]
+
+
 class ClassRule:
     """What the preset says of one class.
 
@@ -72,7 +75,9 @@
         )
 
 
-DEFAULT_RULE = ClassRule('', 9, 0, 12)
+LAST_PRIORITY = 9
+DEFAULT_QUEUE_LIMIT = 12
+DEFAULT_RULE = ClassRule('', LAST_PRIORITY, 0, DEFAULT_QUEUE_LIMIT)
 
 
 class Admission:
@@ -91,7 +96,7 @@
         self.slots = slots
         self.rules: dict[str, ClassRule] = {}
         self.running: dict[str, int] = defaultdict(int)
-        self.waiting: dict[str, list[tuple[float, int, Ticket]]] = {}
+        self.waiting: dict[str, list[Place]] = {}
         self.exclusive: Ticket | None = None
         self.ties = count()
 
@@ -106,11 +111,11 @@
         return sum(self.queued_of(name) for name in self.waiting)
 
     def queued_of(self, call_class: str) -> int:
-        """Requests of one class that wait for a slot."""
+        """Count the requests of one class that wait for a slot."""
         heap = self.waiting.get(call_class, ())
         return sum(1 for entry in heap if not entry[2].is_gone)
 
-    def set_rules(self, rules: list[ClassRule]) -> None:
+    def take_rules(self, rules: list[ClassRule]) -> None:
         """Take over the classes of a preset; waiting requests stay."""
         self.rules = {rule.name: rule for rule in rules}
 
@@ -202,7 +207,7 @@
 
         :returns: those that run now, in order.
         """
-        started = []
+        started: list[Ticket] = []
         while True:
             ticket = self.pop_next()
             if ticket is None:
--- a/packages/node/src/lavendermountd/gate/attempts.py
+++ b/packages/node/src/lavendermountd/gate/attempts.py
@@ -54,7 +54,7 @@
         self.fingerprint = fingerprint
         self.progress = Progress.WAITING
         self.finished: asyncio.Future[AttemptResult] = asyncio.Future()
-        self.finished_at = 0.0
+        self.finished_at: float = 0
         self.task: asyncio.Task[AttemptResult] | None = None
         self.target_start = 0
 
--- a/packages/node/src/lavendermountd/gate/gate.py
+++ b/packages/node/src/lavendermountd/gate/gate.py
@@ -13,6 +13,7 @@
 import random
 import time
 from collections.abc import Callable
+from typing import Final
 
 from returns.result import Failure, Success
 
@@ -24,6 +25,7 @@
     unknown,
 )
 from lavendermount_core.structure.loads import LoadReport
+from lavendermount_core.utils.units import MS_PER_S
 from lavendermountd.gate.admission import Admission, Ticket
 from lavendermountd.gate.attempts import Attempt, AttemptResult
 from lavendermountd.gate.ledger import HORIZON_S, Ledger, refuse_buried
@@ -40,8 +42,8 @@
 SHORTEST_RETRY_S = 0.05
 JITTER = 0.5
 TARGET_DOWN_RETRY_S = 1.0
-NO_ADVICE = 0.0
-FULL_AGE_MS = HORIZON_S * 500
+NO_ADVICE: Final = 0
+FULL_AGE_MS = HORIZON_S * MS_PER_S / 2
 
 
 class Gate:
@@ -156,7 +158,7 @@
         if not self.admission.wait(ticket):
             return self.refuse(Reason.QUEUE_FULL, 'the queue of the class is full')
         ticket.started = asyncio.get_running_loop().create_future()
-        latest = ticket.deadline - self.target.service_ms / 1000
+        latest = ticket.deadline - self.target.service_ms / MS_PER_S
         try:
             async with asyncio.timeout_at(latest):
                 await ticket.started
@@ -208,7 +210,7 @@
 
     def observe(self, begun: float, is_failure: bool) -> None:
         """Add an exchange to the target's averages."""
-        elapsed_ms = (time.monotonic() - begun) * 1000
+        elapsed_ms = (time.monotonic() - begun) * MS_PER_S
         self.target.observe(elapsed_ms, is_failure)
 
     async def refusal_for(self, attempt: Attempt, error: TargetError) -> Refusal:
@@ -267,7 +269,7 @@
         """Time until all work now here is done."""
         work = self.admission.in_flight + self.admission.queued
         slots = max(self.target.slots, 1)
-        return work * self.target.service_ms / slots / 1000
+        return work * self.target.service_ms / slots / MS_PER_S
 
     def cancel(self, attempt_id: str) -> None:
         """Call an attempt off, whether it waits or runs."""
--- a/packages/node/src/lavendermountd/gate/ledger.py
+++ b/packages/node/src/lavendermountd/gate/ledger.py
@@ -13,7 +13,7 @@
 from lavendermountd.gate.attempts import Attempt, AttemptResult
 
 HORIZON_S = 120.0
-KEPT_BODY_BYTES = 64 * 1024
+KEPT_BODY_BYTES = 65536
 CLEAN_STEP = 2
 
 
@@ -74,7 +74,7 @@
         """Forget one attempt and one tombstone that ended before a time."""
         if self.ended and next(iter(self.ended.values())) < limit:
             attempt_id, _ = self.ended.popitem(last=False)
-            del self.attempts[attempt_id]
+            self.attempts.pop(attempt_id)
         if self.tombstones and next(iter(self.tombstones.values())) < limit:
             self.tombstones.popitem(last=False)
 
--- a/packages/node/src/lavendermountd/gate/suspects.py
+++ b/packages/node/src/lavendermountd/gate/suspects.py
@@ -13,6 +13,7 @@
 from enum import IntEnum
 
 from lavendermount_core.structure.calls import CallRequest
+from lavendermount_core.utils.units import MS_PER_S
 from lavendermountd.peer.frames import Suspected
 
 EXPIRY_S = 300.0
@@ -71,7 +72,7 @@
         suspect = self.suspects.get(fingerprint)
         if suspect is None or suspect.expires_at > time.monotonic():
             return suspect
-        del self.suspects[fingerprint]
+        self.suspects.pop(fingerprint)
         return None
 
     def remaining_s(self, fingerprint: str) -> float:
@@ -85,7 +86,7 @@
         :param victim: the target, as ``node:start``.
         :returns: the frame that tells other nodes.
         """
-        told = Suspected(fingerprint, [victim], int(EXPIRY_S * 1000))
+        told = Suspected(fingerprint, [victim], int(EXPIRY_S * MS_PER_S))
         self.merge(told)
         return self.describe(fingerprint)
 
@@ -94,7 +95,7 @@
 
         :returns: whether it was news.
         """
-        expires_at = time.monotonic() + min(told.remaining_ms / 1000, EXPIRY_S)
+        expires_at = time.monotonic() + min(told.remaining_ms / MS_PER_S, EXPIRY_S)
         suspect = self.find(told.fingerprint)
         if suspect is None:
             self.make_room()
@@ -107,7 +108,7 @@
     def make_room(self) -> None:
         """Forget the oldest suspicion when there are too many."""
         if len(self.suspects) >= MAX_SUSPECTS:
-            del self.suspects[next(iter(self.suspects))]
+            self.suspects.pop(next(iter(self.suspects)))
 
     def clear(self, fingerprint: str) -> None:
         """Forget a suspicion: the request completed."""
@@ -116,7 +117,7 @@
     def describe(self, fingerprint: str) -> Suspected:
         """Build the frame that tells other nodes of a suspicion."""
         suspect = self.suspects[fingerprint]
-        remaining_ms = int((suspect.expires_at - time.monotonic()) * 1000)
+        remaining_ms = int((suspect.expires_at - time.monotonic()) * MS_PER_S)
         return Suspected(fingerprint, sorted(suspect.victims), remaining_ms)
 
     def describe_all(self) -> list[Suspected]:
--- a/packages/node/src/lavendermountd/gate/target.py
+++ b/packages/node/src/lavendermountd/gate/target.py
@@ -8,9 +8,10 @@
 import time
 from enum import StrEnum
 
+from lavendermount_core.utils.units import MS_PER_S
+
 SERVICE_WEIGHT = 0.1
 FAILURE_WEIGHT = 0.1
-MS = 1000
 
 
 class TargetState(StrEnum):
@@ -47,10 +48,10 @@
         self.slots = 0
         self.instance = ''
         self.state = TargetState.ABSENT
-        self.ready_at = 0.0
+        self.ready_at: float = 0
         self.start = 0
-        self.service_ms = 0.0
-        self.failure_ratio = 0.0
+        self.service_ms: float = 0
+        self.failure_ratio: float = 0
         self.started_at: dict[str, float] = {}
 
     @property
@@ -87,8 +88,8 @@
         self.ready_at = time.monotonic()
         self.start += 1
         self.state = TargetState.UP
-        self.service_ms = 0.0
-        self.failure_ratio = 0.0
+        self.service_ms = 0
+        self.failure_ratio = 0
 
     def begin(self, attempt_id: str, now: float) -> None:
         """Note that a request went to the target."""
@@ -116,8 +117,8 @@
         if not self.started_at:
             return self.service_ms
         ages = now * len(self.started_at) - sum(self.started_at.values())
-        return max(self.service_ms, ages * MS / len(self.started_at))
+        return max(self.service_ms, ages * MS_PER_S / len(self.started_at))
 
     def warm_ms(self, now: float) -> int:
         """Time since the target started."""
-        return int((now - self.ready_at) * MS)
+        return int((now - self.ready_at) * MS_PER_S)
--- a/packages/node/src/lavendermountd/gate/target_client.py
+++ b/packages/node/src/lavendermountd/gate/target_client.py
@@ -20,6 +20,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from lavendermount_core.structure.calls import CallReply, CallRequest, Reason
+from lavendermount_core.utils.units import DEFAULT_BODY_BYTES, MS_PER_S
 from lavendermountd.caller.headers import end_to_end
 from lavendermountd.gate.attempts import Attempt, Progress
 from lavendermountd.gate.target import Target
@@ -27,7 +28,7 @@
 CONNECT_TIMEOUT_S = 1.0
 TRUSTED_IDLE_S = 1.0
 IDLE_LIMIT_S = 10.0
-MAX_HEADER_BYTES = 64 * 1024
+MAX_HEADER_BYTES = 65536
 NO_BODY_STATUS = frozenset((204, 304))
 
 
@@ -128,7 +129,7 @@
         self.target = target
         self.idle: list[tuple[IOStream, float]] = []
         self.limit = 200
-        self.max_body = 16 * 1024 * 1024
+        self.max_body = DEFAULT_BODY_BYTES
         self.silent_s = 0.3
         self.open_count = 0
 
@@ -163,7 +164,7 @@
 
         :raises TimeoutError: if the connection stayed silent.
         """
-        patience = max(self.silent_s, 4 * self.target.service_ms / 1000)
+        patience = max(self.silent_s, 4 * self.target.service_ms / MS_PER_S)
         async with asyncio.timeout(patience):
             return await self.exchange_over(stream, attempt)
 
@@ -189,11 +190,11 @@
     ) -> ReplyReader:
         """Write the request and read one reply."""
         request = attempt.request
-        params = HTTP1ConnectionParameters(
+        limits = HTTP1ConnectionParameters(
             max_header_size=MAX_HEADER_BYTES,
             max_body_size=self.max_body,
         )
-        connection = HTTP1Connection(stream, True, params)
+        connection = HTTP1Connection(stream, True, limits)
         reader = ReplyReader(request.method)
         attempt.progress = Progress.WRITTEN
         attempt.target_start = self.target.start
@@ -258,7 +259,7 @@
         """Close a connection that was not needed for long."""
         stream, since = self.idle[0]
         if time.monotonic() - since > IDLE_LIMIT_S:
-            del self.idle[0]
+            self.idle.pop(0)
             self.discard(stream)
 
     def close_idle(self) -> None:
@@ -277,7 +278,7 @@
     for name, text in request.headers:
         headers.add(name, text)
     remaining = request.deadline - time.monotonic()
-    headers['X-Deadline-Ms'] = str(max(0, int(remaining * 1000)))
+    headers['X-Deadline-Ms'] = str(max(0, int(remaining * MS_PER_S)))
     if request.body or request.method in {'POST', 'PUT', 'PATCH'}:
         headers['Content-Length'] = str(len(request.body))
     return headers
--- a/packages/node/src/lavendermountd/membership/exchange.py
+++ b/packages/node/src/lavendermountd/membership/exchange.py
@@ -11,6 +11,7 @@
 
 from lavendermount_core.presets.records import NO_REVISION
 from lavendermount_core.structure.members import Member, MemberStatus
+from lavendermount_core.utils.units import MS_PER_S
 from lavendermountd.control.generated import control_pb2
 from lavendermountd.control.messages import (
     load_message,
@@ -100,7 +101,7 @@
             key=lambda seen: seen.seen_at,
         )
         return [
-            load_message(seen.report, (now - seen.seen_at) * 1000)
+            load_message(seen.report, (now - seen.seen_at) * MS_PER_S)
             for seen in fresh[-LOADS_PER_ROUND:]
         ]
 
--- a/packages/node/src/lavendermountd/membership/gossip.py
+++ b/packages/node/src/lavendermountd/membership/gossip.py
@@ -16,6 +16,7 @@
 import grpc
 
 from lavendermount_core.structure.members import Member, MemberStatus
+from lavendermount_core.utils.units import MS_PER_S
 from lavendermountd.control.channels import ChannelPool
 from lavendermountd.control.generated import control_pb2
 from lavendermountd.membership.exchange import GossipExchange
@@ -25,6 +26,7 @@
 log = logging.getLogger(__name__)
 
 HELPERS = 2
+JITTER = 0.1
 DEAD_PROBE_SHARE = 0.1
 RPC_OVERHEAD_BYTES = 150
 TIMEOUT_SHARE = 0.5
@@ -59,7 +61,7 @@
     async def run(self) -> None:
         """Gossip until cancelled."""
         while True:
-            jitter = 0.9 + random.random() * 0.2
+            jitter = random.uniform(1 - JITTER, 1 + JITTER)
             await asyncio.sleep(self.period_s * jitter)
             await self.round()
 
@@ -150,7 +152,7 @@
         timeout_s = self.period_s * TIMEOUT_SHARE
         request = control_pb2.ProbeRequest(
             address=self.channels.identity.control_address_of(member),
-            timeout_ms=int(timeout_s * 1000),
+            timeout_ms=int(timeout_s * MS_PER_S),
         )
         self.charge(helper, request.ByteSize())
         try:
--- a/packages/node/src/lavendermountd/membership/joining.py
+++ b/packages/node/src/lavendermountd/membership/joining.py
@@ -55,8 +55,8 @@
         self.seeds = seeds
         self.retention_s = retention_s
         self.offset = 0
-        self.written_at = 0.0
-        self.read_at = 0.0
+        self.written_at: float = 0
+        self.read_at: float = 0
         self.was_relay = False
 
     async def run(self) -> None:
--- a/packages/node/src/lavendermountd/membership/relays.py
+++ b/packages/node/src/lavendermountd/membership/relays.py
@@ -21,17 +21,15 @@
     :param region: the region.
     :returns: at most ``RELAYS`` members.
     """
-    ranked = sorted(
-        (
-            member
-            for member in table.members.values()
-            if member.region == region and member.status <= MemberStatus.SUSPECT
-        ),
-        key=_rank,
-    )
+    living = [
+        member
+        for member in table.members.values()
+        if member.region == region and member.status <= MemberStatus.SUSPECT
+    ]
+    ranked = sorted(living, key=_rank)
     first_of_zone: dict[str, Member] = {}
-    for member in ranked:
-        first_of_zone.setdefault(member.zone, member)
+    for relay in ranked:
+        first_of_zone.setdefault(relay.zone, relay)
     first = list(first_of_zone.values())
     rest = [member for member in ranked if member not in first]
     return (first + rest)[:RELAYS]
--- a/packages/node/src/lavendermountd/membership/suspicion.py
+++ b/packages/node/src/lavendermountd/membership/suspicion.py
@@ -72,7 +72,7 @@
             if member is not None:
                 self.bury(member)
         for node_id in _older(self.dead_since, now - self.suspicion_s * FORGET_FACTOR):
-            del self.dead_since[node_id]
+            self.dead_since.pop(node_id)
             self.table.forget(node_id)
 
     def restart(self) -> None:
--- a/packages/node/src/lavendermountd/membership/updates.py
+++ b/packages/node/src/lavendermountd/membership/updates.py
@@ -17,6 +17,7 @@
 UPDATES_PER_ROUND = 16
 BUCKET_LIMIT = 64
 SPREAD_FACTOR = 3
+CHECKSUM_BITS = 32
 
 
 class UpdateQueue:
@@ -46,7 +47,7 @@
         for node_id in chosen:
             self.sent[node_id] += 1
             if self.sent[node_id] >= limit:
-                del self.sent[node_id]
+                self.sent.pop(node_id)
             member = self.table.find(node_id)
             if member is not None:
                 members.append(member)
@@ -80,8 +81,9 @@
         digests = dict.fromkeys(buckets, 0)
         for member in self.table.members.values():
             bucket = bucket_of(member.node_id)
-            if bucket in digests:
-                digests[bucket] ^= _digest(member)
+            known = digests.get(bucket)
+            if known is not None:
+                digests[bucket] = known ^ _digest(member)
         return digests
 
 
@@ -92,4 +94,4 @@
 
 def _digest(member: Member) -> int:
     text = f'{member.node_id}/{member.rank}'.encode()
-    return (zlib.crc32(text) << 32) | zlib.adler32(text)
+    return (zlib.crc32(text) << CHECKSUM_BITS) | zlib.adler32(text)
--- a/packages/node/src/lavendermountd/metrics.py
+++ b/packages/node/src/lavendermountd/metrics.py
@@ -6,13 +6,13 @@
 
 from __future__ import annotations
 
-from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
 from returns.result import Success
 
 from lavendermount_core.structure.calls import CallClass
 from lavendermountd.gate.attempts import AttemptResult
 
-CALL_BUCKETS = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10]
+CALL_BUCKETS = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10)
 MAX_TENANTS = 1000
 OTHER_TENANT = 'other'
 
@@ -28,7 +28,7 @@
             'lavendermount_call_seconds',
             'Time to the final answer, by service, class, tenant and outcome.',
             registry=self.registry,
-            buckets=CALL_BUCKETS,
+            buckets=list(CALL_BUCKETS),
         )
         self.restarts = Counter(
             'lavendermount_task_restarts_total',
--- a/packages/node/src/lavendermountd/node.py
+++ b/packages/node/src/lavendermountd/node.py
@@ -14,6 +14,7 @@
 from lavendermount_core.config.node import NodeSchema
 from lavendermount_core.platform.adapter import open_log
 from lavendermount_core.structure.members import MemberStatus
+from lavendermount_core.utils.units import MS_PER_S
 from lavendermountd.admin.server import Announcement
 from lavendermountd.caller.server import CallerServer
 from lavendermountd.caller.service import CallService
@@ -48,8 +49,8 @@
 
 log = logging.getLogger(__name__)
 
-MS = 1000
 TOLD_AT_ONCE = 16
+STOP_POLL_S = 0.02
 START_BUDGET_BYTES = 20000
 
 
@@ -77,7 +78,7 @@
         self.platform_log = open_log(
             settings.log.adapter,
             settings.log.url,
-            settings.log.timeout_ms / MS,
+            settings.log.timeout_ms / MS_PER_S,
         )
         self.build_membership()
         self.build_routing()
@@ -96,7 +97,7 @@
             TokenBucket(START_BUDGET_BYTES, START_BUDGET_BYTES),
         )
         self.table = MemberTable(self.identity.member)
-        self.timers = SuspicionTimers(self.table, membership.suspicion_ms / MS)
+        self.timers = SuspicionTimers(self.table, membership.suspicion_ms / MS_PER_S)
         self.exchange = GossipExchange(
             self.table,
             self.view,
@@ -107,7 +108,7 @@
             self.exchange,
             self.channels,
             self.timers,
-            membership.period_ms / MS,
+            membership.period_ms / MS_PER_S,
         )
         self.joiner = Joiner(
             self.gossip,
@@ -205,10 +206,10 @@
         schema = preset.schema
         limits = schema.limits
         rules = [ClassRule.from_options(entry) for entry in schema.class_]
-        self.gate.admission.set_rules(rules)
+        self.gate.admission.take_rules(rules)
         self.gate.client.limit = limits.connections
-        self.gate.client.silent_s = limits.silent_ms / MS
-        self.links.silent_s = limits.silent_ms / MS
+        self.gate.client.silent_s = limits.silent_ms / MS_PER_S
+        self.links.silent_s = limits.silent_ms / MS_PER_S
         self.gate.client.max_body = limits.body_bytes
         self.links.max_body = limits.body_bytes
         self.peer_server.max_body = limits.body_bytes
@@ -296,7 +297,7 @@
         while True:
             await self.follower.is_caught_up.wait()
             self.service.is_current.set()
-            await asyncio.sleep(self.settings.membership.period_ms / MS / 4)
+            await asyncio.sleep(self.settings.membership.period_ms / MS_PER_S / 4)
 
     async def stop(self) -> None:
         """Stop without cutting anything off.
@@ -314,10 +315,10 @@
         nearby = self.gossip.nearby()
         told = random.sample(nearby, min(TOLD_AT_ONCE, len(nearby)))
         await self.gossip.tell(told)
-        await asyncio.sleep(self.settings.membership.period_ms / MS)
+        await asyncio.sleep(self.settings.membership.period_ms / MS_PER_S)
         self.caller_server.stop_listening()
         while self.has_work() and time.monotonic() < deadline:
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(STOP_POLL_S)
         await self.flush()
         log.info('node-stopped', extra={'work_left': self.has_work()})
 
--- a/packages/node/src/lavendermountd/peer/avoidance.py
+++ b/packages/node/src/lavendermountd/peer/avoidance.py
@@ -32,7 +32,7 @@
     def note_success(self, node_id: str) -> None:
         """Stop avoiding a node that answered."""
         if self.last_s.pop(node_id, None) is not None:
-            del self.until[node_id]
+            self.until.pop(node_id)
 
     def is_avoided(self, node_id: str) -> bool:
         """Whether other nodes go first."""
--- a/packages/node/src/lavendermountd/peer/bodies.py
+++ b/packages/node/src/lavendermountd/peer/bodies.py
@@ -78,5 +78,5 @@
         body.add(part.body)
         if not body.is_whole:
             return None
-        del self.partial[part.attempt_id]
+        self.partial.pop(part.attempt_id)
         return body.finish()
--- a/packages/node/src/lavendermountd/peer/frame_stream.py
+++ b/packages/node/src/lavendermountd/peer/frame_stream.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Awaitable
 
 import msgpack
@@ -22,8 +23,9 @@
     encode_frame,
 )
 
-READ_BYTES = 64 * 1024
-MAX_FRAME_BYTES = 2 * 1024 * 1024
+READ_BYTES = 65536
+UNSENT_BYTES = 131072
+MAX_FRAME_BYTES = 2097152
 
 
 class FrameStream:
@@ -37,6 +39,11 @@
     def __init__(self, stream: IOStream) -> None:
         """Take over the connection."""
         stream.set_nodelay(True)
+        stream.socket.setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_NOTSENT_LOWAT,
+            UNSENT_BYTES,
+        )
         self.stream = stream
         self.unpacker = msgpack.Unpacker(max_buffer_size=MAX_FRAME_BYTES)
         self.bytes_sent = 0
--- a/packages/node/src/lavendermountd/peer/frames.py
+++ b/packages/node/src/lavendermountd/peer/frames.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from types import MappingProxyType
 from typing import Any
 
 from lavendermount_core.exceptions import RecordError
@@ -15,9 +16,7 @@
 from lavendermount_core.utils.registry import Registry
 
 frame_kinds: Registry[int, type[Record]] = Registry('frame')
-KIND_OF_FRAME: dict[type[Record], int] = {}
-
-PART_BYTES = 64 * 1024
+PART_BYTES = 65536
 
 
 @frame_kinds.register(1)
@@ -242,7 +241,7 @@
         self.remaining_ms = remaining_ms
 
 
-KIND_OF_FRAME.update(
+KIND_OF_FRAME = MappingProxyType(
     {frame_class: kind for kind, frame_class in frame_kinds.entries.items()},
 )
 
--- a/packages/node/src/lavendermountd/peer/link.py
+++ b/packages/node/src/lavendermountd/peer/link.py
@@ -76,7 +76,7 @@
         self,
         member: Member,
         host: str,
-        on_load: Callable[[LoadReport], None],
+        on_load: Callable[[LoadReport], object],
         on_suspect: Callable[[Suspected], object],
         max_body: int,
         silent_s: float,
@@ -90,7 +90,7 @@
         self.silent_s = silent_s
         self.pending: dict[str, asyncio.Future[AttemptResult]] = {}
         self.last_received = time.monotonic()
-        self.last_ping = 0.0
+        self.last_ping: float = 0
         self.watch: asyncio.TimerHandle | None = None
         self.reader: asyncio.Task[None] | None = None
         self.frames: FrameStream = None  # type: ignore[assignment]
@@ -181,7 +181,7 @@
         """Send a frame and watch for silence from now on."""
         if self.watch is None:
             self.last_received = time.monotonic()
-            self.last_ping = 0.0
+            self.last_ping = 0
             self.schedule_watch()
         self.frames.send(frame)
 
--- a/packages/node/src/lavendermountd/peer/links.py
+++ b/packages/node/src/lavendermountd/peer/links.py
@@ -11,6 +11,7 @@
 from lavendermount_core.exceptions import PeerLinkError
 from lavendermount_core.structure.loads import LoadReport
 from lavendermount_core.structure.members import Member
+from lavendermount_core.utils.units import DEFAULT_BODY_BYTES
 from lavendermountd.identity import Identity
 from lavendermountd.peer.avoidance import Avoidance
 from lavendermountd.peer.frames import Suspected
@@ -28,7 +29,7 @@
     def __init__(
         self,
         identity: Identity,
-        on_load: Callable[[LoadReport], None],
+        on_load: Callable[[LoadReport], object],
         on_suspect: Callable[[Suspected], object],
     ) -> None:
         """Open no link yet."""
@@ -38,7 +39,7 @@
         self.links: dict[str, PeerLink] = {}
         self.locks: dict[str, asyncio.Lock] = {}
         self.avoidance = Avoidance()
-        self.max_body = 16 * 1024 * 1024
+        self.max_body = DEFAULT_BODY_BYTES
         self.silent_s = 0.3
         self.count_ping: Callable[[Member, int], None] | None = None
 
--- a/packages/node/src/lavendermountd/peer/server.py
+++ b/packages/node/src/lavendermountd/peer/server.py
@@ -25,6 +25,7 @@
 )
 from lavendermount_core.structure.records import Record
 from lavendermount_core.utils.registry import Registry
+from lavendermount_core.utils.units import DEFAULT_BODY_BYTES, MS_PER_S
 from lavendermountd.gate.attempts import Attempt, AttemptResult
 from lavendermountd.gate.gate import Gate
 from lavendermountd.peer.bodies import BodyAssembler
@@ -210,7 +211,7 @@
         frame.headers,
         frame.body,
         CallClass.from_row(frame.call_class),
-        time.monotonic() + frame.remaining_ms / 1000,
+        time.monotonic() + frame.remaining_ms / MS_PER_S,
     )
     return Attempt(frame.attempt_id, request, frame.fingerprint)
 
@@ -227,7 +228,7 @@
         super().__init__()
         self.gate = gate
         self.guard = guard
-        self.max_body = 16 * 1024 * 1024
+        self.max_body = DEFAULT_BODY_BYTES
         self.sessions: set[PeerSession] = set()
 
     async def handle_stream(self, stream: IOStream, address: object) -> None:
--- a/packages/node/src/lavendermountd/routing/budgets.py
+++ b/packages/node/src/lavendermountd/routing/budgets.py
@@ -23,8 +23,8 @@
         self.burst = burst
         self.tokens = burst
         self.filled_at = time.monotonic()
-        self.spent = 0.0
-        self.refused = 0.0
+        self.spent: float = 0
+        self.refused: float = 0
 
     def configure(self, rate: float, burst: float) -> None:
         """Take over another rate and limit from the preset."""
--- a/packages/node/src/lavendermountd/routing/router.py
+++ b/packages/node/src/lavendermountd/routing/router.py
@@ -20,6 +20,7 @@
     Refusal,
     not_run,
 )
+from lavendermount_core.utils.units import MS_PER_S
 from lavendermountd.gate.attempts import AttemptResult
 from lavendermountd.gate.suspects import SuspectTable, Verdict
 from lavendermountd.presets.holder import InForcePreset
@@ -35,6 +36,9 @@
 TOO_MANY_REQUESTS = 429
 
 
+Tasks = set[asyncio.Task[AttemptResult]]
+
+
 class Router:
     """Chooses, sends, retries and hedges.
 
@@ -90,7 +94,7 @@
             outcome = await self.attempt(journey, cause)
             journey.note(outcome)
             if not self.may_retry(journey, outcome):
-                return outcome.lash(lambda last: Failure(journey.final(last)))
+                return _final(journey, outcome)
             cause = Cause.RETRY
 
     async def attempt(self, journey: Journey, cause: Cause) -> AttemptResult:
@@ -121,9 +125,9 @@
         learned = window.quantile(hedge.quantile)
         if learned is None:
             return None
-        return max(learned, hedge.floor_ms) / 1000
+        return max(learned, hedge.floor_ms) / MS_PER_S
 
-    def start_hedge(self, journey: Journey) -> set[asyncio.Task[AttemptResult]]:
+    def start_hedge(self, journey: Journey) -> Tasks:
         """Send a second copy within the region, if the budget allows.
 
         A suspected request is never hedged: it must run alone.
@@ -150,23 +154,36 @@
         number = journey.attempts
         node_id = choice.member.node_id
         journey.tried.add(node_id)
-        view = self.chooser.view
-        view.begin(node_id, attempt_id)
+        self.chooser.view.begin(node_id, attempt_id)
         begun = time.monotonic()
         label = 'cancelled'
         try:
             outcome = await self.sender.send(journey, choice.member, attempt_id)
             label = _label(outcome)
         finally:
-            view.end(node_id, attempt_id)
-            elapsed_ms = (time.monotonic() - begun) * 1000
-            self.record(journey, choice, cause, number, label, elapsed_ms)
-            self.chooser.charge_link(choice.member, len(journey.request.body))
+            elapsed_ms = (time.monotonic() - begun) * MS_PER_S
+            self.conclude(journey, choice, cause, number, label, elapsed_ms)
         if isinstance(outcome, Success):
             self.chooser.charge_link(choice.member, len(outcome.unwrap().body))
             self.latencies[_latency_key(journey)].add(elapsed_ms)
         return outcome
 
+    def conclude(
+        self,
+        journey: Journey,
+        choice: Choice,
+        cause: Cause,
+        number: int,
+        label: str,
+        elapsed_ms: float,
+    ) -> None:
+        """Note that an attempt ended, however it did."""
+        assert choice.member is not None
+        attempt_id = f'{journey.request.request_id}-{number}'
+        self.chooser.view.end(choice.member.node_id, attempt_id)
+        self.chooser.charge_link(choice.member, len(journey.request.body))
+        self.record(journey, choice, cause, number, label, elapsed_ms)
+
     def record(
         self,
         journey: Journey,
@@ -184,7 +201,7 @@
                 journey.request.request_id,
                 number,
                 str(cause),
-                int(time.time() * 1000),
+                int(time.time() * MS_PER_S),
                 journey.preset.revision,
                 call_class.service,
                 call_class.name,
@@ -248,6 +265,12 @@
         return bool(self.chooser.eligible(service, journey.tried))
 
 
+def _final(journey: Journey, outcome: AttemptResult) -> AttemptResult:
+    if isinstance(outcome, Success):
+        return outcome
+    return Failure(journey.final(outcome.failure()))
+
+
 def _is_safe(journey: Journey, outcome: AttemptResult) -> bool:
     if journey.request.call_class.is_repeatable:
         return True
@@ -271,9 +294,9 @@
 
 
 async def _wait_for_any(
-    tasks: set[asyncio.Task[AttemptResult]],
+    tasks: Tasks,
     timeout_s: float | None,
-) -> tuple[set[asyncio.Task[AttemptResult]], set[asyncio.Task[AttemptResult]]]:
+) -> tuple[Tasks, Tasks]:
     try:
         return await asyncio.wait(
             tasks,
@@ -287,7 +310,7 @@
 
 
 async def _await_or_cancel(
-    tasks: set[asyncio.Task[AttemptResult]],
+    tasks: Tasks,
 ) -> AttemptResult:
     """Take the first good reply and cancel the rest."""
     pending = tasks
--- a/packages/node/src/lavendermountd/routing/sender.py
+++ b/packages/node/src/lavendermountd/routing/sender.py
@@ -14,6 +14,7 @@
 from lavendermount_core.exceptions import PeerLinkError
 from lavendermount_core.structure.calls import Reason, not_run, unknown
 from lavendermount_core.structure.members import Member
+from lavendermount_core.utils.units import MS_PER_S
 from lavendermountd.gate.attempts import Attempt, AttemptResult
 from lavendermountd.gate.gate import Gate
 from lavendermountd.peer.frames import PART_BYTES, Ask, Cancel, Dispatch
@@ -126,7 +127,7 @@
         :raises PeerLinkError: if the gate can't be reached.
         """
         link = await self.links.get(member)
-        age_ms = (time.monotonic() - sent_at) * 1000
+        age_ms = (time.monotonic() - sent_at) * MS_PER_S
         frame = Ask(attempt_id, member.incarnation, age_ms)
         try:
             return await link.call(frame, attempt_id)
@@ -159,7 +160,7 @@
         request.path,
         request.headers,
         request.call_class.to_row(),
-        round(remaining_s * 1000, 1),
+        round(remaining_s * MS_PER_S, 1),
         journey.fingerprint,
         len(request.body),
         request.body[:PART_BYTES],
--- a/packages/node/src/lavendermountd/routing/view.py
+++ b/packages/node/src/lavendermountd/routing/view.py
@@ -10,6 +10,7 @@
 from lavendermount_core.routing.candidates import Candidate, Distance
 from lavendermount_core.structure.loads import LoadReport
 from lavendermount_core.structure.members import Member
+from lavendermount_core.utils.units import MS_PER_S
 from lavendermountd.identity import Identity
 
 UNKNOWN_AGE_MS = 3_600_000
@@ -55,7 +56,7 @@
         known = self.loads.get(report.node_id)
         if known is not None and _order(known.report) >= _order(report):
             return False
-        seen_at = time.monotonic() - age_ms / 1000
+        seen_at = time.monotonic() - age_ms / MS_PER_S
         self.loads[report.node_id] = SeenLoad(report, seen_at)
         return True
 
@@ -101,7 +102,7 @@
             report.slots,
             max(report.service_ms, _oldest_ms(sent, now)),
             report.failure_ratio,
-            max(0, int((now - seen.seen_at) * 1000)),
+            max(0, int((now - seen.seen_at) * MS_PER_S)),
             report.warm_ms,
         )
 
@@ -136,7 +137,7 @@
     if not sent:
         return 0
     oldest = next(iter(sent.values()))
-    return round((now - oldest) * 1000, 1)
+    return round((now - oldest) * MS_PER_S, 1)
 
 
 def _order(report: LoadReport) -> tuple[int, int]:
--- a/packages/node/src/lavendermountd/supervision/supervisor.py
+++ b/packages/node/src/lavendermountd/supervision/supervisor.py
@@ -123,7 +123,8 @@
 
 def _backoff_s(failures: deque[float]) -> float:
     recent = sum(1 for at in failures if failures[-1] - at < RESTART_WINDOW_S)
-    return min(FIRST_BACKOFF_S * BACKOFF_FACTOR ** (recent - 1), BACKOFF_LIMIT_S)
+    backoff_s = FIRST_BACKOFF_S * float(BACKOFF_FACTOR) ** (recent - 1)
+    return min(backoff_s, BACKOFF_LIMIT_S)
 
 
 async def _cancel_all(tasks: Sequence[asyncio.Task[None]]) -> None:
--- a/packages/node/src/lavendermountd/tree.py
+++ b/packages/node/src/lavendermountd/tree.py
@@ -18,9 +18,10 @@
 
 from collections.abc import Awaitable
 
+from lavendermount_core.utils.units import MS_PER_S
 from lavendermountd.admin.server import serve_admin
 from lavendermountd.control.server import serve_control
-from lavendermountd.node import MS, Node
+from lavendermountd.node import Node
 from lavendermountd.supervision.supervisor import Child, Supervisor
 
 
@@ -107,7 +108,7 @@
 
     def run_recorder(self) -> Awaitable[None]:
         """Append decisions in batches."""
-        return self.node.recorder.run(self.node.settings.recorder.flush_ms / MS)
+        return self.node.recorder.run(self.node.settings.recorder.flush_ms / MS_PER_S)
 
     def run_control(self) -> Awaitable[None]:
         """Serve gossip and operators."""
--- a/packages/testbed/src/lavendermount_testbed/__main__.py
+++ b/packages/testbed/src/lavendermount_testbed/__main__.py
@@ -7,7 +7,8 @@
 
 import click
 
-PORT = click.IntRange(1, 65535)
+LAST_PORT = 65535
+PORT = click.IntRange(1, LAST_PORT)
 
 
 @click.group()
--- a/packages/testbed/src/lavendermount_testbed/caller.py
+++ b/packages/testbed/src/lavendermount_testbed/caller.py
@@ -18,7 +18,7 @@
 )
 from tornado.iostream import IOStream, StreamClosedError
 
-MAX_BODY = 64 * 1024 * 1024
+MAX_BODY = 67108864
 
 
 class CallerError(Exception):
@@ -99,11 +99,9 @@
         """
         if self.stream is None or self.stream.closed():
             self.stream = await self.connect()
-        sent = HTTPHeaders(headers)
-        if body or method == 'POST':
-            sent['Content-Length'] = str(len(body))
-        params = HTTP1ConnectionParameters(max_body_size=MAX_BODY)
-        connection = HTTP1Connection(self.stream, True, params)
+        sent = HTTPHeaders({**headers, 'Content-Length': str(len(body))})
+        limits = HTTP1ConnectionParameters(max_body_size=MAX_BODY)
+        connection = HTTP1Connection(self.stream, True, limits)
         received = Received()
         try:
             connection.write_headers(
@@ -183,12 +181,18 @@
     :param port: caller port of a node.
     :raises CallerError: if no whole reply came.
     """
+    return asyncio.run(_call_once(port, method, path, headers or {}, body))
 
-    async def run() -> Received:
-        connection = CallerConnection(port)
-        try:
-            return await connection.call(method, path, headers or {}, body)
-        finally:
-            connection.close()
 
-    return asyncio.run(run())
+async def _call_once(
+    port: int,
+    method: str,
+    path: str,
+    headers: dict[str, str],
+    body: bytes,
+) -> Received:
+    connection = CallerConnection(port)
+    try:
+        return await connection.call(method, path, headers, body)
+    finally:
+        connection.close()
--- a/packages/testbed/src/lavendermount_testbed/deployment.py
+++ b/packages/testbed/src/lavendermount_testbed/deployment.py
@@ -9,8 +9,8 @@
 
 import json
 import socket
-import urllib.request
 from collections.abc import Iterable
+from urllib.request import urlopen
 
 from lavendermount_testbed.caller import Received, call_once
 from lavendermount_testbed.processes import (
@@ -193,7 +193,7 @@
             for port in (instance.peer_port, instance.control_port)
         ]
         control_port = self.bench.ports.take()
-        path = self.bench.file(
+        path = self.bench.write_file(
             f'relay-{region}.toml',
             '\n'.join(
                 (
@@ -216,7 +216,7 @@
     def control_link(self, region: str, **faults: object) -> dict[str, object]:
         """Set faults of the way into a region and read what it carried."""
         with socket.create_connection(self.relays[region]) as connection:
-            connection.sendall(json.dumps(faults).encode() + b'\n')
+            connection.sendall(f'{json.dumps(faults)}\n'.encode())
             told: dict[str, object] = json.loads(connection.makefile().readline())
         return told
 
@@ -248,7 +248,7 @@
         for region, (host, _) in self.relays.items():
             if region != instance.place.region:
                 lines += ['[[gateway]]', f'region = "{region}"', f'host = "{host}"']
-        return '\n'.join(lines) + '\n'
+        return '\n'.join(lines)
 
     def seeds_for(self, instance: Instance) -> list[str]:
         """List the control addresses of two others in the region."""
@@ -261,7 +261,9 @@
 
     def start_node(self, instance: Instance) -> None:
         """Start a node."""
-        path = self.bench.file(f'{instance.name}.toml', self.node_settings(instance))
+        path = self.bench.write_file(
+            f'{instance.name}.toml', self.node_settings(instance)
+        )
         instance.node = self.bench.start(
             instance.name,
             ['-m', 'lavendermountd', 'run', str(path)],
@@ -270,7 +272,7 @@
     def start_target(self, instance: Instance) -> None:
         """Start the target beside a node; it announces itself."""
         shape = self.shape
-        path = self.bench.file(
+        path = self.bench.write_file(
             f'{instance.name}-target.toml',
             '\n'.join(
                 (
@@ -314,7 +316,7 @@
 
     def put_in_force(self, preset: str, *options: str) -> Process:
         """Publish a preset and switch to it, waiting for all nodes."""
-        path = self.bench.file(f'preset-{len(self.bench.processes)}.toml', preset)
+        path = self.bench.write_file(f'preset-{len(self.bench.processes)}.toml', preset)
         published = self.operate('preset', 'publish', str(path))
         if published.popen.returncode:
             return published
@@ -340,6 +342,6 @@
     :raises OSError: if nobody answers well.
     """
     body = json.dumps(wishes).encode() if wishes else None
-    with urllib.request.urlopen(url, body, FETCH_LIMIT_S) as response:  # noqa: S310
+    with urlopen(url, body, FETCH_LIMIT_S) as response:  # noqa: S310
         fetched: dict[str, object] = json.loads(response.read())
     return fetched
--- a/packages/testbed/src/lavendermount_testbed/load.py
+++ b/packages/testbed/src/lavendermount_testbed/load.py
@@ -14,8 +14,10 @@
 import random
 import sys
 import time
+from http import HTTPStatus
 from pathlib import Path
 
+from lavendermount_core.utils.units import MS_PER_S
 from lavendermount_testbed.caller import CallerError, CallerPool, Received
 
 ANSWER_LIMIT_S = 30.0
@@ -49,7 +51,7 @@
 def plan_calls(plan: dict[str, object]) -> list[PlannedCall]:
     """Draw the arrivals of all streams, the same for the same seed."""
     chooser = random.Random(plan['seed'])  # type: ignore[arg-type]
-    calls = []
+    calls: list[PlannedCall] = []
     for stream in plan['streams']:  # type: ignore[attr-defined]
         at_s = float(stream.get('from_s', 0))
         until_s = float(stream.get('until_s', plan['seconds']))
@@ -101,7 +103,7 @@
             is_own = _is_own(received, call.run_id)
         except (CallerError, TimeoutError) as error:
             outcome = 'refused' if str(error) == 'nobody listens' else 'lost'
-        elapsed_ms = (time.monotonic() - begun) * 1000
+        elapsed_ms = (time.monotonic() - begun) * MS_PER_S
         self.rows.append(
             [
                 stream['name'],
@@ -116,7 +118,7 @@
 
 
 def _is_own(received: Received, run_id: str) -> bool:
-    if received.outcome != 'whole' or received.status != 200:
+    if received.outcome != 'whole' or received.status != HTTPStatus.OK:
         return True
     return received.document().get('run') == run_id
 
@@ -130,4 +132,4 @@
     load = LoadRun()
     await load.run(plan_calls(plan))
     for row in load.rows:
-        sys.stdout.write(json.dumps(row) + '\n')
+        sys.stdout.write(f'{json.dumps(row)}\n')
--- a/packages/testbed/src/lavendermount_testbed/log_server.py
+++ b/packages/testbed/src/lavendermount_testbed/log_server.py
@@ -15,6 +15,7 @@
 from tornado.web import Application, RequestHandler
 
 from lavendermount_core.structure.records import pack
+from lavendermount_core.utils.units import MS_PER_S
 
 BATCH_LIMIT = 500
 GONE = 410
@@ -50,8 +51,8 @@
     def evict_below(self, offset: int) -> None:
         """Drop the records below an offset."""
         count = max(0, min(offset, self.end) - self.oldest)
-        del self.records[:count]
-        del self.times[:count]
+        self.records = self.records[count:]
+        self.times = self.times[count:]
         self.oldest += count
 
     def evict_older(self, limit: float) -> None:
@@ -114,7 +115,7 @@
         """Apply outage and slowness; answers for an outage."""
         faults = self.state.faults
         if faults.slow_ms:
-            await asyncio.sleep(faults.slow_ms / 1000)
+            await asyncio.sleep(faults.slow_ms / MS_PER_S)
         if faults.outage:
             self.set_status(UNAVAILABLE)
         return faults.outage
@@ -140,7 +141,7 @@
         if await self.is_broken():
             return
         offset = int(self.get_argument('offset'))
-        wait_s = int(self.get_argument('wait_ms', '0')) / 1000
+        wait_s = int(self.get_argument('wait_ms', '0')) / MS_PER_S
         await self.wait_for(name, offset, wait_s)
         if self.state.faults.outage:
             self.set_status(UNAVAILABLE)
@@ -163,7 +164,7 @@
                 async with asyncio.timeout(POLL_S):
                     await stream.grown.wait()
             except TimeoutError:
-                continue
+                stream.evict_older(time.monotonic() - self.state.faults.retention_s)
 
 
 class ControlHandler(LogHandler):
@@ -207,5 +208,5 @@
     await asyncio.Event().wait()
 
 
-def _log_nothing(handler: RequestHandler) -> None:
+def _log_nothing(request: RequestHandler) -> None:
     """Keep the stand-in quiet."""
--- a/packages/testbed/src/lavendermount_testbed/processes.py
+++ b/packages/testbed/src/lavendermount_testbed/processes.py
@@ -21,6 +21,7 @@
 POLL_S = 0.03
 FIRST_PORT = 21000
 LAST_PORT = 32000
+PORT_STRIDE = 397
 
 
 class Ports:
@@ -31,7 +32,7 @@
     def __init__(self) -> None:
         """Start at a port that differs between processes."""
         span = LAST_PORT - FIRST_PORT
-        self.next_port = FIRST_PORT + (os.getpid() * 397) % span
+        self.next_port = FIRST_PORT + (os.getpid() * PORT_STRIDE) % span
 
     def take(self) -> int:
         """Take the next free port."""
@@ -125,7 +126,7 @@
         self.processes[name] = process
         return process
 
-    def file(self, name: str, text: str) -> Path:
+    def write_file(self, name: str, text: str) -> Path:
         """Write a file."""
         path = self.folder / name
         path.write_text(text)
--- a/packages/testbed/src/lavendermount_testbed/relay.py
+++ b/packages/testbed/src/lavendermount_testbed/relay.py
@@ -9,12 +9,18 @@
 
 import asyncio
 import json
+import socket
 import time
 import tomllib
 from collections import deque
+from functools import partial
 from pathlib import Path
 
-CHUNK = 64 * 1024
+from lavendermount_core.utils.units import MS_PER_S
+
+CHUNK = 16384
+RECEIVE_BUFFER = 65536
+QUEUE_S = 0.05
 BITS = 8
 MEGA = 1_000_000
 
@@ -26,13 +32,18 @@
 
     def __init__(self, delay_ms: float, mbit: float) -> None:
         """Start open."""
-        self.delay_s = delay_ms / 1000
+        self.delay_s = delay_ms / MS_PER_S
         self.bytes_s = mbit * MEGA / BITS
         self.is_cut = False
         self.is_silent = False
-        self.free_at = {'up': 0.0, 'down': 0.0}
+        self.free_at: dict[str, float] = {'up': 0, 'down': 0}
         self.carried = 0
 
+    async def wait_for_room(self, direction: str) -> None:
+        """Wait until the queue in front of the link is short enough."""
+        while self.free_at[direction] - time.monotonic() > QUEUE_S:
+            await asyncio.sleep(QUEUE_S / 2)
+
     def arrival(self, direction: str, size: int) -> float:
         """When bytes that leave now arrive, after those before them."""
         now = time.monotonic()
@@ -64,6 +75,7 @@
                 if not chunk:
                     return
                 continue
+            await self.link.wait_for_room(self.direction)
             arrival = self.link.arrival(self.direction, len(chunk))
             self.waiting.append((arrival, chunk))
             self.filled.set()
@@ -99,20 +111,16 @@
 
     async def serve_port(self, host: str, port: int) -> asyncio.Server:
         """Listen on one port."""
-
-        async def accept(
-            reader: asyncio.StreamReader,
-            writer: asyncio.StreamWriter,
-        ) -> None:
-            await self.forward(reader, writer, port)
-
-        return await asyncio.start_server(accept, host, port)
+        accept = partial(self.forward, port)
+        listener = socket.create_server((host, port))
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+        return await asyncio.start_server(accept, sock=listener, limit=CHUNK)
 
     async def forward(
         self,
+        port: int,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        port: int,
     ) -> None:
         """Forward one connection until either side closes it."""
         if self.link.is_cut:
@@ -123,7 +131,9 @@
             far_reader, far_writer = await asyncio.open_connection(
                 self.forward_host,
                 port,
+                limit=CHUNK,
             )
+            _bound_buffer(far_writer)
         except OSError:
             writer.transport.abort()
             return
@@ -159,7 +169,7 @@
         if self.link.is_cut:
             self.cut_all()
         told = {'carried': self.link.carried, 'connections': len(self.writers) // 2}
-        writer.write(json.dumps(told).encode() + b'\n')
+        writer.write(f'{json.dumps(told)}\n'.encode())
         await writer.drain()
         writer.close()
 
@@ -169,6 +179,11 @@
             writer.transport.abort()
 
 
+def _bound_buffer(writer: asyncio.StreamWriter) -> None:
+    connection = writer.get_extra_info('socket')
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+
+
 async def run_relay(settings_file: Path) -> None:
     """Run a relay until cancelled.
 
--- a/packages/testbed/src/lavendermount_testbed/target_server.py
+++ b/packages/testbed/src/lavendermount_testbed/target_server.py
@@ -15,6 +15,7 @@
 import sys
 import tomllib
 from collections import Counter
+from http import HTTPStatus
 from pathlib import Path
 
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
@@ -30,11 +31,12 @@
 from tornado.iostream import StreamClosedError
 
 from lavendermount_core.utils.digests import random_identifier
+from lavendermount_core.utils.units import MS_PER_S
 
 CONTROL_PATH = '/.control'
 CRASH_STATUS = 13
 ANNOUNCE_RETRY_S = 0.2
-MAX_BODY_BYTES = 64 * 1024 * 1024
+MAX_BODY_BYTES = 67108864
 
 
 class Behaviour:
@@ -68,7 +70,7 @@
 
     def next_service_s(self) -> float:
         """Draw the time that the next request takes."""
-        mean_s = self.service_ms * self.factor / 1000
+        mean_s = self.service_ms * self.factor / MS_PER_S
         if not self.is_random:
             return mean_s
         return random.expovariate(1 / mean_s)
@@ -128,7 +130,7 @@
         async with self.server.slots:
             self.count()
             await asyncio.sleep(behaviour.next_service_s())
-        self.write(200, self.body())
+        self.write(HTTPStatus.OK, self.body())
 
     def control(self) -> None:
         """Set faults, or tell what ran."""
@@ -142,7 +144,7 @@
             'started': behaviour.started,
             'pid': os.getpid(),
         }
-        self.write(200, json.dumps(told).encode())
+        self.write(HTTPStatus.OK, json.dumps(told).encode())
 
     def count(self) -> None:
         """Count a run by the identifier that its caller gave it."""
@@ -220,7 +222,7 @@
     behaviour = Behaviour(settings['service_ms'], settings.get('is_random', False))
     target = TargetServer(settings['name'], settings['slots'], behaviour)
     server = HTTPServer(
-        target,  # type: ignore[arg-type]
+        target,
         max_body_size=MAX_BODY_BYTES,
         max_buffer_size=MAX_BODY_BYTES,
     )
