--- /dev/null
+++ b/benches/__init__.py
@@ -0,0 +1,1 @@
+"""Benches, each run by a target of the Makefile."""
--- /dev/null
+++ b/benches/path.py
@@ -0,0 +1,123 @@
+"""What a hop costs: straight, through one node, through two nodes.
+
+:shapes: one line of figures for each path and rate.
+:units: milliseconds; processor time is that of the nodes on the path.
+"""
+
+from __future__ import annotations
+
+import sys
+import time
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).parent.parent))
+
+from benches.measure import (
+    Row,
+    end_load,
+    percentile,
+    processor_s,
+    resident_mb,
+    show,
+    start_load,
+)
+from lavendermount_testbed.deployment import (
+    Deployment,
+    Instance,
+    Place,
+    Settings,
+    TargetShape,
+)
+
+PRESET = """name = "path"
+[[class]]
+name = "only"
+[[route]]
+service = "desk"
+class = "only"
+"""
+RATES = (40, 200)
+SECONDS = 12
+WARM_S = 2
+ROUNDS = 3
+P50 = 0.5
+P99 = 0.99
+
+
+def run(deployment: Deployment, name: str, port: int, rate: int) -> list[Row]:
+    """Send a load to one port and read the rows after the warm-up."""
+    stream = {
+        'name': 'get',
+        'ports': [port],
+        'rate': rate,
+        'method': 'GET',
+        'path': '/stock',
+        'headers': {'X-Reply-Size': '1000'},
+    }
+    plan = {'seconds': SECONDS, 'seed': rate, 'streams': [stream]}
+    rows = end_load(start_load(deployment, name, plan))
+    return [row for row in rows if row.at_s > WARM_S]
+
+
+def measure(deployment: Deployment, paths: dict[str, tuple[int, list[Instance]]]) -> None:
+    """Measure each path at each rate, in turn, several times."""
+    for rate in RATES:
+        straight = (0.0, 0.0)
+        for path, (port, nodes) in paths.items():
+            elapsed: list[float] = []
+            used = 0.0
+            sent = 0
+            for number in range(ROUNDS):
+                before = sum(processor_s(each.node) for each in nodes)
+                rows = run(deployment, f'{path}-{rate}-{number}', port, rate)
+                used += sum(processor_s(each.node) for each in nodes) - before
+                sent += rate * SECONDS
+                elapsed += [row.elapsed_ms for row in rows if row.outcome == 'whole']
+            elapsed.sort()
+            p50, p99 = percentile(elapsed, P50), percentile(elapsed, P99)
+            if path == 'straight':
+                straight = (p50, p99)
+            show(
+                path=path,
+                rate=rate,
+                requests=len(elapsed),
+                p50_ms=p50,
+                p99_ms=p99,
+                added_p50_ms=p50 - straight[0],
+                added_p99_ms=p99 - straight[1],
+                cpu_ms_per_request=used * 1000 / sent,
+                rss_mb=max([resident_mb(each.node) for each in nodes], default=0.0),
+            )
+
+
+def main() -> None:
+    """Run the bench."""
+    settings = Settings()
+    settings.period_ms = 1000
+    settings.flush_ms = 2000
+    settings.log_level = 'warning'
+    deployment = Deployment(settings, TargetShape(16, 1))
+    try:
+        near = deployment.add('near', Place('other', 'north', 'a'))
+        far = deployment.add('far', Place('desk', 'north', 'a'))
+        deployment.start_all()
+        switched = deployment.put_in_force(PRESET)
+        if switched.popen.returncode:
+            raise SystemExit(switched.text())
+        deployment.wait_ready()
+        deployment.wait_for_members()
+        time.sleep(1)
+        measure(
+            deployment,
+            {
+                'straight': (far.target_port, []),
+                'one-node': (far.caller_port, [far]),
+                'two-nodes': (near.caller_port, [near, far]),
+            },
+        )
+    finally:
+        deployment.close()
+
+
+if __name__ == '__main__':
+    main()
--- a/features/steps/deployment_steps.py
+++ b/features/steps/deployment_steps.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import time
 from typing import Any
 
@@ -25,43 +24,17 @@
     switched = context.deployment.put_in_force(preset_text())
     assert switched.popen.returncode == 0, switched.text()
     context.deployment.wait_ready()
-    wait_for_members(context)
-
-
-def wait_for_members(context: Any) -> None:
-    """Wait until every node knows a target at every instance."""
-    instances = context.deployment.instances.values()
-    expected = sum(1 for entry in instances if entry.node.is_running)
-    for entry in instances:
-        if entry.node.is_running:
-            wait_until(
-                lambda entry=entry: len(living(context, entry)) >= expected,
-                f'{entry.name} knows {expected} members',
-            )
+    context.deployment.wait_for_members()
 
 
 def status_of(context: Any, entry: Any) -> dict[str, Any]:
-    """Ask a node for its status through the command line's own client."""
-    process = context.deployment.bench.start(
-        f'status-{time.monotonic_ns()}',
-        [
-            '-m',
-            'lavendermount',
-            '--node',
-            f'127.0.0.1:{entry.control_port}',
-            'status',
-            '--json',
-        ],
-    )
-    process.wait()
-    text = process.text()
-    return json.loads(text) if text.startswith('{') else {}
+    """Ask a node for its status through the command line."""
+    return context.deployment.status_of(entry)
 
 
 def living(context: Any, entry: Any) -> list[dict[str, Any]]:
     """List the members with a target that a node believes to be alive."""
-    members = status_of(context, entry).get('members', [])
-    return [each for each in members if each['status'] == 0 and each['service']]
+    return context.deployment.living(entry)
 
 
 @given('a deployment of {count:d} nodes')
@@ -105,7 +78,7 @@
     switched = context.deployment.put_in_force(preset_text())
     assert switched.popen.returncode == 0, switched.text()
     context.deployment.wait_ready()
-    wait_for_members(context)
+    context.deployment.wait_for_members()
 
 
 @step('preset "{name}" is put in force')
--- a/packages/testbed/src/lavendermount_testbed/__main__.py
+++ b/packages/testbed/src/lavendermount_testbed/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import sys
 from pathlib import Path
 
 import click
@@ -53,5 +54,31 @@
     asyncio.run(run_load(plan_file))
 
 
+@cli.command()
+@click.argument('paths', nargs=-1)
+def features(paths: tuple[str, ...]) -> None:
+    """Run the features; those in KNOWN-RED.txt may fail."""
+    from lavendermount_testbed.feature_runner import run_features
+
+    sys.exit(run_features(paths or ('features',)))
+
+
+@cli.command()
+def demo() -> None:
+    """Run the demo."""
+    from lavendermount_testbed.demo import run_demo
+
+    sys.exit(run_demo())
+
+
+@cli.command()
+@click.option('--check', is_flag=True, help='Compare only; change no file.')
+def reference(check: bool) -> None:
+    """Write the reference of settings and presets."""
+    from lavendermount_testbed.reference import write_reference
+
+    sys.exit(write_reference(is_check=check))
+
+
 if __name__ == '__main__':
     cli()
--- a/packages/testbed/src/lavendermount_testbed/deployment.py
+++ b/packages/testbed/src/lavendermount_testbed/deployment.py
@@ -10,6 +10,8 @@
 import json
 import socket
 from collections.abc import Iterable
+from functools import partial
+from typing import Any
 from urllib.request import urlopen
 
 from lavendermount_testbed.caller import Received, call_once
@@ -331,6 +333,39 @@
             'all nodes are ready',
         )
 
+    def status_of(self, instance: Instance) -> dict[str, Any]:
+        """Ask a node for its status; empty if it does not answer."""
+        address = f'127.0.0.1:{instance.control_port}'
+        process = self.bench.start(
+            f'status-{len(self.bench.processes)}',
+            ['-m', 'lavendermount', '--node', address, 'status', '--json'],
+        )
+        process.wait()
+        text = process.text()
+        return json.loads(text) if text.startswith('{') else {}
+
+    def living(self, instance: Instance) -> list[dict[str, Any]]:
+        """List the members with a target that a node believes to be alive."""
+        members = self.status_of(instance).get('members', [])
+        return [entry for entry in members if not entry['status'] and entry['service']]
+
+    def wait_for_members(self) -> None:
+        """Wait until every running node knows the target at each of them."""
+        running = [
+            instance
+            for instance in self.instances.values()
+            if instance.node.is_running
+        ]
+        for instance in running:
+            wait_until(
+                partial(self.knows, instance, len(running)),
+                f'{instance.name} knows {len(running)} members',
+            )
+
+    def knows(self, instance: Instance, count: int) -> bool:
+        """Whether a node knows at least a number of living members."""
+        return len(self.living(instance)) >= count
+
     def close(self) -> None:
         """End everything."""
         self.bench.close()
