--- /dev/null
+++ b/benches/control.py
@@ -0,0 +1,297 @@
+"""What control costs: slopes over nodes and over members.
+
+:shapes: one line ``figure= size= value= unit=`` for each figure.
+:units: as each line says.
+"""
+
+from __future__ import annotations
+
+import gc
+import random
+import sys
+import time
+import tracemalloc
+import zlib
+from collections.abc import Callable
+from pathlib import Path
+from urllib.request import urlopen
+
+sys.path.insert(0, str(Path(__file__).parent.parent))
+
+from benches.measure import processor_s, resident_mb, show
+from lavendermount_core.config.preset import parse_preset
+from lavendermount_core.replay.records import DecisionRecord
+from lavendermount_core.routing.candidates import Candidate, Situation, Tuning
+from lavendermount_core.routing.policies import decide
+from lavendermount_core.structure.loads import LoadReport
+from lavendermount_core.structure.members import Member, MemberStatus
+from lavendermount_core.structure.records import pack
+from lavendermount_testbed.deployment import (
+    Deployment,
+    Instance,
+    Place,
+    Settings,
+    TargetShape,
+    fetch_json,
+)
+from lavendermount_testbed.processes import wait_until
+from lavendermountd.membership.table import MemberTable
+from lavendermountd.membership.updates import BUCKETS_PER_ROUND, UpdateQueue
+from lavendermountd.routing.view import SeenLoad
+
+NODE_COUNTS = (1, 2, 4, 8, 16, 32)
+MEMBER_COUNTS = (10, 100, 1000, 10000)
+CANDIDATE_COUNTS = (2, 7, 22, 100)
+SERVICE_COUNTS = (2, 20, 100, 420)
+SERVICES = 420
+WATCH_S = 15
+REPEATS = 200
+PRESET = """name = "{name}"
+[[class]]
+name = "only"
+[[route]]
+service = "desk"
+class = "only"
+"""
+
+
+def figure(name: str, size: int, value: float, unit: str) -> None:
+    """Print one figure."""
+    show(figure=name, size=size, value=value, unit=unit)
+
+
+def gauge(instance: Instance, prefix: str) -> float:
+    """Sum the lines of a node's metrics that begin in some way."""
+    url = f'http://127.0.0.1:{instance.admin_port}/metrics'
+    with urlopen(url) as response:
+        lines = response.read().decode().splitlines()
+    return sum(
+        float(line.rpartition(' ')[2]) for line in lines if line.startswith(prefix)
+    )
+
+
+def measure_nodes(count: int) -> None:
+    """Measure idle control and a switch with a number of nodes."""
+    settings = Settings()
+    settings.period_ms = 1000
+    settings.flush_ms = 2000
+    settings.log_level = 'warning'
+    deployment = Deployment(settings, TargetShape(1, 1))
+    try:
+        for number in range(count):
+            deployment.add(
+                f'node-{number}', Place('desk', 'north', f'zone-{number % 4}')
+            )
+        for instance in deployment.instances.values():
+            deployment.start_node(instance)
+        nodes = list(deployment.instances.values())
+        operate(deployment, 'first')
+        deployment.wait_ready()
+        wait_until(
+            lambda: all(_members(each) >= count for each in nodes),
+            f'{count} members are known',
+            60,
+        )
+        time.sleep(3)
+        watch(deployment, nodes)
+        switch(deployment, nodes)
+    finally:
+        deployment.close()
+
+
+def _members(instance: Instance) -> float:
+    return gauge(instance, 'lavendermount_node_state{name="members"}')
+
+
+def operate(deployment: Deployment, name: str) -> float:
+    """Publish a preset and switch to it.
+
+    :returns: when it was accepted, on the monotonic clock.
+    """
+    path = deployment.bench.write_file(f'{name}.toml', PRESET.format(name=name))
+    published = deployment.operate('preset', 'publish', str(path))
+    switched = deployment.operate('preset', 'switch', name)
+    if published.popen.returncode or switched.popen.returncode:
+        raise SystemExit(published.text() + switched.text())
+    return time.monotonic()
+
+
+def watch(deployment: Deployment, nodes: list[Instance]) -> None:
+    """Measure what the nodes spend while nothing happens."""
+    count = len(nodes)
+    spent = sum(gauge(each, 'lavendermount_measuring_bytes{') for each in nodes)
+    used = sum(processor_s(each.node) for each in nodes)
+    appends = int(str(fetch_json(f'{deployment.log_url}/control')['appends']))
+    begun = time.monotonic()
+    time.sleep(WATCH_S)
+    elapsed = time.monotonic() - begun
+    used = sum(processor_s(each.node) for each in nodes) - used
+    spent = sum(gauge(each, 'lavendermount_measuring_bytes{') for each in nodes) - spent
+    appended = (
+        int(str(fetch_json(f'{deployment.log_url}/control')['appends'])) - appends
+    )
+    figure('gossip-bytes-per-node', count, spent / count / elapsed, 'B/s')
+    figure('control-processor-per-node', count, 100 * used / count / elapsed, '%core')
+    figure(
+        'resident-per-node', count, max(resident_mb(each.node) for each in nodes), 'MB'
+    )
+    figure('log-appends', count, appended / elapsed, '1/s')
+
+
+def switch(deployment: Deployment, nodes: list[Instance]) -> None:
+    """Measure how long a switch takes until it is in force everywhere.
+
+    The clock starts when the command ends, so a negative time cannot show:
+    what is in force by then counts as 0.
+    """
+    target = nodes[-1]
+    before = gauge(target, 'lavendermount_node_state{name="revision"}')
+    accepted = operate(deployment, 'second')
+    prefix = 'lavendermount_node_state{name="revision"}'
+    wait_until(
+        lambda: all(gauge(each, prefix) > before for each in nodes),
+        'the switch is in force',
+    )
+    figure('switch-in-force', len(nodes), time.monotonic() - accepted, 's')
+
+
+def build_member(number: int) -> Member:
+    """Build one member of many."""
+    return Member(
+        f'node-{number:05}',
+        1,
+        0,
+        MemberStatus.ALIVE,
+        f'service-{number % SERVICES}',
+        f'region-{number % 7}',
+        f'zone-{number % 25}',
+        f'10.{number >> 16}.{number >> 8 & 255}.{number & 255}',
+        7001,
+        7002,
+    )
+
+
+def build_report(node_id: str) -> LoadReport:
+    """Build one load report of many."""
+    return LoadReport(node_id, 1, 1, 3, 1, 6, 12.5, 0.01, 60000, is_accepting=True)
+
+
+def timed_us(action: Callable[[], object]) -> float:
+    """Time an action, the mean of many, in microseconds."""
+    begun = time.perf_counter()
+    for _ in range(REPEATS):
+        action()
+    return (time.perf_counter() - begun) * 1e6 / REPEATS
+
+
+def measure_members(count: int) -> None:
+    """Measure tables of many members in one process."""
+    gc.collect()
+    tracemalloc.start()
+    table = MemberTable(build_member(0))
+    queue = UpdateQueue(table)
+    for number in range(1, count):
+        table.merge(build_member(number))
+    held, _ = tracemalloc.get_traced_memory()
+    loads = {
+        member.node_id: SeenLoad(build_report(member.node_id), 0.0)
+        for member in table.members.values()
+    }
+    with_loads, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    figure('member-table', count, held / 1e6, 'MB')
+    figure('load-view', count, (with_loads - held) / 1e6, 'MB')
+    figure(
+        'lookup-service', count, timed_us(lambda: table.members_of('service-7')), 'us'
+    )
+    buckets = list(range(BUCKETS_PER_ROUND))
+    figure('digest-round', count, timed_us(lambda: queue.digests(buckets)), 'us')
+    member = build_member(count // 2)
+    member.version = 1
+    figure('merge-known', count, timed_us(lambda: table.merge(member)), 'us')
+    assert loads
+
+
+def build_situation(count: int) -> Situation:
+    """Build the inputs of a decision among many targets."""
+    source = random.Random(1)
+    candidates = [
+        Candidate(
+            f'node-{number:05}',
+            source.choice((0, 1, 2, 2, 3)),
+            source.randrange(6),
+            source.randrange(3),
+            source.randrange(2),
+            6,
+            source.uniform(5, 30),
+            0.01,
+            source.randrange(900),
+            90000,
+        )
+        for number in range(count)
+    ]
+    tuning = Tuning(3, 1000, 5000, 1, 20, 1000)
+    return Situation('expected-time', tuning, 7, 1, True, candidates)
+
+
+def measure_decisions(count: int) -> None:
+    """Measure a decision and its record among many targets."""
+    situation = build_situation(count)
+    figure('decide', count, timed_us(lambda: decide(situation)), 'us')
+    decision = decide(situation)
+    record = DecisionRecord(
+        'a' * 16,
+        1,
+        'first',
+        1764800000000,
+        12345,
+        'service-7',
+        'dealer',
+        'tenant-17',
+        situation.policy,
+        situation.tuning.to_row(),
+        situation.seed,
+        situation.turn,
+        situation.is_link_allowed,
+        [each.to_row() for each in situation.candidates],
+        decision.chosen,
+        decision.scores,
+        'whole:200',
+        12.5,
+    )
+    packed = pack(record.to_row())
+    figure('decision-record', count, len(packed), 'B')
+    batch = b''.join(packed[:-1] + bytes([number]) for number in range(100))
+    figure('decision-record-compressed', count, len(zlib.compress(batch)) / 100, 'B')
+    figure('pack-record', count, timed_us(lambda: pack(record.to_row())), 'us')
+
+
+def measure_preset(services: int) -> None:
+    """Measure a preset with many services."""
+    classes = ''.join(f'[[class]]\nname = "class-{number}"\n' for number in range(3))
+    routes = ''.join(
+        f'[[route]]\nservice = "service-{number}"\nhost = "service-{number}"\n'
+        f'class = "class-{number % 3}"\ntenant_header = "X-Tenant"\n'
+        for number in range(services)
+    )
+    text = f'name = "large"\n{classes}{routes}'
+    begun = time.perf_counter()
+    parse_preset(text, 'large')
+    figure('preset-parse', services, (time.perf_counter() - begun) * 1000, 'ms')
+    figure('preset-size', services, len(text), 'B')
+
+
+def main() -> None:
+    """Run the bench."""
+    for count in MEMBER_COUNTS:
+        measure_members(count)
+    for count in CANDIDATE_COUNTS:
+        measure_decisions(count)
+    for services in SERVICE_COUNTS:
+        measure_preset(services)
+    for count in NODE_COUNTS:
+        measure_nodes(count)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/benches/report.py
@@ -0,0 +1,138 @@
+"""Plots of the benches' figures, kept under docs/figures.
+
+:shapes: reads ``docs/figures/NAME.txt``, the printed lines of a bench, and
+    writes ``docs/figures/NAME.svg``.
+"""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import matplotlib as mpl
+
+mpl.use('svg')
+from matplotlib import pyplot as plt
+
+FOLDER = Path('docs/figures')
+SIZE = (9, 4.5)
+mpl.rcParams['svg.hashsalt'] = 'lavendermount'
+METADATA = {'Date': None}
+
+Figures = dict[str, str]
+
+
+def read(name: str) -> list[Figures]:
+    """Read the lines of a bench."""
+    path = FOLDER / f'{name}.txt'
+    if not path.exists():
+        return []
+    lines = path.read_text().splitlines()
+    return [
+        dict(part.split('=', 1) for part in line.split())
+        for line in lines
+        if '=' in line and not line.startswith('#')
+    ]
+
+
+def save(name: str) -> None:
+    """Write the present plot."""
+    plt.tight_layout()
+    plt.savefig(FOLDER / f'{name}.svg', metadata=METADATA)
+    plt.close()
+    print(f'wrote {FOLDER / name}.svg')
+
+
+def plot_policy(users: str) -> None:
+    """Plot the latency of the first class by scenario and policy."""
+    rows = [row for row in read(f'policy-{users}') if row['class'] == 'first']
+    if not rows:
+        return
+    scenarios = list(dict.fromkeys(row['scenario'] for row in rows))
+    policies = list(dict.fromkeys(row['policy'] for row in rows))
+    plt.figure(figsize=SIZE)
+    width = 0.8 / len(policies)
+    for number, policy in enumerate(policies):
+        tails = [
+            next(
+                float(row['p99_ms'])
+                for row in rows
+                if (row['scenario'], row['policy']) == (scenario, policy)
+            )
+            for scenario in scenarios
+        ]
+        places = [place + number * width for place in range(len(scenarios))]
+        plt.bar(places, tails, width, label=policy)
+    plt.yscale('log')
+    plt.xticks([place + width for place in range(len(scenarios))], scenarios)
+    plt.ylabel('p99 of the first class, ms')
+    plt.title(f'Policies at the size of {users}')
+    plt.legend()
+    save(f'policy-{users}')
+
+
+def plot_path() -> None:
+    """Plot the added latency by path and rate."""
+    rows = [row for row in read('path') if row['path'] != 'straight']
+    if not rows:
+        return
+    plt.figure(figsize=SIZE)
+    names = [f'{row["path"]}\n{row["rate"]}/s' for row in rows]
+    places = range(len(rows))
+    plt.bar(
+        [place - 0.2 for place in places],
+        [float(row['added_p50_ms']) for row in rows],
+        0.4,
+        label='p50',
+    )
+    plt.bar(
+        [place + 0.2 for place in places],
+        [float(row['added_p99_ms']) for row in rows],
+        0.4,
+        label='p99',
+    )
+    plt.axhline(1.7, color='black', linestyle='--', label='goal at p99')
+    plt.xticks(list(places), names)
+    plt.ylabel('added ms')
+    plt.title('What a hop adds')
+    plt.legend()
+    save('path')
+
+
+def plot_control() -> None:
+    """Plot the cost of control by the number of nodes."""
+    rows = read('control')
+    if not rows:
+        return
+    panels = (
+        'gossip-bytes-per-node',
+        'control-processor-per-node',
+        'resident-per-node',
+        'switch-in-force',
+    )
+    _, axes = plt.subplots(1, len(panels), figsize=(13, 3.6))
+    for axis, name in zip(axes, panels, strict=True):
+        points = [
+            (int(row['size']), float(row['value']))
+            for row in rows
+            if row['figure'] == name
+        ]
+        unit = next(row['unit'] for row in rows if row['figure'] == name)
+        axis.plot(*zip(*points, strict=True), marker='o')
+        axis.set_xscale('log', base=2)
+        axis.set_ylim(bottom=0)
+        axis.set_title(name, fontsize=9)
+        axis.set_xlabel('nodes')
+        axis.set_ylabel(unit)
+    save('control')
+
+
+def main() -> None:
+    """Plot every figure there is."""
+    for users in ('thanh-thuy', 'haeftesoem'):
+        plot_policy(users)
+    plot_path()
+    plot_control()
+
+
+if __name__ == '__main__':
+    main()
--- a/features/bad_targets.feature
+++ b/features/bad_targets.feature
@@ -14,6 +14,13 @@
     Then every request was answered whole
     And the target of node 2 was asked at most 40 times
 
+  Scenario: A target that has recovered is given work again
+    Given a deployment of 3 nodes
+    When the target of node 2 fails every request at once
+    And 60 requests are sent to node 1
+    And the target of node 2 recovers
+    Then the target of node 2 is soon asked again
+
   Scenario: A restarted target is given work again
     Given a deployment of 1 nodes
     When the target of node 1 is killed
@@ -32,6 +39,9 @@
     When a caller sends POST "/order" with 5 bytes to node 1
     Then the answer is whole and its own
 
+  Scenario: When the budget is spent a node says less, not more
+    Then a round of gossip without budget says only what it must
+
   Scenario: Measuring stays within its budget
     Given a deployment of two regions with 2 nodes each
     When 50 requests are sent to node 1
--- a/features/builders.py
+++ b/features/builders.py
@@ -16,6 +16,11 @@
 DOCS = 'field-docs'
 ZONES = {'north': ('hn-a', 'hn-b'), 'south': ('hcm-a', 'hcm-b')}
 
+NODE_SETTINGS = (
+    'node_id = "n"\nregion = "r"\nzone = "z"\n[listen]\ncaller_port = 1\n'
+    'admin_port = 2\npeer_port = 3\ncontrol_port = 4\n[log]\nurl = "http://x"\n'
+)
+
 
 def preset_text(name: str = 'ordinary', **changes: str) -> str:
     """Build a preset for the pump makers.
--- a/features/environment.py
+++ b/features/environment.py
@@ -36,4 +36,4 @@
     for name, process in deployment.bench.processes.items():
         text = process.text()[-3000:]
         if text:
-            print(f'--- {name}\n{text}')  # noqa: T201, WPS421
+            print(f'--- {name}\n{text}')  # noqa: WPS421
--- /dev/null
+++ b/features/mutations.py
@@ -0,0 +1,316 @@
+"""Takes one mechanism out at a time and expects its scenario to fail.
+
+:shapes: prints ``mutation= red= scenario=`` for each; works on a copy.
+:errors: exit code 1 if a scenario passes without its mechanism.
+
+Usage: ``python features/mutations.py [NAME ...]``.
+"""
+
+from __future__ import annotations
+
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+NODE = 'packages/node/src/lavendermountd'
+CORE = 'packages/core/src/lavendermount_core'
+CLIENT = 'packages/client/src/lavendermount'
+PACKAGES = ('core', 'node', 'client', 'testbed')
+LIMIT_S = 180
+
+
+class Mutation:
+    """One mechanism taken out.
+
+    :param name: name of the mutation.
+    :param path: file that is changed.
+    :param old: text that stands there once.
+    :param new: text put in its place.
+    :param feature: feature file.
+    :param scenario: scenario that must fail.
+    """
+
+    __slots__ = ('name', 'path', 'old', 'new', 'feature', 'scenario')
+
+    def __init__(
+        self, name: str, path: str, old: str, new: str, feature: str, scenario: str
+    ) -> None:
+        """Keep the fields as given."""
+        self.name = name
+        self.path = path
+        self.old = old
+        self.new = new
+        self.feature = feature
+        self.scenario = scenario
+
+
+MUTATIONS = (
+    Mutation(
+        'budget',
+        f'{NODE}/membership/exchange.py',
+        'if bucket.tokens <= 0:',
+        'if False:',
+        'bad_targets',
+        'When the budget is spent a node says less, not more',
+    ),
+    Mutation(
+        'whole',
+        f'{NODE}/gate/target_client.py',
+        'if not self.is_whole or not self.is_delimited:',
+        'if False:',
+        'whole_path',
+        'A truncated answer is never passed on',
+    ),
+    Mutation(
+        'bury',
+        f'{NODE}/gate/ledger.py',
+        '        self.ended[attempt_id] = now\n        self.outcomes',
+        '        self.outcomes',
+        'at_most_once',
+        'A request that was buried is never run',
+    ),
+    Mutation(
+        'claims',
+        f'{NODE}/claims/claims.py',
+        'if request.call_class.is_repeatable:',
+        'if True:',
+        'at_most_once',
+        'The same key through two nodes runs once',
+    ),
+    Mutation(
+        'claim-order',
+        f'{NODE}/claims/stream.py',
+        'if holder is not None and holder.claim_id != claim.supersedes:',
+        'if False:',
+        'at_most_once',
+        'Claims agree with a naive reading on generated streams',
+    ),
+    Mutation(
+        'drain',
+        f'{NODE}/node.py',
+        'self.gate.target.state = TargetState.DRAINING',
+        'pass',
+        'leaving',
+        'A target that says it drains is left alone',
+    ),
+    Mutation(
+        'stop',
+        f'{NODE}/node.py',
+        'while self.has_work() and',
+        'while False and',
+        'leaving',
+        'A node told to stop ends its work first',
+    ),
+    Mutation(
+        'fold',
+        f'{CORE}/presets/fold.py',
+        'is_winner = switch.expected == revision and',
+        'is_winner =',
+        'presets',
+        'Two operators race and exactly one wins',
+    ),
+    Mutation(
+        'late-fold',
+        f'{CORE}/presets/fold.py',
+        'is_current = statement.as_of >= self.start',
+        'is_current = True',
+        'presets',
+        'A reader that starts late never accepts what the full reader rejected',
+    ),
+    Mutation(
+        'keeper',
+        f'{NODE}/presets/keeper.py',
+        'if not self.follower.is_reachable:',
+        'if True:',
+        'presets',
+        'A node that starts after the records were evicted finds the preset',
+    ),
+    Mutation(
+        'catch-up',
+        f'{NODE}/presets/catchup.py',
+        'if revision > self.holder.revision:',
+        'if False:',
+        'presets',
+        'A new node learns the preset from its peers while the log is down',
+    ),
+    Mutation(
+        'lost-answer',
+        f'{CLIENT}/presets.py',
+        'return published or waiting',
+        'return False',
+        'presets',
+        'A switch whose answer is lost takes effect once',
+    ),
+    Mutation(
+        'silent-link',
+        f'{NODE}/peer/link.py',
+        'return silence >= allowed and',
+        'return False and',
+        'at_most_once',
+        'A link that goes silent is noticed before the deadline',
+    ),
+    Mutation(
+        'ask',
+        f'{NODE}/routing/sender.py',
+        'for _ in range(ASK_ATTEMPTS):',
+        'for _ in ():',
+        'at_most_once',
+        'A link lost under a running request brings its answer over a fresh link',
+    ),
+    Mutation(
+        'suspects',
+        f'{NODE}/gate/suspects.py',
+        'if suspect is None:\n            return Verdict.FREE',
+        'if True:\n            return Verdict.FREE',
+        'at_most_once',
+        'A request that kills its targets stops after two',
+    ),
+    Mutation(
+        'reserved',
+        f'{NODE}/gate/admission.py',
+        'return free > min(self.held_back_from(name), self.slots - 1)',
+        'return free > 0',
+        'admission',
+        'Price lookups never hold up dealer-desk',
+    ),
+    Mutation(
+        'deadline',
+        f'{NODE}/gate/gate.py',
+        'if self.time_for_s(work) > ticket.deadline - time.monotonic():',
+        'if False:',
+        'admission',
+        'Work that cannot finish in time is refused at once',
+    ),
+    Mutation(
+        'hedge',
+        f'{NODE}/routing/router.py',
+        'if not self.hedges.try_spend(1):',
+        'if True:',
+        'admission',
+        'A hedge overtakes a target that hangs, within its budget',
+    ),
+    Mutation(
+        'retry-budget',
+        f'{NODE}/routing/router.py',
+        'return self.retries.try_spend(1)',
+        'return True',
+        'admission',
+        'Retries stay within their budget',
+    ),
+    Mutation(
+        'fail-fast',
+        f'{CORE}/routing/expected_time.py',
+        '+ failures * tuning.failure_ms',
+        '',
+        'bad_targets',
+        'A target that fails fast looks idle and is left alone',
+    ),
+    Mutation(
+        'straggler',
+        f'{CORE}/routing/expected_time.py',
+        'known = candidate.service_ms or fleet.service_ms',
+        'known = fleet.service_ms',
+        'bad_targets',
+        'A straggler is left alone',
+    ),
+    Mutation(
+        'silent-target',
+        f'{NODE}/gate/silence.py',
+        'if is_overtaken or self.client.in_exchange == 1:',
+        'if False:',
+        'bad_targets',
+        'A kept-alive connection to the target that went silent is replaced',
+    ),
+    Mutation(
+        'replay',
+        f'{CORE}/replay/replay.py',
+        'if taken.chosen != recorded.chosen:',
+        'if False:',
+        'decisions',
+        'Replay notices a changed rule and a tampered record',
+    ),
+    Mutation(
+        'suspicion',
+        f'{NODE}/membership/suspicion.py',
+        'if known is None or known.rank != member.rank:',
+        'if True:',
+        'membership',
+        'A killed node is noticed and its work goes elsewhere',
+    ),
+    Mutation(
+        'refute',
+        f'{NODE}/membership/table.py',
+        'own.version = rumour.version + 1',
+        'return False',
+        'membership',
+        'A frozen node that resumes is a member again',
+    ),
+    Mutation(
+        'restart',
+        f'{NODE}/supervision/supervisor.py',
+        'await self.run_once(child)\n',
+        'await self.run_once(child)\n            return\n',
+        'operations',
+        "Every branch of the node's tree comes back",
+    ),
+)
+
+
+def run(mutation: Mutation) -> bool:
+    """Run a scenario without its mechanism.
+
+    :returns: whether it failed, as it must.
+    """
+    with tempfile.TemporaryDirectory(prefix='mutation-') as folder:
+        copy = Path(folder)
+        for name in ('packages', 'features', 'examples'):
+            shutil.copytree(name, copy / name)
+        path = copy / mutation.path
+        text = path.read_text()
+        if text.count(mutation.old) != 1:
+            sys.exit(
+                f'{mutation.name}: the text stands {text.count(mutation.old)} times'
+            )
+        path.write_text(text.replace(mutation.old, mutation.new))
+        sources = [str(copy / 'packages' / name / 'src') for name in PACKAGES]
+        command = [
+            sys.executable,
+            '-m',
+            'behave',
+            '--no-capture',
+            '--name',
+            f'^{mutation.scenario}$',
+            f'features/{mutation.feature}.feature',
+        ]
+        ended = subprocess.run(
+            command,
+            cwd=copy,
+            env={**os.environ, 'PYTHONPATH': os.pathsep.join(sources)},
+            capture_output=True,
+            timeout=LIMIT_S,
+            check=False,
+        )
+    return ended.returncode != 0
+
+
+def main() -> int:
+    """Run the mutations that were named, or all."""
+    names = set(sys.argv[1:])
+    survivors = 0
+    for mutation in MUTATIONS:
+        if names and mutation.name not in names:
+            continue
+        is_red = run(mutation)
+        survivors += not is_red
+        print(
+            f'mutation={mutation.name} red={is_red} scenario="{mutation.scenario}"',
+            flush=True,
+        )
+    return int(survivors > 0)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/features/naive.py
+++ b/features/naive.py
@@ -134,8 +134,10 @@
             trust * (seen.service_ms or usual_service) + (1 - trust) * usual_service
         )
         failures = trust * seen.failure_ratio + (1 - trust) * usual_failures
-        backlog = trust * (seen.in_flight + seen.queued)
-        backlog += (1 - trust) * usual_crowd * seen.slots
+        service = max(service, 0.1)
+        fresh = math.exp(-seen.age_ms / (4 * service))
+        backlog = fresh * (seen.in_flight + seen.queued)
+        backlog += (1 - fresh) * usual_crowd * seen.slots
         crowd = (backlog + seen.sent_since) / slots
         waiting = max(0, crowd + 1 / slots - 1)
         time_ms = service * (1 + 0.25 * crowd + waiting)
--- a/features/presets.feature
+++ b/features/presets.feature
@@ -30,6 +30,16 @@
     And preset "peak" is put in force
     Then preset "peak" is in force on all running nodes
 
+  Scenario: A slow log holds up no request and loses no switch
+    Given a deployment of 2 nodes
+    When the log is slow
+    And a caller sends GET "/stock" to node 1
+    Then the answer is whole and its own
+    And the answer took less than 1 s
+    When the log is quick again
+    And preset "peak" is put in force
+    Then preset "peak" is in force on all running nodes
+
   Scenario: A new node learns the preset from its peers while the log is down
     Given a deployment of 3 nodes
     When preset "peak" is put in force
--- a/features/steps/deployment_steps.py
+++ b/features/steps/deployment_steps.py
@@ -101,6 +101,18 @@
     context.deployment.control_log(outage=False)
 
 
+@when('the log is slow')
+def log_slow(context: Any) -> None:
+    """Let every answer of the log take longer than the nodes wait."""
+    context.deployment.control_log(slow_ms=1500)
+
+
+@when('the log is quick again')
+def log_quick(context: Any) -> None:
+    """Let the log answer at once."""
+    context.deployment.control_log(slow_ms=0)
+
+
 @when('the log loses the answers of the next {count:d} appends')
 def log_loses(context: Any, count: int) -> None:
     """Let appends take effect without an answer."""
--- a/features/steps/fault_steps.py
+++ b/features/steps/fault_steps.py
@@ -9,7 +9,7 @@
 from urllib.request import Request, urlopen
 
 from behave import then, when
-from builders import call_request
+from builders import NODE_SETTINGS, call_request
 from deployment_steps import instance_of
 from hypothesis import given as generated
 from hypothesis import strategies as st
@@ -24,10 +24,7 @@
 from lavendermountd.gate.gate import Gate
 from lavendermountd.identity import Identity
 
-NODE_SETTINGS = (
-    'node_id = "n"\nregion = "r"\nzone = "z"\n[listen]\ncaller_port = 1\n'
-    'admin_port = 2\npeer_port = 3\ncontrol_port = 4\n[log]\nurl = "http://x"\n'
-)
+RECOVERY_LIMIT_S = 20
 
 
 @when('the targets take {service_ms:d} ms')
@@ -194,7 +191,7 @@
     for sent in context.innocents:
         if sent.received.status == 200:
             continue
-        entry, method, path, headers, body = sent.arguments
+        method, path, headers, body = sent.arguments[1:]
         again = Sent(instance_of(context, 1), method, path, headers, body).wait()
         assert again.status == 200, (path, again.body)
 
@@ -336,6 +333,25 @@
     context.bad = number
 
 
+@when('the target of node {number:d} recovers')
+def recover(context: Any, number: int) -> None:
+    """Let a target work again and count from here."""
+    told = instance_of(context, number).control_target(fail_status=0)
+    context.asked_before = told['asked']
+
+
+@then('the target of node {number:d} is soon asked again')
+def asked_again(context: Any, number: int) -> None:
+    """Send requests until some have reached the target."""
+    entry = instance_of(context, number)
+
+    def is_asked() -> bool:
+        instance_of(context, 1).call()
+        return entry.control_target()['asked'] > context.asked_before + 3
+
+    wait_until(is_asked, 'the target is asked again', RECOVERY_LIMIT_S)
+
+
 @when('the target of node {number:d} becomes {factor:d} times slower')
 def straggle(context: Any, number: int, factor: int) -> None:
     """Let a target become a straggler."""
--- a/features/steps/member_steps.py
+++ b/features/steps/member_steps.py
@@ -9,7 +9,7 @@
 from urllib.request import urlopen
 
 from behave import then, when
-from builders import DEALER, member
+from builders import DEALER, NODE_SETTINGS, load_report, member
 from deployment_steps import instance_of, living, status_of
 from hypothesis import given as generated
 from hypothesis import strategies as st
@@ -166,6 +166,29 @@
     assert [each.node_id for each in first.members_of(DEALER)] == ['a', 'b']
 
 
+@then('a round of gossip without budget says only what it must')
+def least_round(context: Any) -> None:
+    """Build rounds with and without tokens and compare."""
+    settings = load_text(NodeSchema, NODE_SETTINGS, 'test')
+
+    async def build() -> tuple[Any, Any, bool]:
+        node = Node(settings)
+        for number in range(20):
+            node.table.merge(member(f'n{number}'))
+            node.view.take_report(load_report(f'n{number}'))
+        rich = node.exchange.build(member('n1'))
+        node.budget.local.configure(0, 0)
+        node.budget.paid.configure(0, 0)
+        poor = node.exchange.build(member('n1'))
+        far = node.budget.try_spend('gossip-connect', 1, is_paid=True)
+        return rich, poor, far
+
+    rich, poor, far = asyncio.run(build())
+    assert rich.members and rich.digests and len(rich.loads) > 1
+    assert not poor.members and not poor.digests and len(poor.loads) == 1
+    assert not far, 'the paid link was used without budget'
+
+
 @then('every node spent no more on measuring than its budget')
 def within_budget(context: Any) -> None:
     """Compare what was spent with rate and burst of the preset in force."""
--- a/packages/core/src/lavendermount_core/routing/expected_time.py
+++ b/packages/core/src/lavendermount_core/routing/expected_time.py
@@ -14,6 +14,8 @@
 COLD_FACTOR = 3.0
 CROWDING_SHARE = 0.25
 ROUND_TRIP = 2
+BACKLOG_SERVICES = 4
+LEAST_SERVICE_MS = 0.1
 
 
 class Fleet:
@@ -43,12 +45,13 @@
     :returns: path, wait and service time with the risk of failure.
     """
     trust = math.exp(-candidate.age_ms / tuning.stale_ms)
-    service = _blend(candidate.service_ms or fleet.service_ms, fleet.service_ms, trust)
+    known = candidate.service_ms or fleet.service_ms
+    service = max(_blend(known, fleet.service_ms, trust), LEAST_SERVICE_MS)
     failures = _blend(candidate.failure_ratio, fleet.failure_ratio, trust)
     backlog = _blend(
         candidate.in_flight + candidate.queued,
         fleet.backlog_per_slot * candidate.slots,
-        trust,
+        _backlog_trust(candidate, service),
     )
     crowd = (backlog + candidate.sent_since) / max(candidate.slots, 1)
     waiting = max(0, crowd + 1 / max(candidate.slots, 1) - 1)
@@ -69,6 +72,12 @@
     return tuning.region_ms * ROUND_TRIP
 
 
+def _backlog_trust(candidate: Candidate, service_ms: float) -> float:
+    """Trust in a reported backlog, which changes as fast as work is done."""
+    lifetime_ms = BACKLOG_SERVICES * service_ms
+    return math.exp(-candidate.age_ms / lifetime_ms)
+
+
 def _blend(reported: float, typical: float, trust: float) -> float:
     return trust * reported + (1 - trust) * typical
 
--- a/packages/node/src/lavendermountd/caller/server.py
+++ b/packages/node/src/lavendermountd/caller/server.py
@@ -44,7 +44,9 @@
 log = logging.getLogger(__name__)
 
 REQUEST_ID_HEADER = 'X-Request-Id'
-OWN_HEADERS = frozenset(('content-length', 'x-request-id', 'x-deadline-ms'))
+OWN_HEADERS = frozenset(
+    ('content-length', 'expect', 'x-request-id', 'x-deadline-ms'),
+)
 REPLY_OWN_HEADERS = frozenset(('content-length', 'x-request-id'))
 NO_BODY_STATUS = frozenset((204, 304))
 MAX_HEADER_BYTES = 65536
--- a/packages/node/src/lavendermountd/control/server.py
+++ b/packages/node/src/lavendermountd/control/server.py
@@ -47,7 +47,7 @@
         self.node.guard.check()
         answer = self.node.exchange.answer(request)
         is_paid = request.sender.region != self.node.identity.member.region
-        size = request.ByteSize() + answer.ByteSize() + 2 * RPC_OVERHEAD_BYTES
+        size = answer.ByteSize() + RPC_OVERHEAD_BYTES
         self.node.budget.charge('gossip', size, is_paid)
         return answer
 
--- a/packages/node/src/lavendermountd/gate/admission.py
+++ b/packages/node/src/lavendermountd/gate/admission.py
@@ -115,6 +115,16 @@
         heap = self.waiting.get(call_class, ())
         return sum(1 for entry in heap if not entry[2].is_gone)
 
+    def work_before(self, call_class: str) -> int:
+        """Count the requests that a new one of a class has to wait for."""
+        priority = self.rule_of(call_class).priority
+        waiting = sum(
+            self.queued_of(name)
+            for name in self.waiting
+            if self.rule_of(name).priority <= priority
+        )
+        return self.in_flight + waiting
+
     def take_rules(self, rules: list[ClassRule]) -> None:
         """Take over the classes of a preset; waiting requests stay."""
         self.rules = {rule.name: rule for rule in rules}
--- a/packages/node/src/lavendermountd/gate/gate.py
+++ b/packages/node/src/lavendermountd/gate/gate.py
@@ -78,7 +78,7 @@
             self.admission.queued,
             target.slots,
             round(target.current_service_ms(now), 2),
-            round(target.failure_ratio, 3),
+            round(target.current_failure_ratio(now), 3),
             target.warm_ms(now),
             target.is_accepting and not self.is_closed,
         )
@@ -147,7 +147,8 @@
         """
         if self.admission.try_start(ticket):
             return None
-        if self.wait_estimate_s() > ticket.deadline - time.monotonic():
+        work = self.admission.work_before(ticket.call_class)
+        if self.time_for_s(work) > ticket.deadline - time.monotonic():
             return self.refuse(Reason.DEADLINE, 'the queue is too long to be in time')
         if not self.admission.wait(ticket):
             return self.refuse(Reason.QUEUE_FULL, 'the queue of the class is full')
@@ -260,13 +261,16 @@
 
     def refuse(self, reason: Reason, detail: str) -> Refusal:
         """Refuse work that never left, with the time the queue takes."""
-        drain_s = max(self.wait_estimate_s(), SHORTEST_RETRY_S)
+        work = self.admission.in_flight + self.admission.queued
+        drain_s = max(self.time_for_s(work), SHORTEST_RETRY_S)
         jitter = 1 + random.random() * JITTER
         return not_run(reason, detail, drain_s * jitter)
 
-    def wait_estimate_s(self) -> float:
-        """Time until all work now here is done."""
-        work = self.admission.in_flight + self.admission.queued
+    def time_for_s(self, work: int) -> float:
+        """Estimate the time that the target takes for some requests.
+
+        :param work: number of requests.
+        """
         slots = max(self.target.slots, 1)
         return work * self.target.service_ms / slots / MS_PER_S
 
--- /dev/null
+++ b/packages/node/src/lavendermountd/gate/silence.py
@@ -0,0 +1,56 @@
+"""Noticing that a reused connection to the target went silent for good.
+
+:units: seconds on the node's monotonic clock.
+
+A slow target must not be given the same work twice: it would only become
+slower. So silence alone proves nothing. A connection is given up when another
+one that was written to later has been answered, or when the silent exchange is
+the only one, so that a second try does no harm.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from tornado.iostream import IOStream
+
+from lavendermount_core.utils.units import MS_PER_S
+
+if TYPE_CHECKING:
+    from lavendermountd.gate.target_client import TargetClient
+
+PATIENCE_FACTOR = 10
+
+
+class SilenceWatch:
+    """Closes a connection that seems to be silent for good.
+
+    :param client: what it knows of other connections.
+    :param stream: the reused connection that is written to next.
+    """
+
+    __slots__ = ('client', 'stream', 'number', 'patience_s', 'timer')
+
+    def __init__(self, client: TargetClient, stream: IOStream) -> None:
+        """Look for the first time after the patience that the target has earned."""
+        self.client = client
+        self.stream = stream
+        self.number = client.begun + 1
+        learned_s = PATIENCE_FACTOR * client.target.service_ms / MS_PER_S
+        self.patience_s = max(client.silent_s, learned_s)
+        loop = asyncio.get_running_loop()
+        self.timer = loop.call_later(self.patience_s, self.check)
+
+    def check(self) -> None:
+        """Close the connection, or look again later."""
+        is_overtaken = self.client.last_answered > self.number
+        if is_overtaken or self.client.in_exchange == 1:
+            self.stream.close()
+            return
+        loop = asyncio.get_running_loop()
+        self.timer = loop.call_later(self.patience_s, self.check)
+
+    def stop(self) -> None:
+        """Look no more."""
+        self.timer.cancel()
--- a/packages/node/src/lavendermountd/gate/target.py
+++ b/packages/node/src/lavendermountd/gate/target.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from enum import StrEnum
 
@@ -12,6 +13,7 @@
 
 SERVICE_WEIGHT = 0.1
 FAILURE_WEIGHT = 0.1
+FORGET_S = 5.0
 
 
 class TargetState(StrEnum):
@@ -38,6 +40,7 @@
         'service_ms',
         'failure_ratio',
         'started_at',
+        'observed_at',
     )
 
     def __init__(self) -> None:
@@ -53,6 +56,7 @@
         self.service_ms: float = 0
         self.failure_ratio: float = 0
         self.started_at: dict[str, float] = {}
+        self.observed_at: float = 0
 
     @property
     def is_accepting(self) -> bool:
@@ -105,6 +109,7 @@
         :param elapsed_ms: from the write to the end of the reply.
         :param is_failure: whether the reply was a failure of the target.
         """
+        self.observed_at = time.monotonic()
         self.failure_ratio += FAILURE_WEIGHT * (is_failure - self.failure_ratio)
         if is_failure:
             return
@@ -113,12 +118,24 @@
         self.service_ms += SERVICE_WEIGHT * (elapsed_ms - self.service_ms)
 
     def current_service_ms(self, now: float) -> float:
-        """Recent service time, or the age of the work in flight if longer."""
+        """Recent service time, or the age of the work in flight if longer.
+
+        What was learned is forgotten when nothing came for a while: a target
+        that nobody sends work to could never show that it has recovered.
+
+        :returns: milliseconds; 0 if nothing recent is known.
+        """
         if not self.started_at:
-            return self.service_ms
+            is_forgotten = now - self.observed_at > FORGET_S
+            return 0 if is_forgotten else self.service_ms
         ages = now * len(self.started_at) - sum(self.started_at.values())
         return max(self.service_ms, ages * MS_PER_S / len(self.started_at))
 
+    def current_failure_ratio(self, now: float) -> float:
+        """Recent share of failures, forgotten as time passes without work."""
+        idle_s = max(0, now - self.observed_at)
+        return self.failure_ratio * math.exp(-idle_s / FORGET_S)
+
     def warm_ms(self, now: float) -> int:
         """Time since the target started."""
         return int((now - self.ready_at) * MS_PER_S)
--- a/packages/node/src/lavendermountd/gate/target_client.py
+++ b/packages/node/src/lavendermountd/gate/target_client.py
@@ -23,11 +23,11 @@
 from lavendermount_core.utils.units import DEFAULT_BODY_BYTES, MS_PER_S
 from lavendermountd.caller.headers import end_to_end
 from lavendermountd.gate.attempts import Attempt, Progress
+from lavendermountd.gate.silence import SilenceWatch
 from lavendermountd.gate.target import Target
 
 CONNECT_TIMEOUT_S = 1.0
 TRUSTED_IDLE_S = 1.0
-IDLE_LIMIT_S = 10.0
 MAX_HEADER_BYTES = 65536
 NO_BODY_STATUS = frozenset((204, 304))
 
@@ -122,7 +122,17 @@
     :param target: where to connect to.
     """
 
-    __slots__ = ('target', 'idle', 'limit', 'max_body', 'open_count', 'silent_s')
+    __slots__ = (
+        'target',
+        'idle',
+        'limit',
+        'max_body',
+        'open_count',
+        'silent_s',
+        'begun',
+        'in_exchange',
+        'last_answered',
+    )
 
     def __init__(self, target: Target) -> None:
         """Open no connection yet."""
@@ -132,41 +142,34 @@
         self.max_body = DEFAULT_BODY_BYTES
         self.silent_s = 0.3
         self.open_count = 0
+        self.begun = 0
+        self.in_exchange = 0
+        self.last_answered = 0
 
     async def exchange(self, attempt: Attempt) -> CallReply:
         """Send a request and wait for the whole reply.
 
-        Repeatable work whose reused connection stays silent is sent once
-        more on a fresh connection.
+        Repeatable work whose reused connection went silent, or was closed
+        as it was reused, is sent once more on a fresh connection.
 
         :param attempt: marked as written before its first byte leaves.
         :raises TargetError: if no whole reply came.
         :returns: the reply.
         """
-        stream = self.take_idle(attempt)
+        stream = self.take_idle()
         if stream is None:
-            stream = await self.connect()
-            return await self.exchange_over(stream, attempt)
+            return await self.exchange_over(await self.connect(), attempt)
         if not attempt.request.call_class.is_repeatable:
             return await self.exchange_over(stream, attempt)
+        watch = SilenceWatch(self, stream)
         try:
-            return await self.exchange_checked(stream, attempt)
-        except (TargetError, TimeoutError):
-            fresh = await self.connect()
-        return await self.exchange_over(fresh, attempt)
-
-    async def exchange_checked(
-        self,
-        stream: IOStream,
-        attempt: Attempt,
-    ) -> CallReply:
-        """Exchange on a reused connection, within the silence allowed.
-
-        :raises TimeoutError: if the connection stayed silent.
-        """
-        patience = max(self.silent_s, 4 * self.target.service_ms / MS_PER_S)
-        async with asyncio.timeout(patience):
             return await self.exchange_over(stream, attempt)
+        except TargetError as error:
+            if error.reason != Reason.TARGET_DIED:
+                raise
+        finally:
+            watch.stop()
+        return await self.exchange_over(await self.connect(), attempt)
 
     async def exchange_over(
         self,
@@ -175,11 +178,13 @@
     ) -> CallReply:
         """Exchange on one connection; it is reused only if all went well."""
         is_clean = False
+        self.in_exchange += 1
         try:
             reader = await self.send_and_read(stream, attempt)
             reply = reader.to_reply()
             is_clean = reader.may_reuse
         finally:
+            self.in_exchange -= 1
             self.put_back(stream, is_clean)
         return reply
 
@@ -196,6 +201,8 @@
         )
         connection = HTTP1Connection(stream, True, limits)
         reader = ReplyReader(request.method)
+        self.begun += 1
+        number = self.begun
         attempt.progress = Progress.WRITTEN
         attempt.target_start = self.target.start
         try:
@@ -208,17 +215,16 @@
             await connection.read_response(reader)
         except (StreamClosedError, OSError):
             reader.is_whole = False
+        if reader.is_whole:
+            self.last_answered = max(self.last_answered, number)
         return reader
 
-    def take_idle(self, attempt: Attempt) -> IOStream | None:
-        """Take the connection used last, if it can be trusted.
+    def take_idle(self) -> IOStream | None:
+        """Take the connection used last, if it answered just now.
 
-        Work that may not be repeated gets one that answered just now: a
-        connection may have gone silent while it was idle.
+        One that was idle for longer may have gone silent meanwhile.
         """
-        is_repeatable = attempt.request.call_class.is_repeatable
-        longest = IDLE_LIMIT_S if is_repeatable else TRUSTED_IDLE_S
-        oldest = time.monotonic() - longest
+        oldest = time.monotonic() - TRUSTED_IDLE_S
         while self.idle:
             stream, since = self.idle.pop()
             if not stream.closed() and since >= oldest:
@@ -258,7 +264,7 @@
     def close_stale(self) -> None:
         """Close a connection that was not needed for long."""
         stream, since = self.idle[0]
-        if time.monotonic() - since > IDLE_LIMIT_S:
+        if time.monotonic() - since > TRUSTED_IDLE_S:
             self.idle.pop(0)
             self.discard(stream)
 
--- a/packages/node/src/lavendermountd/membership/exchange.py
+++ b/packages/node/src/lavendermountd/membership/exchange.py
@@ -23,13 +23,14 @@
 )
 from lavendermountd.gate.gate import Gate
 from lavendermountd.membership.table import MemberTable
-from lavendermountd.membership.updates import BUCKET_LIMIT, UpdateQueue
+from lavendermountd.membership.updates import BUCKET_LIMIT, BUCKETS, UpdateQueue
 from lavendermountd.routing.budgets import MeasuringBudget
 from lavendermountd.routing.view import LoadView
 
 LOADS_PER_ROUND = 8
 SUSPICIONS_PER_ROUND = 8
 FRESH_S = 5.0
+WHOLE = BUCKETS
 
 
 class GossipExchange:
@@ -54,6 +55,7 @@
         self.gate = gate
         self.budget = budget
         self.updates = UpdateQueue(table)
+        self.is_far_different = False
         self.revision: Callable[[], int] = _no_revision
         self.on_revision: Callable[[Member, int], None] = _ignore_revision
 
@@ -72,12 +74,25 @@
         if bucket.tokens <= 0:
             return message
         message.members.extend(map(member_message, self.updates.take()))
-        message.loads.extend(self.recent_loads(is_paid=is_paid))
+        if is_paid:
+            self.add_far_digests(message)
+            return message
+        message.loads.extend(self.recent_loads())
         digests = self.updates.digests(self.updates.rotate())
         for number, digest in digests.items():
             message.digests.add(bucket=number, digest=digest)
         return message
 
+    def add_far_digests(self, message: control_pb2.GossipRound) -> None:
+        """Add one digest of everything, or all when the regions differ."""
+        if not self.is_far_different:
+            digest = self.updates.whole_digest()
+            message.digests.add(bucket=WHOLE, digest=digest)
+            return
+        digests = self.updates.digests(list(range(BUCKETS)))
+        for number, digest in digests.items():
+            message.digests.add(bucket=number, digest=digest)
+
     def least_round(self, receiver: Member | None) -> control_pb2.GossipRound:
         """Build the least a round must say, whatever the budget."""
         suspicions = self.gate.suspects.describe_all()[:SUSPICIONS_PER_ROUND]
@@ -91,10 +106,8 @@
             message.members.append(member_message(receiver))
         return message
 
-    def recent_loads(self, is_paid: bool) -> list[control_pb2.AgedLoad]:
-        """Choose the freshest reports of other targets in the own region."""
-        if is_paid:
-            return []
+    def recent_loads(self) -> list[control_pb2.AgedLoad]:
+        """Choose the freshest reports of other targets."""
         now = time.monotonic()
         fresh = sorted(
             (seen for seen in self.view.loads.values() if now - seen.seen_at < FRESH_S),
@@ -126,6 +139,9 @@
     def differing(self, message: control_pb2.GossipRound) -> list[Member]:
         """List the members of the buckets that the two sides see differently."""
         theirs = {entry.bucket: entry.digest for entry in message.digests}
+        whole = theirs.pop(WHOLE, None)
+        if whole is not None:
+            self.is_far_different = whole != self.updates.whole_digest()
         ours = self.updates.digests(list(theirs))
         members: list[Member] = []
         for bucket, digest in theirs.items():
--- a/packages/node/src/lavendermountd/membership/gossip.py
+++ b/packages/node/src/lavendermountd/membership/gossip.py
@@ -12,6 +12,7 @@
 import asyncio
 import logging
 import random
+import time
 
 import grpc
 
@@ -26,6 +27,9 @@
 log = logging.getLogger(__name__)
 
 HELPERS = 2
+NEWS_ROUNDS = 3
+FAR_QUIET_ROUNDS = 10
+SECOND_RELAY_ROUNDS = 40
 JITTER = 0.1
 DEAD_PROBE_SHARE = 0.1
 RPC_OVERHEAD_BYTES = 150
@@ -57,6 +61,7 @@
         self.period_s = period_s
         self.order: list[str] = []
         self.rounds = 0
+        self.far_turn = 0
 
     async def run(self) -> None:
         """Gossip until cancelled."""
@@ -134,7 +139,6 @@
             )
             await self.channels.drop_of(member)
             return False
-        self.charge(member, answer.ByteSize())
         self.exchange.merge(answer)
         return True
 
@@ -165,15 +169,34 @@
     def next_far_relay(self) -> Member | None:
         """Pick a relay of another region, if this node is one itself."""
         own = self.table.own
-        if not is_relay(self.table, own):
+        if not self.is_far_due() or not is_relay(self.table, own):
             return None
         regions = sorted({other.region for other in self.table.living()} - {own.region})
         if not regions:
             return None
-        region = regions[self.rounds % len(regions)]
+        self.far_turn += 1
+        region = regions[self.far_turn % len(regions)]
         relays = relays_of(self.table, region)
         return random.choice(relays) if relays else None
 
+    def is_far_due(self) -> bool:
+        """Whether to speak over the paid link in this round.
+
+        With news, every round is due; without, few are.
+        """
+        exchange = self.exchange
+        quiet_s = time.monotonic() - exchange.updates.changed_at
+        if exchange.is_far_different or quiet_s < NEWS_ROUNDS * self.period_s:
+            return True
+        return self.rounds % self.far_period() == 0
+
+    def far_period(self) -> int:
+        """Rounds between two over the paid link; more for a second relay."""
+        own = self.table.own
+        relays = relays_of(self.table, own.region)
+        is_first = bool(relays) and relays[0].node_id == own.node_id
+        return FAR_QUIET_ROUNDS if is_first else SECOND_RELAY_ROUNDS
+
     async def speak_far(self, member: Member) -> None:
         """Speak to another region if the paid budget allows it.
 
@@ -185,7 +208,7 @@
         await self.speak(member, REGION_TIMEOUT_S)
 
     def charge(self, member: Member, size: int) -> None:
-        """Count the bytes of a message."""
+        """Count the bytes of a message that this node sends."""
         is_paid = member.region != self.table.own.region
         self.exchange.budget.charge('gossip', size + RPC_OVERHEAD_BYTES, is_paid)
 
--- a/packages/node/src/lavendermountd/membership/updates.py
+++ b/packages/node/src/lavendermountd/membership/updates.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+import time
 import zlib
 
 from lavendermount_core.structure.members import Member
@@ -26,18 +27,20 @@
     :param table: whose changes are news.
     """
 
-    __slots__ = ('table', 'sent', 'next_bucket')
+    __slots__ = ('table', 'sent', 'next_bucket', 'changed_at')
 
     def __init__(self, table: MemberTable) -> None:
         """Listen to the table."""
         self.table = table
         self.sent: dict[str, int] = {}
         self.next_bucket = 0
+        self.changed_at = time.monotonic()
         table.listeners.append(self.add)
 
     def add(self, member: Member) -> None:
         """Send a member in the next rounds."""
         self.sent[member.node_id] = 0
+        self.changed_at = time.monotonic()
 
     def take(self) -> list[Member]:
         """Take the news for one round, those sent least first."""
@@ -72,6 +75,13 @@
             if bucket_of(member.node_id) == bucket
         ]
 
+    def whole_digest(self) -> int:
+        """Digest what is known of all members."""
+        whole = 0
+        for digest in self.digests(list(range(BUCKETS))).values():
+            whole ^= digest
+        return whole
+
     def digests(self, buckets: list[int]) -> dict[int, int]:
         """Digest what is known of the members of some buckets.
 
--- a/packages/node/src/lavendermountd/node.py
+++ b/packages/node/src/lavendermountd/node.py
@@ -13,7 +13,7 @@
 
 from lavendermount_core.config.node import NodeSchema
 from lavendermount_core.platform.adapter import open_log
-from lavendermount_core.structure.members import MemberStatus
+from lavendermount_core.structure.members import Member, MemberStatus
 from lavendermount_core.utils.units import MS_PER_S
 from lavendermountd.admin.server import Announcement
 from lavendermountd.caller.server import CallerServer
@@ -180,6 +180,7 @@
         self.gate.on_suspect = self.tell_suspect
         self.guard.on_freeze.append(self.fence)
         self.links.count_ping = self.count_ping
+        self.table.listeners.append(self.forget_if_dead)
         static = self.settings.target
         if static.service:
             self.gate.target.announce(
@@ -196,6 +197,12 @@
         """Revision of the preset in force here."""
         return self.holder.revision
 
+    def forget_if_dead(self, member: Member) -> None:
+        """Close the link to a member that died, and forget its load."""
+        if member.status == MemberStatus.DEAD:
+            self.links.drop(member.node_id)
+            self.view.forget(member.node_id)
+
     def count_ping(self, member: object, size: int) -> None:
         """Charge a sign of life to the budget."""
         is_paid = getattr(member, 'region', '') != self.identity.member.region
--- a/packages/node/src/lavendermountd/presets/follower.py
+++ b/packages/node/src/lavendermountd/presets/follower.py
@@ -16,7 +16,7 @@
 
 log = logging.getLogger(__name__)
 
-POLL_S = 20.0
+POLL_S = 8.0
 FIRST_RETRY_S = 0.2
 RETRY_LIMIT_S = 3.0
 
--- a/packages/node/src/lavendermountd/routing/view.py
+++ b/packages/node/src/lavendermountd/routing/view.py
@@ -78,9 +78,16 @@
         """Whether a target takes new work, as far as known."""
         if not member.is_available:
             return False
-        seen = self.loads.get(member.node_id)
+        seen = self.current_load(member)
         return seen is None or seen.report.is_accepting
 
+    def current_load(self, member: Member) -> SeenLoad | None:
+        """Find the newest report of this very incarnation of a node."""
+        seen = self.loads.get(member.node_id)
+        if seen is None or seen.report.incarnation != member.incarnation:
+            return None
+        return seen
+
     def candidate(self, member: Member, now: float) -> Candidate:
         """Describe a target for a decision.
 
@@ -89,7 +96,7 @@
         """
         distance = self.distance_to(member)
         sent = self.under_way.get(member.node_id, {})
-        seen = self.loads.get(member.node_id)
+        seen = self.current_load(member)
         if seen is None:
             return _unknown_candidate(member.node_id, distance, len(sent))
         report = seen.report
--- a/packages/testbed/src/lavendermount_testbed/deployment.py
+++ b/packages/testbed/src/lavendermount_testbed/deployment.py
@@ -284,6 +284,7 @@
                     f'slots = {shape.slots}',
                     f'service_ms = {shape.service_ms}',
                     f'is_random = {str(shape.is_random).lower()}',
+                    f'node_port = {instance.caller_port}',
                     f'announce_url = "http://127.0.0.1:{instance.admin_port}/announce"',
                 ),
             ),
--- a/packages/testbed/src/lavendermount_testbed/target_server.py
+++ b/packages/testbed/src/lavendermount_testbed/target_server.py
@@ -33,9 +33,11 @@
 
 from lavendermount_core.utils.digests import random_identifier
 from lavendermount_core.utils.units import MS_PER_S
+from lavendermount_testbed.caller import CallerPool
 
 CONTROL_PATH = '/.control'
 CRASH_STATUS = 13
+COUNTERS = frozenset(('ran', 'ran_posts'))
 ANNOUNCE_RETRY_S = 0.2
 MAX_BODY_BYTES = 67108864
 
@@ -52,6 +54,7 @@
         'truncate',
         'silent',
         'ran',
+        'ran_posts',
         'overlap',
         'started',
         'asked',
@@ -68,6 +71,7 @@
         self.truncate = False
         self.silent = False
         self.ran: Counter[str] = Counter()
+        self.ran_posts: Counter[str] = Counter()
         self.overlap = 0
         self.started = 0
         self.asked = 0
@@ -153,18 +157,19 @@
         async with self.server.slots:
             self.count()
             await asyncio.sleep(behaviour.next_service_s())
-        self.write(HTTPStatus.OK, self.body())
+        inner = await self.call_on()
+        self.write(HTTPStatus.OK, self.body(inner))
 
     def control(self) -> None:
         """Set faults, or tell what ran."""
         behaviour = self.server.behaviour
         if self.start_line.method == 'POST':
             for name, setting in json.loads(b''.join(self.parts)).items():
-                wish = Counter(setting) if name == 'ran' else setting
+                wish = Counter(setting) if name in COUNTERS else setting
                 setattr(behaviour, name, wish)
         told = {
             'ran': dict(behaviour.ran),
-            'repeated': sum(1 for times in behaviour.ran.values() if times > 1),
+            'repeated': sum(1 for times in behaviour.ran_posts.values() if times > 1),
             'started': behaviour.started,
             'asked': behaviour.asked,
             'pid': os.getpid(),
@@ -178,8 +183,23 @@
         run_id = self.headers.get('X-Run-Id', '')
         if run_id:
             behaviour.ran[run_id] += 1
+            if self.start_line.method == 'POST':
+                behaviour.ran_posts[run_id] += 1
+
+    async def call_on(self) -> dict[str, object] | None:
+        """Pass the request on through the own node as deep as it asks."""
+        hops = int(self.headers.get('X-Hops', '0'))
+        if not hops:
+            return None
+        headers = {
+            'X-Hops': str(hops - 1),
+            'X-Deadline-Ms': self.headers.get('X-Deadline-Ms', ''),
+        }
+        path = self.start_line.path
+        received = await self.server.node.call('GET', path, headers)
+        return received.document()
 
-    def body(self) -> bytes:
+    def body(self, inner: dict[str, object] | None) -> bytes:
         """Build a body that names the request it belongs to."""
         size = int(self.headers.get('X-Reply-Size', '0'))
         received = b''.join(self.parts)
@@ -190,6 +210,7 @@
             'received': len(received),
             'digest': hashlib.sha256(received).hexdigest(),
             'deadline_ms': self.headers.get('X-Deadline-Ms', ''),
+            'inner': inner,
         }
         text = json.dumps(told).encode()
         return text + b'.' * max(0, size - len(text))
@@ -219,10 +240,18 @@
     :param name: name in its answers.
     :param slots: requests it works on at once.
     :param behaviour: how it answers.
+    :param node_port: caller port of its own node.
     """
 
-    def __init__(self, name: str, slots: int, behaviour: Behaviour) -> None:
+    def __init__(
+        self,
+        name: str,
+        slots: int,
+        behaviour: Behaviour,
+        node_port: int,
+    ) -> None:
         """Start with all slots free."""
+        self.node = CallerPool(node_port)
         self.name = name
         self.slots = asyncio.Semaphore(slots)
         self.behaviour = behaviour
@@ -247,7 +276,12 @@
     """
     settings = tomllib.loads(settings_file.read_text())
     behaviour = Behaviour(settings['service_ms'], settings.get('is_random', False))
-    target = TargetServer(settings['name'], settings['slots'], behaviour)
+    target = TargetServer(
+        settings['name'],
+        settings['slots'],
+        behaviour,
+        settings.get('node_port', 0),
+    )
     server = HTTPServer(
         target,
         max_body_size=MAX_BODY_BYTES,
