A refused retry no longer turns a request that ran into not-run

Cause, found by reading: a repeatable request answered 500 was tried again, and when the second gate refused (queue full), its not-run became the final answer although the first attempt had run. Ruled out: the lost-link case, which was remembered already. The journey now keeps the last reply of a target and gives it when no later attempt does better. Seen red: 'A refused retry never turns a request that ran into not-run' gave not-run/queue-full; green after.

Attempts and their records are one object (Trial) in place of six arguments passed along twice. Mutations of each mechanism: features/mutations.py.

--- a/benches/policy.py
+++ b/benches/policy.py
@@ -103,7 +103,7 @@
 [[class]]
 name = "first"
 priority = 0
-reserved_slots = 2
+reserved_slots = 4
 queue_limit = 18
 deadline_ms = 3000
 [[class]]
--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -34,6 +34,9 @@
   Scenario: A request that was buried is never run
     Then a gate refuses an attempt that it was asked about first
 
+  Scenario: A refused retry never turns a request that ran into not-run
+    Then a router whose first attempt ran and whose retry is refused does not say not-run
+
   Scenario: The same key through two nodes runs once
     Given a deployment of 3 nodes
     When a caller sends POST "/order" with key "k1" to node 1
--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -21,6 +21,9 @@
     When every node is restarted in turn under load
     Then no request was lost, cut off or run twice
 
+  Scenario: A gate closes before anybody else has heard
+    Then a gate whose target drains refuses new work and ends what runs
+
   Scenario: A target that says it drains is left alone
     Given a deployment of 2 nodes
     When the target of node 2 announces that it drains
--- a/features/mutations.py
+++ b/features/mutations.py
@@ -90,9 +90,19 @@
     ),
     Mutation(
         'drain',
+        f'{NODE}/gate/gate.py',
+        'if self.is_closed or self.target.state == TargetState.DRAINING:',
+        'if False:',
+        'leaving',
+        'A gate closes before anybody else has heard',
+    ),
+    Mutation(
+        'drain-told',
         f'{NODE}/node.py',
-        'self.gate.target.state = TargetState.DRAINING',
-        'pass',
+        """        self.gate.target.state = TargetState.DRAINING
+        self.table.change_own(self.gate.target.service, MemberStatus.LEAVING)
+""",
+        '',
         'leaving',
         'A target that says it drains is left alone',
     ),
@@ -126,7 +136,7 @@
         'if not self.follower.is_reachable:',
         'if True:',
         'presets',
-        'A node that starts after the records were evicted finds the preset',
+        'The log alone tells what is in force long after the switch was evicted',
     ),
     Mutation(
         'catch-up',
--- a/features/presets.feature
+++ b/features/presets.feature
@@ -58,6 +58,11 @@
     And node 2 is started again
     Then preset "ordinary" is in force on all running nodes
 
+  Scenario: The log alone tells what is in force long after the switch was evicted
+    Given a deployment of 2 nodes where the log keeps records for 4 s
+    When 9 s pass
+    Then the log alone tells that "ordinary" is in force
+
   Scenario: A node frozen for longer than the eviction time does not bring the old preset back
     Given a deployment of 3 nodes where the log keeps records for 4 s
     When node 3 is frozen
--- a/features/steps/fault_steps.py
+++ b/features/steps/fault_steps.py
@@ -9,20 +9,27 @@
 from urllib.request import Request, urlopen
 
 from behave import then, when
-from builders import NODE_SETTINGS, call_request
+from builders import NODE_SETTINGS, call_request, member, preset_text
 from deployment_steps import instance_of
 from hypothesis import given as generated
 from hypothesis import strategies as st
 from request_steps import Sent, runs_of
+from returns.result import Failure, Success
 
 from lavendermount_core.config.loader import load_text
 from lavendermount_core.config.node import NodeSchema
+from lavendermount_core.presets.records import InForce
+from lavendermount_core.structure.calls import CallReply, Reason, not_run, unknown
+from lavendermount_core.utils.digests import short_digest
 from lavendermount_testbed.processes import wait_until
 from lavendermountd.claims.records import Claim, Release, encode_claims
 from lavendermountd.claims.stream import ClaimFold
 from lavendermountd.gate.attempts import Attempt
 from lavendermountd.gate.gate import Gate
+from lavendermountd.gate.target import TargetState
 from lavendermountd.identity import Identity
+from lavendermountd.node import Node
+from lavendermountd.presets.holder import InForcePreset
 
 RECOVERY_LIMIT_S = 20
 
@@ -75,6 +82,75 @@
     assert told.failure().outcome == 'unknown'
 
 
+@then(
+    'a router whose first attempt ran and whose retry is refused does not say not-run'
+)
+def refused_retry(context: Any) -> None:
+    """Let the first target answer 500, or nothing, and the second refuse."""
+    ran = Success(CallReply(500, 'Failed', [], b'ran'))
+    refused = Failure(not_run(Reason.QUEUE_FULL, 'full'))
+    lost = Failure(unknown(Reason.LINK_LOST, 'lost'))
+    answered = asyncio.run(_route_with([ran, refused]))
+    assert answered == ran, answered
+    told = asyncio.run(_route_with([lost, refused]))
+    assert told.failure().outcome == 'unknown', told
+    told = asyncio.run(_route_with([refused, refused]))
+    assert told.failure().outcome == 'not-run', told
+
+
+async def _route_with(outcomes: list[Any]) -> Any:
+    node = Node(load_text(NodeSchema, NODE_SETTINGS, 'test'))
+    for number in range(4):
+        node.table.merge(member(f'n{number}'))
+    left = list(outcomes)
+
+    async def send(journey: Any, chosen: Any, attempt_id: str) -> Any:
+        return left.pop(0) if len(left) > 1 else left[0]
+
+    node.router.sender.send = send  # type: ignore[method-assign]
+    body = preset_text()
+    version = short_digest(body.encode())
+    preset = InForcePreset(InForce(1, 2, 'ordinary', version, body))
+    node.router.configure(preset)
+    request = call_request('GET')
+    request.deadline = asyncio.get_running_loop().time() + 30
+    return await node.router.route(request, preset)
+
+
+@then('a gate whose target drains refuses new work and ends what runs')
+def gate_closes(context: Any) -> None:
+    """Drain while a request runs at a target that answers late."""
+    asyncio.run(_drain_while_running())
+
+
+async def _drain_while_running() -> None:
+    gate = Gate(Identity(load_text(NodeSchema, NODE_SETTINGS, 'test')))
+    answer = asyncio.Event()
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        await answer.wait()
+        writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok')
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    gate.target.announce('s', '127.0.0.1', port, 6, 'i')
+    gate.admission.slots = 6
+    request = call_request('POST')
+    request.deadline = asyncio.get_running_loop().time() + 30
+    running = Attempt('a-1', request, 'f')
+    task = asyncio.create_task(gate.execute(running))
+    while not running.has_left:
+        await asyncio.sleep(0.01)
+    gate.target.state = TargetState.DRAINING
+    refused = await gate.execute(Attempt('a-2', request, 'f'))
+    assert refused.failure().outcome == 'not-run'
+    assert refused.failure().reason == 'draining'
+    answer.set()
+    assert (await task).unwrap().body == b'ok'
+    server.close()
+
+
 @when('key "{key}" is sent through every node at the same moment {times:d} times')
 def send_everywhere(context: Any, key: str, times: int) -> None:
     """Send the same keyed request through every node at once."""
--- a/features/steps/preset_steps.py
+++ b/features/steps/preset_steps.py
@@ -202,6 +202,14 @@
     assert instance_of(context, number).node.is_running
 
 
+@then('the log alone tells that "{name}" is in force')
+def log_tells(context: Any, name: str) -> None:
+    """Read the stream from its oldest record, asking no node."""
+    shown = context.deployment.operate('preset', 'show')
+    assert shown.popen.returncode == 0, shown.text()
+    assert f'name = "{name}"' in shown.text(), shown.text()
+
+
 @when('an operator publishes a preset with three faults')
 def publish_bad(context: Any) -> None:
     """Publish a file with an unknown key, a bad type and a missing class."""
--- a/packages/core/src/lavendermount_core/structure/calls.py
+++ b/packages/core/src/lavendermount_core/structure/calls.py
@@ -9,6 +9,9 @@
 
 from lavendermount_core.structure.records import Record
 
+FAILURE_STATUS = 500
+TOO_MANY_REQUESTS = 429
+
 Headers = list[tuple[str, str]]
 
 
@@ -136,6 +139,11 @@
         self.body = body
 
 
+def is_failure(reply: CallReply) -> bool:
+    """Whether a reply says that the target failed or takes no more work."""
+    return reply.status >= FAILURE_STATUS or reply.status == TOO_MANY_REQUESTS
+
+
 class Refusal(Record):
     """Why there is no reply, and whether the request may have run.
 
--- a/packages/node/src/lavendermountd/claims/claims.py
+++ b/packages/node/src/lavendermountd/claims/claims.py
@@ -198,7 +198,7 @@
             return self.finish(local, won)
         local.state = ClaimState.RUNNING
         work = asyncio.ensure_future(self.router.route(request, preset))
-        outcome = await _finish_even_if_cancelled(work)
+        outcome = await asyncio.shield(work)
         if _is_not_run(outcome):
             await self.release(local, request)
         return self.finish(local, outcome)
@@ -284,13 +284,6 @@
         return None
 
 
-async def _finish_even_if_cancelled(
-    work: asyncio.Future[AttemptResult],
-) -> AttemptResult:
-    """Let work that may have begun end by itself."""
-    return await asyncio.shield(work)
-
-
 def _outcome_from(word: HolderWord) -> AttemptResult:
     if word.reply is not None:
         return Success(word.reply)
--- a/packages/node/src/lavendermountd/gate/gate.py
+++ b/packages/node/src/lavendermountd/gate/gate.py
@@ -18,9 +18,9 @@
 from returns.result import Failure, Success
 
 from lavendermount_core.structure.calls import (
-    CallReply,
     Reason,
     Refusal,
+    is_failure,
     not_run,
     unknown,
 )
@@ -37,8 +37,6 @@
 
 log = logging.getLogger(__name__)
 
-FAILURE_STATUS = 500
-TOO_MANY_REQUESTS = 429
 SHORTEST_RETRY_S = 0.05
 JITTER = 0.5
 TARGET_DOWN_RETRY_S = 1.0
@@ -199,7 +197,7 @@
             return Failure(_interrupted(attempt, Reason.DEADLINE))
         finally:
             self.target.end(attempt.attempt_id, time.monotonic())
-        self.observe(begun, is_failure=_is_failure(reply))
+        self.observe(begun, is_failure=is_failure(reply))
         self.suspects.clear(attempt.fingerprint)
         return Success(reply)
 
@@ -312,10 +310,6 @@
     return not_run(reason, 'the request had not left the gate')
 
 
-def _is_failure(reply: CallReply) -> bool:
-    return reply.status >= FAILURE_STATUS or reply.status == TOO_MANY_REQUESTS
-
-
 def _is_granted(started: asyncio.Future[None]) -> bool:
     return started.done() and not started.cancelled()
 
--- a/packages/node/src/lavendermountd/membership/gossip.py
+++ b/packages/node/src/lavendermountd/membership/gossip.py
@@ -191,7 +191,7 @@
         return self.rounds % self.far_period() == 0
 
     def far_period(self) -> int:
-        """Rounds between two over the paid link; more for a second relay."""
+        """Count the rounds between two over the paid link."""
         own = self.table.own
         relays = relays_of(self.table, own.region)
         is_first = bool(relays) and relays[0].node_id == own.node_id
--- a/packages/node/src/lavendermountd/routing/journey.py
+++ b/packages/node/src/lavendermountd/routing/journey.py
@@ -7,10 +7,10 @@
 
 from enum import StrEnum
 
-from returns.result import Success
+from returns.result import Failure, Success
 
 from lavendermount_core.routing.candidates import Decision, Situation
-from lavendermount_core.structure.calls import CallRequest, Reason, Refusal
+from lavendermount_core.structure.calls import CallRequest, Reason, unknown
 from lavendermount_core.structure.members import Member
 from lavendermountd.gate.attempts import AttemptResult
 from lavendermountd.gate.suspects import fingerprint_of
@@ -39,6 +39,7 @@
         'attempts',
         'tried',
         'may_have_run',
+        'last_reply',
     )
 
     def __init__(self, request: CallRequest, preset: InForcePreset) -> None:
@@ -49,11 +50,12 @@
         self.attempts = 0
         self.tried: set[str] = set()
         self.may_have_run = False
+        self.last_reply: AttemptResult | None = None
 
-    def next_attempt_id(self) -> str:
-        """Make the identifier of the next attempt."""
+    def next_number(self) -> int:
+        """Count one more attempt."""
         self.attempts += 1
-        return f'{self.request.request_id}-{self.attempts}'
+        return self.attempts
 
     def note(self, outcome: AttemptResult, node_id: str) -> None:
         """Remember whether any attempt may have run, and where.
@@ -65,6 +67,7 @@
         :param node_id: node beside the target that was tried.
         """
         if isinstance(outcome, Success):
+            self.last_reply = outcome
             return
         refusal = outcome.failure()
         if not refusal.is_not_run:
@@ -72,19 +75,23 @@
         if refusal.reason == Reason.NOT_ARRIVED:
             self.tried.discard(node_id)
 
-    def final(self, refusal: Refusal) -> Refusal:
-        """Say what the last refusal means for the whole request.
+    def final(self, outcome: AttemptResult) -> AttemptResult:
+        """Say what the last outcome means for the whole request.
 
-        :returns: the refusal, ``unknown`` if an earlier attempt may have run.
+        :param outcome: of the last attempt.
+        :returns: a reply if any target gave one, even of failure; a refusal
+            that is ``unknown`` if an earlier attempt may have run.
         """
+        if isinstance(outcome, Success):
+            return outcome
+        if self.last_reply is not None:
+            return self.last_reply
+        refusal = outcome.failure()
         if not self.may_have_run or not refusal.is_not_run:
-            return refusal
-        return Refusal(
-            'unknown',
-            refusal.reason,
-            refusal.retry_after_s,
-            f'{refusal.detail}; an earlier attempt may have run',
-        )
+            return outcome
+        detail = f'{refusal.detail}; an earlier attempt may have run'
+        reason = Reason(refusal.reason)
+        return Failure(unknown(reason, detail, refusal.retry_after_s))
 
 
 class Choice:
--- a/packages/node/src/lavendermountd/routing/router.py
+++ b/packages/node/src/lavendermountd/routing/router.py
@@ -12,12 +12,11 @@
 
 from returns.result import Failure, Success
 
-from lavendermount_core.replay.records import DecisionRecord
 from lavendermount_core.structure.calls import (
-    CallReply,
     CallRequest,
     Reason,
     Refusal,
+    is_failure,
     not_run,
 )
 from lavendermount_core.utils.units import MS_PER_S
@@ -30,10 +29,10 @@
 from lavendermountd.routing.journey import Cause, Choice, Journey
 from lavendermountd.routing.latency import LatencyWindow
 from lavendermountd.routing.sender import Sender
+from lavendermountd.routing.trial import Trial, decision_record
 
 NO_TARGET_RETRY_S = 1.0
-FAILURE_STATUS = 500
-TOO_MANY_REQUESTS = 429
+CANCELLED = 'cancelled'
 
 
 Tasks = set[asyncio.Task[AttemptResult]]
@@ -93,7 +92,7 @@
         while True:
             outcome = await self.attempt(journey, cause)
             if not self.may_retry(journey, outcome):
-                return _final(journey, outcome)
+                return journey.final(outcome)
             cause = Cause.RETRY
 
     async def attempt(self, journey: Journey, cause: Cause) -> AttemptResult:
@@ -103,8 +102,8 @@
             return self.refuse_without_target(journey, choice, cause)
         hedge_after_s = self.hedge_after_s(journey)
         if hedge_after_s is None:
-            return await self.send(journey, choice, cause)
-        first = asyncio.create_task(self.send(journey, choice, cause))
+            return await self.send(Trial(journey, choice, cause))
+        first = asyncio.create_task(self.send(Trial(journey, choice, cause)))
         done, _ = await _wait_for_any({first}, hedge_after_s)
         if done:
             return first.result()
@@ -138,86 +137,34 @@
         choice = self.chooser.choose(journey, is_same_region=True)
         if choice.member is None:
             return set()
-        work = self.send(journey, choice, Cause.HEDGE)
-        return {asyncio.create_task(work)}
+        trial = Trial(journey, choice, Cause.HEDGE)
+        return {asyncio.create_task(self.send(trial))}
 
-    async def send(
-        self,
-        journey: Journey,
-        choice: Choice,
-        cause: Cause,
-    ) -> AttemptResult:
+    async def send(self, trial: Trial) -> AttemptResult:
         """Send one attempt and record its decision with the outcome."""
-        assert choice.member is not None
-        attempt_id = journey.next_attempt_id()
-        number = journey.attempts
-        node_id = choice.member.node_id
-        journey.tried.add(node_id)
-        self.chooser.view.begin(node_id, attempt_id)
-        begun = time.monotonic()
-        label = 'cancelled'
+        journey = trial.journey
+        journey.tried.add(trial.node_id)
+        self.chooser.view.begin(trial.node_id, trial.attempt_id)
+        label = CANCELLED
         try:
-            outcome = await self.sender.send(journey, choice.member, attempt_id)
+            outcome = await self.sender.send(journey, trial.member, trial.attempt_id)
             label = _label(outcome)
-            journey.note(outcome, node_id)
+            journey.note(outcome, trial.node_id)
         finally:
-            elapsed_ms = (time.monotonic() - begun) * MS_PER_S
-            self.conclude(journey, choice, cause, number, label, elapsed_ms)
+            self.conclude(trial, label)
         if isinstance(outcome, Success):
-            self.chooser.charge_link(choice.member, len(outcome.unwrap().body))
-            self.latencies[_latency_key(journey)].add(elapsed_ms)
+            self.chooser.charge_link(trial.member, len(outcome.unwrap().body))
+            self.latencies[_latency_key(journey)].add(trial.elapsed_ms())
         return outcome
 
-    def conclude(
-        self,
-        journey: Journey,
-        choice: Choice,
-        cause: Cause,
-        number: int,
-        label: str,
-        elapsed_ms: float,
-    ) -> None:
-        """Note that an attempt ended, however it did."""
-        assert choice.member is not None
-        attempt_id = f'{journey.request.request_id}-{number}'
-        self.chooser.view.end(choice.member.node_id, attempt_id)
-        self.chooser.charge_link(choice.member, len(journey.request.body))
-        self.record(journey, choice, cause, number, label, elapsed_ms)
-
-    def record(
-        self,
-        journey: Journey,
-        choice: Choice,
-        cause: Cause,
-        number: int,
-        label: str,
-        elapsed_ms: float,
-    ) -> None:
-        """Keep a decision for replay."""
-        situation = choice.situation
-        call_class = journey.request.call_class
-        self.recorder.add(
-            DecisionRecord(
-                journey.request.request_id,
-                number,
-                str(cause),
-                int(time.time() * MS_PER_S),
-                journey.preset.revision,
-                call_class.service,
-                call_class.name,
-                call_class.tenant,
-                situation.policy,
-                situation.tuning.to_row(),
-                situation.seed,
-                situation.turn,
-                situation.is_link_allowed,
-                [seen.to_row() for seen in situation.candidates],
-                choice.decision.chosen,
-                choice.decision.scores,
-                label,
-                round(elapsed_ms, 2),
-            ),
-        )
+    def conclude(self, trial: Trial, label: str) -> None:
+        """Note that an attempt ended, however it did.
+
+        :param label: its outcome as recorded.
+        """
+        self.chooser.view.end(trial.node_id, trial.attempt_id)
+        self.chooser.charge_link(trial.member, len(trial.journey.request.body))
+        self.recorder.add(trial.to_record(label))
 
     def refuse_without_target(
         self,
@@ -226,15 +173,13 @@
         cause: Cause,
     ) -> AttemptResult:
         """Refuse a request for which no target may be chosen."""
-        self.record(journey, choice, cause, 0, 'not-run:no-target', 0)
         service = journey.request.call_class.service
-        return Failure(
-            not_run(
-                Reason.NO_TARGET,
-                f'no target of {service} takes work now',
-                NO_TARGET_RETRY_S,
-            ),
-        )
+        detail = f'no target of {service} takes work now'
+        refusal = Failure(not_run(Reason.NO_TARGET, detail, NO_TARGET_RETRY_S))
+        record = decision_record(journey, choice, cause)
+        record.outcome = _label(refusal)
+        self.recorder.add(record)
+        return refusal
 
     def refuse_suspect(self, journey: Journey) -> Refusal:
         """Refuse a request that two targets died of."""
@@ -249,7 +194,7 @@
 
         The order matters: the budget is spent last.
         """
-        if isinstance(outcome, Success) and not _is_failure(outcome.unwrap()):
+        if isinstance(outcome, Success) and not is_failure(outcome.unwrap()):
             return False
         if not _is_safe(journey, outcome) or not self.has_others(journey):
             return False
@@ -265,12 +210,6 @@
         return bool(self.chooser.eligible(service, journey.tried))
 
 
-def _final(journey: Journey, outcome: AttemptResult) -> AttemptResult:
-    if isinstance(outcome, Success):
-        return outcome
-    return Failure(journey.final(outcome.failure()))
-
-
 def _is_safe(journey: Journey, outcome: AttemptResult) -> bool:
     if isinstance(outcome, Success):
         return journey.request.call_class.is_repeatable
@@ -280,10 +219,6 @@
     return refusal.is_not_run or journey.request.call_class.is_repeatable
 
 
-def _is_failure(reply: CallReply) -> bool:
-    return reply.status >= FAILURE_STATUS or reply.status == TOO_MANY_REQUESTS
-
-
 def _label(outcome: AttemptResult) -> str:
     if isinstance(outcome, Success):
         return f'whole:{outcome.unwrap().status}'
@@ -333,4 +268,4 @@
 
 
 def _is_good(outcome: AttemptResult) -> bool:
-    return isinstance(outcome, Success) and not _is_failure(outcome.unwrap())
+    return isinstance(outcome, Success) and not is_failure(outcome.unwrap())
--- a/packages/node/src/lavendermountd/routing/sender.py
+++ b/packages/node/src/lavendermountd/routing/sender.py
@@ -39,8 +39,6 @@
     :param links: links to the other gates.
     """
 
-    __slots__ = ('gate', 'links')
-
     def __init__(self, gate: Gate, links: LinkPool) -> None:
         """Keep the gate and the links."""
         self.gate = gate
