An old request shows a straggler only when it is far overdue

Age now counts only beyond 8 typical service times. Ruled out: the region's share of load, which differs by 5 %.

--- a/benches/control.py
+++ b/benches/control.py
@@ -225,6 +225,7 @@
             6,
             source.uniform(5, 30),
             0.01,
+            source.randrange(50),
             source.randrange(900),
             90000,
         )
--- a/features/naive.py
+++ b/features/naive.py
@@ -135,6 +135,8 @@
         )
         failures = trust * seen.failure_ratio + (1 - trust) * usual_failures
         service = max(service, 0.1)
+        if seen.oldest_ms > 8 * usual_service:
+            service = max(service, seen.oldest_ms)
         fresh = math.exp(-seen.age_ms / (4 * service))
         backlog = fresh * (seen.in_flight + seen.queued)
         backlog += (1 - fresh) * usual_crowd * seen.slots
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -47,6 +47,7 @@
             draw(st.integers(0, 9)),
             draw(TIMES),
             draw(st.floats(0, 1).map(lambda share: round(share, 3))),
+            draw(st.integers(0, 900)),
             draw(st.integers(0, 9000)),
             draw(st.integers(0, 9000)),
         )
--- a/packages/core/src/lavendermount_core/routing/candidates.py
+++ b/packages/core/src/lavendermount_core/routing/candidates.py
@@ -31,6 +31,7 @@
     :param slots: requests the target works on at once.
     :param service_ms: mean service time when last reported; 0 for none.
     :param failure_ratio: share of failed requests.
+    :param oldest_ms: age of the oldest request this node has there.
     :param age_ms: age of the report.
     :param warm_ms: time since the target announced itself.
     """
@@ -44,6 +45,7 @@
         'slots',
         'service_ms',
         'failure_ratio',
+        'oldest_ms',
         'age_ms',
         'warm_ms',
     )
@@ -58,6 +60,7 @@
         slots: int,
         service_ms: float,
         failure_ratio: float,
+        oldest_ms: int,
         age_ms: int,
         warm_ms: int,
     ) -> None:
@@ -70,6 +73,7 @@
         self.slots = slots
         self.service_ms = service_ms
         self.failure_ratio = failure_ratio
+        self.oldest_ms = oldest_ms
         self.age_ms = age_ms
         self.warm_ms = warm_ms
 
--- a/packages/core/src/lavendermount_core/routing/expected_time.py
+++ b/packages/core/src/lavendermount_core/routing/expected_time.py
@@ -15,6 +15,7 @@
 CROWDING_SHARE = 0.25
 ROUND_TRIP = 2
 BACKLOG_SERVICES = 4
+OVERDUE_SERVICES = 8
 LEAST_SERVICE_MS = 0.1
 
 
@@ -47,6 +48,8 @@
     trust = math.exp(-candidate.age_ms / tuning.stale_ms)
     known = candidate.service_ms or fleet.service_ms
     service = max(_blend(known, fleet.service_ms, trust), LEAST_SERVICE_MS)
+    if candidate.oldest_ms > OVERDUE_SERVICES * fleet.service_ms:
+        service = max(service, candidate.oldest_ms)
     failures = _blend(candidate.failure_ratio, fleet.failure_ratio, trust)
     backlog = _blend(
         candidate.in_flight + candidate.queued,
--- a/packages/node/src/lavendermountd/routing/view.py
+++ b/packages/node/src/lavendermountd/routing/view.py
@@ -98,7 +98,8 @@
         sent = self.under_way.get(member.node_id, {})
         seen = self.current_load(member)
         if seen is None:
-            return _unknown_candidate(member.node_id, distance, len(sent))
+            oldest_ms = _oldest_ms(sent, now)
+            return _unknown_candidate(member.node_id, distance, len(sent), oldest_ms)
         report = seen.report
         return Candidate(
             member.node_id,
@@ -107,8 +108,9 @@
             report.queued,
             sum(1 for at in sent.values() if at > seen.seen_at),
             report.slots,
-            max(report.service_ms, _oldest_ms(sent, now)),
+            report.service_ms,
             report.failure_ratio,
+            _oldest_ms(sent, now),
             max(0, int((now - seen.seen_at) * MS_PER_S)),
             report.warm_ms,
         )
@@ -125,7 +127,12 @@
         return Distance.SAME_ZONE
 
 
-def _unknown_candidate(node_id: str, distance: int, sent: int) -> Candidate:
+def _unknown_candidate(
+    node_id: str,
+    distance: int,
+    sent: int,
+    oldest_ms: int,
+) -> Candidate:
     return Candidate(
         node_id,
         distance,
@@ -135,16 +142,17 @@
         1,
         0,
         0,
+        oldest_ms,
         UNKNOWN_AGE_MS,
         SETTLED_WARM_MS,
     )
 
 
-def _oldest_ms(sent: dict[str, float], now: float) -> float:
+def _oldest_ms(sent: dict[str, float], now: float) -> int:
     if not sent:
         return 0
     oldest = next(iter(sent.values()))
-    return round((now - oldest) * MS_PER_S, 1)
+    return int((now - oldest) * MS_PER_S)
 
 
 def _order(report: LoadReport) -> tuple[int, int]:
