A node that answers again is avoided no longer; unused names removed

Cause, found by looking for names that nothing uses: note_success was never called, so one failure long ago made the next one count for up to 8 s. A load report from a gate ends it now. Also the differences told between regions stay within the budget of the paid link.

--- a/features/membership.feature
+++ b/features/membership.feature
@@ -35,6 +35,9 @@
     When the links both ways are whole again
     Then every running node sees 6 living members
 
+  Scenario: A node that answers again is avoided no longer
+    Then avoidance grows with each failure and ends with an answer
+
   Scenario: Members merge the same in any order
     Then member tables agree with the naive one on generated rumours
 
--- a/features/steps/member_steps.py
+++ b/features/steps/member_steps.py
@@ -19,10 +19,13 @@
 from lavendermount_core.structure.members import MemberStatus
 from lavendermount_testbed.caller import CallerConnection, CallerError
 from lavendermount_testbed.processes import wait_until
+from lavendermountd.identity import Identity
 from lavendermountd.membership.suspicion import SuspicionTimers
 from lavendermountd.membership.table import MemberTable
-from lavendermountd.membership.updates import BUCKETS, UpdateQueue
+from lavendermountd.membership.updates import BUCKETS, BUCKETS_PER_ROUND, UpdateQueue
 from lavendermountd.node import Node
+from lavendermountd.peer.avoidance import FIRST_S
+from lavendermountd.peer.links import LinkPool
 from lavendermountd.supervision import supervisor as supervision
 from lavendermountd.supervision.supervisor import Child, SupervisionError, Supervisor
 from lavendermountd.tree import NodeTree
@@ -161,6 +164,21 @@
     return table
 
 
+@then('avoidance grows with each failure and ends with an answer')
+def avoidance_ends(context: Any) -> None:
+    """Fail twice, answer once, and fail again."""
+    identity = Identity(load_text(NodeSchema, NODE_SETTINGS, 'test'))
+    pool = LinkPool(identity, lambda report: None, lambda told: None)
+    pool.avoidance.note_failure('n1')
+    pool.avoidance.note_failure('n1')
+    assert pool.avoidance.last_s['n1'] > FIRST_S
+    assert pool.avoidance.is_avoided('n1')
+    pool.take_load(load_report('n1'))
+    assert not pool.avoidance.is_avoided('n1')
+    pool.avoidance.note_failure('n1')
+    assert pool.avoidance.last_s['n1'] == FIRST_S
+
+
 @then('a member counted dead is probed again and refutes')
 def dead_refutes(context: Any) -> None:
     """Two tables that count each other dead agree again after one exchange."""
@@ -192,6 +210,9 @@
         node.budget.paid.configure(0, 0)
         poor = node.exchange.build(near)
         far = node.budget.try_spend('gossip-connect', 1, is_paid=True)
+        other = Node(settings).exchange.build(near)
+        assert len(other.digests) == BUCKETS_PER_ROUND
+        assert not node.exchange.answer(other).members, 'differences were told'
         return rich, poor, far
 
     rich, poor, far = asyncio.run(build())
--- a/packages/core/src/lavendermount_core/config/options.py
+++ b/packages/core/src/lavendermount_core/config/options.py
@@ -171,18 +171,6 @@
         return checked
 
 
-class Flag(Option[bool]):
-    """True or false."""
-
-    kind = 'true or false'
-
-    def check_present(self, raw: Any, place: str) -> tuple[Any, list[Finding]]:
-        """Check the type."""
-        if isinstance(raw, bool):
-            return raw, []
-        return raw, [Finding(place, f'must be true or false, not {raw!r}')]
-
-
 class TextList(Option[list[str]]):
     """A list of strings."""
 
--- a/packages/node/src/lavendermountd/caller/headers.py
+++ b/packages/node/src/lavendermountd/caller/headers.py
@@ -22,7 +22,6 @@
         'upgrade',
     ),
 )
-LENGTH = 'content-length'
 
 
 def end_to_end(headers: HTTPHeaders) -> Headers:
@@ -44,8 +43,3 @@
     :param dropped: names in lower case.
     """
     return [pair for pair in headers if pair[0].lower() not in dropped]
-
-
-def is_token(text: str) -> bool:
-    """Whether a text is a header value that may be sent on."""
-    return text.isprintable()
--- a/packages/node/src/lavendermountd/identity.py
+++ b/packages/node/src/lavendermountd/identity.py
@@ -9,8 +9,7 @@
 
 from lavendermount_core.config.node import NodeSchema
 from lavendermount_core.structure.members import Member, MemberStatus
-
-NANOSECONDS_PER_MS = 1000000
+from lavendermount_core.utils.units import NS_PER_MS
 
 
 class Identity:
@@ -28,7 +27,7 @@
         self.gateways = {entry.region: entry.host for entry in settings.gateway}
         self.member = Member(
             settings.node_id,
-            time.time_ns() // NANOSECONDS_PER_MS,
+            time.time_ns() // NS_PER_MS,
             0,
             MemberStatus.ALIVE,
             '',
--- a/packages/node/src/lavendermountd/membership/exchange.py
+++ b/packages/node/src/lavendermountd/membership/exchange.py
@@ -24,12 +24,13 @@
 from lavendermountd.gate.gate import Gate
 from lavendermountd.membership.table import MemberTable
 from lavendermountd.membership.updates import BUCKET_LIMIT, BUCKETS, UpdateQueue
-from lavendermountd.routing.budgets import MeasuringBudget
+from lavendermountd.routing.budgets import MeasuringBudget, TokenBucket
 from lavendermountd.routing.view import LoadView
 
 LOADS_PER_ROUND = 8
 SUSPICIONS_PER_ROUND = 8
 FRESH_S = 5.0
+MEMBER_BYTES = 100
 WHOLE = BUCKETS
 
 
@@ -67,14 +68,13 @@
 
         :param receiver: who the round is for, as this node knows it.
         """
-        is_paid = receiver is not None and receiver.region != self.table.own.region
-        bucket = self.budget.paid if is_paid else self.budget.local
+        bucket = self.bucket_for(receiver)
         bucket.fill()
         message = self.least_round(receiver)
         if bucket.tokens <= 0:
             return message
         message.members.extend(map(member_message, self.updates.take()))
-        if is_paid:
+        if self.is_far(receiver):
             self.add_far_digests(message)
             return message
         message.loads.extend(self.recent_loads())
@@ -154,9 +154,28 @@
         differing = self.merge(message)
         known = self.table.find(message.sender.node_id)
         answer = self.build(known)
-        answer.members.extend(map(member_message, differing))
+        room = self.members_within_budget(known)
+        answer.members.extend(map(member_message, differing[:room]))
         return answer
 
+    def members_within_budget(self, receiver: Member | None) -> int:
+        """Count the members that the budget still allows to tell.
+
+        Regions that join again have much to tell each other: it takes as many
+        rounds as the budget of the link between them makes it.
+        """
+        bucket = self.bucket_for(receiver)
+        bucket.fill()
+        return max(0, int(bucket.tokens / MEMBER_BYTES))
+
+    def is_far(self, receiver: Member | None) -> bool:
+        """Whether a member is in another region."""
+        return receiver is not None and receiver.region != self.table.own.region
+
+    def bucket_for(self, receiver: Member | None) -> TokenBucket:
+        """Find the bucket that pays for speaking to a member."""
+        return self.budget.paid if self.is_far(receiver) else self.budget.local
+
 
 def _no_revision() -> int:
     return NO_REVISION
--- a/packages/node/src/lavendermountd/peer/links.py
+++ b/packages/node/src/lavendermountd/peer/links.py
@@ -45,6 +45,11 @@
         self.silent_s = 0.3
         self.count_ping: Callable[[Member, int], None] | None = None
 
+    def take_load(self, report: LoadReport) -> None:
+        """Pass a report on; its gate answers, so it is avoided no longer."""
+        self.avoidance.note_success(report.node_id)
+        self.on_load(report)
+
     async def get(self, member: Member) -> PeerLink:
         """Find the open link to a gate, or open one.
 
@@ -74,7 +79,7 @@
         link = PeerLink(
             member,
             self.identity.host_of(member),
-            self.on_load,
+            self.take_load,
             self.on_suspect,
             self.max_body,
             self.silent_s,
--- a/packages/node/src/lavendermountd/recorder/recorder.py
+++ b/packages/node/src/lavendermountd/recorder/recorder.py
@@ -24,7 +24,6 @@
 log = logging.getLogger(__name__)
 
 BATCH_LIMIT = 2000
-SHUTDOWN_WAIT_S = 2.0
 
 
 class Recorder:
