A fault inside the gate is answered and forgets no attempt

Cause, found by reading: an unforeseen error in an attempt left it in the ledger for good, and the sender waited until its deadline. It is logged and answered now: unknown once the first byte may have left, else not-run. Refusals of a leaving target say when to come back.

--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -34,6 +34,9 @@
   Scenario: A request that was buried is never run
     Then a gate refuses an attempt that it was asked about first
 
+  Scenario: A fault inside the gate is answered and forgets no attempt
+    Then a gate whose client breaks answers unknown and keeps nothing running
+
   Scenario: A refused retry never turns a request that ran into not-run
     Then a router whose first attempt ran and whose retry is refused does not say not-run
 
--- a/features/steps/fault_steps.py
+++ b/features/steps/fault_steps.py
@@ -6,6 +6,7 @@
 import json
 import time
 from typing import Any
+from unittest.mock import Mock
 from urllib.request import Request, urlopen
 
 from behave import then, when
@@ -24,7 +25,7 @@
 from lavendermount_testbed.processes import wait_until
 from lavendermountd.claims.records import Claim, Release, encode_claims
 from lavendermountd.claims.stream import ClaimFold
-from lavendermountd.gate.attempts import Attempt
+from lavendermountd.gate.attempts import Attempt, Progress
 from lavendermountd.gate.gate import Gate
 from lavendermountd.gate.target import TargetState
 from lavendermountd.identity import Identity
@@ -117,6 +118,30 @@
     return await node.router.route(request, preset)
 
 
+@then('a gate whose client breaks answers unknown and keeps nothing running')
+def broken_client(context: Any) -> None:
+    """Let the client raise something unforeseen after the first byte."""
+    asyncio.run(_break_client())
+
+
+async def _break_client() -> None:
+    gate = Gate(Identity(load_text(NodeSchema, NODE_SETTINGS, 'test')))
+    gate.target.announce('s', '127.0.0.1', 1, 6, 'i')
+    gate.admission.slots = 6
+
+    async def exchange(attempt: Attempt) -> Any:
+        attempt.progress = Progress.WRITTEN
+        raise RuntimeError('unforeseen')
+
+    gate.client = Mock(exchange=exchange)
+    request = call_request('POST')
+    request.deadline = asyncio.get_running_loop().time() + 30
+    outcome = await gate.execute(Attempt('a-1', request, 'f'))
+    assert outcome.failure().outcome == 'unknown', outcome
+    assert not gate.ledger.running
+    assert gate.admission.in_flight == 0
+
+
 @then('a gate whose target drains refuses new work and ends what runs')
 def gate_closes(context: Any) -> None:
     """Drain while a request runs at a target that answers late."""
--- a/packages/core/src/lavendermount_core/structure/calls.py
+++ b/packages/core/src/lavendermount_core/structure/calls.py
@@ -44,6 +44,7 @@
     CLAIMED = 'key-claimed'
     LOG_DOWN = 'log-down'
     OVERLOADED = 'overloaded'
+    INTERNAL = 'internal-error'
 
 
 class CallClass(Record):
--- a/packages/node/src/lavendermountd/gate/gate.py
+++ b/packages/node/src/lavendermountd/gate/gate.py
@@ -97,6 +97,9 @@
             outcome = await self.admit_and_run(attempt)
         except asyncio.CancelledError:
             outcome = Failure(_interrupted(attempt, Reason.CANCELLED))
+        except Exception:
+            log.exception('attempt-failed', extra={'attempt': attempt.attempt_id})
+            outcome = Failure(_interrupted(attempt, Reason.INTERNAL))
         self.ledger.close(attempt, outcome, time.monotonic())
         return outcome
 
@@ -123,7 +126,8 @@
     def refusal_before_queue(self, attempt: Attempt) -> Refusal | None:
         """Refuse at once what can't run here."""
         if self.is_closed or self.target.state == TargetState.DRAINING:
-            return not_run(Reason.DRAINING, 'the target is leaving')
+            detail = 'the target is leaving'
+            return not_run(Reason.DRAINING, detail, TARGET_DOWN_RETRY_S)
         if not self.target.is_accepting:
             return not_run(
                 Reason.TARGET_DOWN,
