--- a/features/mutations.py
+++ b/features/mutations.py
@@ -221,7 +221,7 @@
     Mutation(
         'straggler',
         f'{CORE}/routing/expected_time.py',
-        'known = candidate.service_ms or fleet.service_ms',
+        'known = candidate.service_ms or UNKNOWN_SHARE * fleet.service_ms',
         'known = fleet.service_ms',
         'bad_targets',
         'A straggler is left alone',
--- a/features/naive.py
+++ b/features/naive.py
@@ -131,7 +131,8 @@
         trust = math.exp(-seen.age_ms / tuning.stale_ms)
         slots = max(seen.slots, 1)
         service = (
-            trust * (seen.service_ms or usual_service) + (1 - trust) * usual_service
+            trust * (seen.service_ms or 0.5 * usual_service)
+            + (1 - trust) * usual_service
         )
         failures = trust * seen.failure_ratio + (1 - trust) * usual_failures
         service = max(service, 0.1)
--- a/packages/core/src/lavendermount_core/routing/expected_time.py
+++ b/packages/core/src/lavendermount_core/routing/expected_time.py
@@ -16,6 +16,7 @@
 ROUND_TRIP = 2
 BACKLOG_SERVICES = 4
 OVERDUE_SERVICES = 8
+UNKNOWN_SHARE = 0.5
 LEAST_SERVICE_MS = 0.1
 
 
@@ -46,7 +47,7 @@
     :returns: path, wait and service time with the risk of failure.
     """
     trust = math.exp(-candidate.age_ms / tuning.stale_ms)
-    known = candidate.service_ms or fleet.service_ms
+    known = candidate.service_ms or UNKNOWN_SHARE * fleet.service_ms
     service = max(_blend(known, fleet.service_ms, trust), LEAST_SERVICE_MS)
     if candidate.oldest_ms > OVERDUE_SERVICES * fleet.service_ms:
         service = max(service, candidate.oldest_ms)
