The hedge scenario hangs the target that is asked first

It hung a target of the other zone, which the policy may rightly never ask; then no hedge was needed and the check 'no hedge was sent' failed. The caller's own target hangs now, so that the check can't pass or fail by who is chosen. Bounds unchanged.

--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -305,7 +305,7 @@
     """Let a target answer nothing and send requests one after the other."""
     entry = instance_of(context, number)
     context.hedges_before = gauge_of(entry, 'hedges')
-    instance_of(context, 2).control_target(silent=True)
+    entry.control_target(silent=True)
     send_many(context, count, number)
 
 
