--- a/features/bad_targets.feature
+++ b/features/bad_targets.feature
@@ -14,6 +14,13 @@
     Then every request was answered whole
     And the target of node 1 was asked at most 40 times
 
+  Scenario: A target that has recovered is given work again
+    Given a deployment of 3 nodes
+    When the target of node 1 fails every request at once
+    And 60 requests are sent to node 1
+    And the target of node 1 recovers
+    Then the target of node 1 is soon asked again
+
   Scenario: What was learned of a target is forgotten when it gets no work
     Given a deployment of 3 nodes
     When the target of node 1 fails every request at once
--- a/features/steps/fault_steps.py
+++ b/features/steps/fault_steps.py
@@ -434,6 +434,25 @@
     context.bad = number
 
 
+@when('the target of node {number:d} recovers')
+def recover(context: Any, number: int) -> None:
+    """Let a target work again and count from here."""
+    told = instance_of(context, number).control_target(fail_status=0)
+    context.asked_before = told['asked']
+
+
+@then('the target of node {number:d} is soon asked again')
+def asked_again(context: Any, number: int) -> None:
+    """Send requests until some have reached the target."""
+    entry = instance_of(context, number)
+
+    def is_asked() -> bool:
+        instance_of(context, 1).call()
+        return entry.control_target()['asked'] > context.asked_before + 3
+
+    wait_until(is_asked, 'the target is asked again', RECOVERY_LIMIT_S)
+
+
 @then('node {number:d} soon reports no failures of its target')
 def failures_forgotten(context: Any, number: int) -> None:
     """Look at the node's own load report, first with failures, then without."""
