--- a/packages/node/src/lavendermountd/gate/target.py
+++ b/packages/node/src/lavendermountd/gate/target.py
@@ -116,6 +116,10 @@
             self.service_ms = elapsed_ms
         self.service_ms += SERVICE_WEIGHT * (elapsed_ms - self.service_ms)
 
+    def is_forgotten(self, now: float) -> bool:
+        """Whether the averages are too old to tell anything."""
+        return now - self.observed_at > FORGET_S
+
     def current_service_ms(self, now: float) -> float:
         """Recent service time, or the age of the work in flight if longer.
 
@@ -125,15 +129,13 @@
         :returns: milliseconds; 0 if nothing recent is known.
         """
         if not self.started_at:
-            is_forgotten = now - self.observed_at > FORGET_S
-            return 0 if is_forgotten else self.service_ms
+            return 0 if self.is_forgotten(now) else self.service_ms
         ages = now * len(self.started_at) - sum(self.started_at.values())
         return max(self.service_ms, ages * MS_PER_S / len(self.started_at))
 
     def current_failure_ratio(self, now: float) -> float:
         """Recent share of failures; 0 if nothing recent is known."""
-        is_forgotten = now - self.observed_at > FORGET_S
-        return 0 if is_forgotten else self.failure_ratio
+        return 0 if self.is_forgotten(now) else self.failure_ratio
 
     def warm_ms(self, now: float) -> int:
         """Time since the target started."""
