--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -14,7 +14,7 @@
 from naive import NaiveAdmission, naive_expected_time
 from request_steps import Sent, send
 
-from lavendermount_core.platform.adapter import open_log
+from lavendermount_core.log.adapter import open_log
 from lavendermount_core.replay.records import (
     DECISION_STREAM,
     DecisionRecord,
--- a/packages/client/src/lavendermount/context.py
+++ b/packages/client/src/lavendermount/context.py
@@ -11,7 +11,7 @@
 import click
 
 from lavendermount_core.exceptions import LavendermountError
-from lavendermount_core.platform.adapter import LogAdapter, open_log
+from lavendermount_core.log.adapter import LogAdapter, open_log
 
 LOG_TIMEOUT_S = 5.0
 
--- a/packages/client/src/lavendermount/decisions.py
+++ b/packages/client/src/lavendermount/decisions.py
@@ -7,7 +7,7 @@
 
 from lavendermount_core.config.findings import Finding
 from lavendermount_core.exceptions import LogEvictedError, RecordError
-from lavendermount_core.platform.adapter import LogAdapter, LogBatch
+from lavendermount_core.log.adapter import LogAdapter, LogBatch
 from lavendermount_core.replay.chain import ChainCheck
 from lavendermount_core.replay.records import (
     DECISION_STREAM,
--- a/packages/client/src/lavendermount/presets.py
+++ b/packages/client/src/lavendermount/presets.py
@@ -15,7 +15,7 @@
     PresetNotAcceptedError,
     RecordError,
 )
-from lavendermount_core.platform.adapter import LogAdapter, LogBatch
+from lavendermount_core.log.adapter import LogAdapter, LogBatch
 from lavendermount_core.presets.fold import PresetFold
 from lavendermount_core.presets.records import (
     PRESET_STREAM,
--- a/packages/core/src/lavendermount_core/config/node.py
+++ b/packages/core/src/lavendermount_core/config/node.py
@@ -8,10 +8,22 @@
 
 from lavendermount_core.config import options as opt
 from lavendermount_core.config.findings import Finding
-from lavendermount_core.platform.adapter import adapter_names
+from lavendermount_core.log.adapter import adapter_names
 
 PORT_LIMIT = 65535
 LOG_LEVELS = ('debug', 'info', 'warning', 'error')
+STREAM = 'stream'
+KEYED = 'keyed'
+CONNECTION = 'connection'
+HEALTH = 'health'
+
+
+def _ways() -> list[str]:
+    return [STREAM, KEYED]
+
+
+def _evidences() -> list[str]:
+    return [CONNECTION, HEALTH]
 
 
 def _log_levels() -> list[str]:
@@ -61,11 +73,21 @@
     host = opt.Text('127.0.0.1', 'IP number of the target.')
     port = opt.Integer(0, 'Port of the target.', 'port', high=PORT_LIMIT)
     slots = opt.Integer(1, 'Requests it works on at once.', 'slots', low=1, high=10000)
+    evidence = opt.Text(
+        CONNECTION,
+        'What shows that the target is up: a connection, or its health answer.',
+        _evidences,
+    )
 
 
 class MembershipOptions(opt.Schema):
     """Gossip between nodes."""
 
+    directory = opt.Text(
+        STREAM,
+        'Where join records stand: in a stream, or one for each key.',
+        _ways,
+    )
     seeds = opt.TextList([], 'Control addresses to try while the log is down.')
     period_ms = opt.Integer(
         1000, 'Time between gossip rounds.', 'ms', low=20, high=60000
@@ -79,6 +101,27 @@
     )
 
 
+class PresetSourceOptions(opt.Schema):
+    """Where the node learns the preset in force."""
+
+    source = opt.Text(
+        STREAM,
+        'The stream of publishes and switches, or the newest record of a key.',
+        _ways,
+    )
+    stream = opt.Text('presets', 'Keyed stream that holds the record.')
+    key = opt.Text('', 'Key of the record.')
+    decoder = opt.Text('', 'Name of the decoder that reads the record.')
+
+
+class EndpointOptions(opt.Schema):
+    """An endpoint that an adapter adds to the node."""
+
+    name = opt.Text(about='Name under which the adapter registered it.')
+    host = opt.Text(about='IP number to listen on.')
+    port = _port('Port to listen on.')
+
+
 class RecorderOptions(opt.Schema):
     """Recording of decisions."""
 
@@ -100,6 +143,17 @@
     zone = opt.Text(about='Availability zone of the VM.')
     log_level = opt.Text('info', 'Least level that is logged.', _log_levels)
     drain_s = opt.Number(10, 'Time a planned stop may take.', 's', high=3600)
+    listen_s = opt.Number(
+        0,
+        'Time to go on accepting callers after a stop was asked; 0 takes one '
+        'period of gossip.',
+        's',
+        high=3600,
+    )
+    dialect = opt.Text('native', 'Name of the dialect of callers and targets.')
+    origin = opt.Text('', 'Service that runs on the VM, told to targets.')
+    presets = opt.Table(PresetSourceOptions, 'Source of the preset in force.')
+    endpoint = opt.TableList(EndpointOptions, 'Endpoints that adapters add.')
     listen = opt.Table(ListenOptions, 'Addresses.')
     gateway = opt.TableList(GatewayOptions, 'Gateways to other regions.')
     log = opt.Table(LogOptions, "The platform's log.")
--- a/packages/core/src/lavendermount_core/config/preset.py
+++ b/packages/core/src/lavendermount_core/config/preset.py
@@ -12,6 +12,25 @@
 from lavendermount_core.routing.policies import policy_names
 
 SAFE_METHODS = ('GET', 'HEAD', 'OPTIONS')
+FIRST_MATCH = 'first-match'
+LONGEST_PREFIX = 'longest-prefix'
+BY_METHOD = 'by-method'
+ALWAYS = 'always'
+NEVER = 'never'
+ALONE = 'alone'
+FREE = 'free'
+
+
+def _matchings() -> list[str]:
+    return [FIRST_MATCH, LONGEST_PREFIX]
+
+
+def _repeats() -> list[str]:
+    return [BY_METHOD, ALWAYS, NEVER]
+
+
+def _isolations() -> list[str]:
+    return [ALONE, FREE]
 
 
 class ClassOptions(opt.Schema):
@@ -40,10 +59,18 @@
     )
 
 
+class SplitOptions(opt.Schema):
+    """One part of a route that several services answer."""
+
+    service = opt.Text(about='Service that answers.')
+    weight = opt.Number(1, 'Share of the requests, against the other parts.')
+
+
 class RouteOptions(opt.Schema):
     """A rule that gives a request its service, class and tenant."""
 
-    service = opt.Text(about='Service that answers.')
+    service = opt.Text('', 'Service that answers; empty where a split says it.')
+    split = opt.TableList(SplitOptions, 'Services that share the requests.')
     host = opt.Text('', 'Host header without port; empty matches any.')
     path = opt.Text('/', 'Prefix of the path.')
     methods = opt.TextList([], 'Methods that match; empty matches any.')
@@ -60,6 +87,29 @@
         list(SAFE_METHODS),
         'Methods that may run twice without harm.',
     )
+    repeat = opt.Text(
+        BY_METHOD,
+        'What may run twice without harm: as the methods say, all, or nothing.',
+        _repeats,
+    )
+    timeout_ms = opt.Integer(
+        0,
+        'Longest time to the answer, whatever the caller allows; 0 for none.',
+        'ms',
+        high=600000,
+    )
+    target_ms = opt.Integer(
+        0,
+        'Time within which an answer is worth most; 0 for the deadline.',
+        'ms',
+        high=600000,
+    )
+    attempts = opt.Integer(
+        0,
+        'Targets that may be tried for one request; 0 takes retry.attempts.',
+        'targets',
+        high=100,
+    )
 
 
 class ChoosingOptions(opt.Schema):
@@ -102,6 +152,18 @@
     share = opt.Number(0.1, 'Retries earned by each request.', 'share', high=1)
     burst = opt.Integer(10, 'Retries that may be saved up.', 'retries', high=1000)
     attempts = opt.Integer(3, 'Attempts for one request.', low=1, high=10)
+    shared_per_s = opt.Number(
+        0,
+        'Retries a second that all nodes share in equal parts.',
+        'retries/s',
+        high=10**6,
+    )
+    shared_burst = opt.Number(
+        0,
+        'Retries saved up that all nodes share in equal parts.',
+        'retries',
+        high=10**6,
+    )
 
 
 class HedgeOptions(opt.Schema):
@@ -136,9 +198,61 @@
     burst_s = opt.Number(10, 'Seconds of budget saved up.', 's', high=600)
 
 
+class SuspectOptions(opt.Schema):
+    """Requests that were in flight when their target died."""
+
+    isolation = opt.Text(
+        ALONE,
+        'How a request runs after one target died of it.',
+        _isolations,
+    )
+    victims = opt.Integer(
+        2,
+        'Targets that may die before a request is refused.',
+        'targets',
+        low=1,
+        high=100,
+    )
+
+
+class ServiceOptions(opt.Schema):
+    """What is known of a service beforehand."""
+
+    name = opt.Text(about='Name that routes refer to.')
+    health_path = opt.Text('', 'Path that tells of health; empty for none.')
+    connections = opt.Integer(
+        0,
+        'Connections to one target; 0 takes limits.connections.',
+        'connections',
+        high=100000,
+    )
+
+
 class LimitOptions(opt.Schema):
     """Sizes and counts that protect the node and its target."""
 
+    header_bytes = opt.Integer(
+        65536,
+        'Largest head of a request.',
+        'bytes',
+        low=1024,
+        high=1024**2,
+    )
+    header_ms = opt.Integer(
+        60000,
+        'Time a caller may take to send the head of a request.',
+        'ms',
+        low=1,
+        high=600000,
+    )
+    idle_ms = opt.Integer(
+        300000,
+        'Time a connection of a caller may stay idle.',
+        'ms',
+        low=1,
+        high=3600000,
+    )
+
     body_bytes = opt.Integer(
         16 * 1024 * 1024,
         'Largest body of a request or reply.',
@@ -167,12 +281,19 @@
 
     name = opt.Text(about='Name of the preset.')
     about = opt.Text('', 'A sentence for operators.')
+    matching = opt.Text(
+        FIRST_MATCH,
+        'Which route wins where several match.',
+        _matchings,
+    )
     class_ = opt.TableList(ClassOptions, 'Classes of requests.')
-    route = opt.TableList(RouteOptions, 'Rules, first match wins.')
+    service = opt.TableList(ServiceOptions, 'Services, where known beforehand.')
+    route = opt.TableList(RouteOptions, 'Rules that requests are matched with.')
     choosing = opt.Table(ChoosingOptions, 'Choosing a target.')
     retry = opt.Table(RetryOptions, 'Retries.')
     hedge = opt.Table(HedgeOptions, 'Hedges.')
     budget = opt.Table(BudgetOptions, 'Cost of measuring.')
+    suspects = opt.Table(SuspectOptions, 'Requests that crash targets.')
     limits = opt.Table(LimitOptions, 'Sizes and counts.')
 
     def check_whole(self, place: str) -> list[Finding]:
@@ -191,6 +312,14 @@
             for index, route in enumerate(self.route)
             if route.class_ not in names
         )
+        findings.extend(
+            Finding(
+                f'{place}route[{index}].service',
+                'is required unless a split has a part with weight',
+            )
+            for index, route in enumerate(self.route)
+            if not route.service and not any(part.weight for part in route.split)
+        )
         if not self.route:
             findings.append(
                 Finding(f'{place}route', 'at least one route is required'),
--- a/packages/core/src/lavendermount_core/platform/adapter.py
+++ b/packages/core/src/lavendermount_core/log/adapter.py
@@ -51,6 +51,37 @@
         self.records = records
 
 
+class NewestRecords:
+    """The newest record of each key of a keyed stream.
+
+    :param end: offset that the next append will get; reading on from there
+        misses nothing.
+    :param bodies: newest record by key.
+    """
+
+    __slots__ = ('end', 'bodies')
+
+    def __init__(self, end: int, bodies: dict[str, bytes]) -> None:
+        """Keep the fields as given."""
+        self.end = end
+        self.bodies = bodies
+
+
+class KeyedRecord:
+    """A record of a keyed stream.
+
+    :param key: what the record is about; a newer one replaces it.
+    :param body: the record; empty if the key was dropped.
+    """
+
+    __slots__ = ('key', 'body')
+
+    def __init__(self, key: str, body: bytes) -> None:
+        """Keep the fields as given."""
+        self.key = key
+        self.body = body
+
+
 class LogAdapter(abc.ABC):
     """A client of the platform's log."""
 
@@ -83,13 +114,42 @@
         """
 
 
+class KeyedLog(LogAdapter):
+    """A log that also keeps the newest record of each key for good."""
+
+    @abc.abstractmethod
+    async def append_keyed(self, stream: str, keyed: KeyedRecord) -> int:
+        """Replace the newest record of a key.
+
+        :param stream: name of the stream.
+        :param keyed: the key and its record.
+        :raises LogUnavailableError: if no answer came.
+        :returns: offset of the record.
+        """
+
+    @abc.abstractmethod
+    async def newest(self, stream: str) -> NewestRecords:
+        """Read the newest record of each key.
+
+        :param stream: name of the stream.
+        :raises LogUnavailableError: if no answer came.
+        """
+
+    @abc.abstractmethod
+    def split_key(self, body: bytes) -> KeyedRecord:
+        """Take a record of a keyed stream, as ``read`` returns it, apart.
+
+        :raises RecordError: if it is no such record.
+        """
+
+
 AdapterClass = type[LogAdapter]
 log_adapters: Registry[str, AdapterClass] = Registry('log adapter')
 
 
 def adapter_names() -> list[str]:
     """List the registered adapters."""
-    from lavendermount_core.platform import http_log  # noqa: F401
+    from lavendermount_core.log import http_log  # noqa: F401
 
     return log_adapters.names()
 
--- a/packages/core/src/lavendermount_core/platform/http_log.py
+++ b/packages/core/src/lavendermount_core/log/http_log.py
@@ -13,7 +13,7 @@
     LogUnavailableError,
     RecordError,
 )
-from lavendermount_core.platform.adapter import (
+from lavendermount_core.log.adapter import (
     LogAdapter,
     LogBatch,
     LogRecord,
--- a/packages/core/src/lavendermount_core/routing/candidates.py
+++ b/packages/core/src/lavendermount_core/routing/candidates.py
@@ -34,6 +34,8 @@
     :param oldest_ms: age of the oldest request this node has there.
     :param age_ms: age of the report.
     :param warm_ms: time since the target announced itself.
+    :param slowness: how many times longer than usual work took on the
+        target's VM when last reported.
     """
 
     __slots__ = (
@@ -48,6 +50,7 @@
         'oldest_ms',
         'age_ms',
         'warm_ms',
+        'slowness',
     )
 
     def __init__(
@@ -63,6 +66,7 @@
         oldest_ms: int,
         age_ms: int,
         warm_ms: int,
+        slowness: float = 1,
     ) -> None:
         """Keep the fields as given."""
         self.node_id = node_id
@@ -76,6 +80,7 @@
         self.oldest_ms = oldest_ms
         self.age_ms = age_ms
         self.warm_ms = warm_ms
+        self.slowness = slowness
 
 
 class Tuning(Record):
--- a/packages/core/src/lavendermount_core/structure/calls.py
+++ b/packages/core/src/lavendermount_core/structure/calls.py
@@ -30,10 +30,13 @@
     NO_TARGET = 'no-target'
     MALFORMED = 'malformed'
     TOO_LARGE = 'too-large'
+    HEAD_TOO_LARGE = 'head-too-large'
     QUEUE_FULL = 'queue-full'
     DEADLINE = 'deadline'
     DRAINING = 'draining'
     TARGET_DOWN = 'target-down'
+    TARGET_SHED = 'target-shed'
+    OTHER_TARGET = 'other-target'
     TARGET_DIED = 'target-died'
     TARGET_REPLY = 'target-reply-broken'
     STALE_INCARNATION = 'stale-incarnation'
@@ -83,6 +86,9 @@
     :param call_class: treatment from the preset.
     :param deadline: when the answer is worth nothing, on the node's
         monotonic clock in seconds.
+    :param due: until when the answer is worth most, on the same clock; 0
+        where the preset names no such time.
+    :param max_targets: targets that may be tried; 0 takes the preset's number.
     """
 
     __slots__ = (
@@ -93,6 +99,8 @@
         'body',
         'call_class',
         'deadline',
+        'due',
+        'max_targets',
     )
 
     def __init__(
@@ -104,6 +112,8 @@
         body: bytes,
         call_class: CallClass,
         deadline: float,
+        due: float = 0,
+        max_targets: int = 0,
     ) -> None:
         """Keep the fields as given."""
         self.request_id = request_id
@@ -113,6 +123,8 @@
         self.body = body
         self.call_class = call_class
         self.deadline = deadline
+        self.due = due
+        self.max_targets = max_targets
 
 
 class CallReply(Record):
--- a/packages/core/src/lavendermount_core/structure/loads.py
+++ b/packages/core/src/lavendermount_core/structure/loads.py
@@ -21,6 +21,8 @@
     :param failure_ratio: recent share of requests that failed.
     :param warm_ms: time since the target announced itself.
     :param is_accepting: false while the target drains or is down.
+    :param slowness: how many times longer than usual work takes on the
+        target's VM now; 1 where the target does not tell.
     """
 
     __slots__ = (
@@ -34,6 +36,7 @@
         'failure_ratio',
         'warm_ms',
         'is_accepting',
+        'slowness',
     )
 
     def __init__(
@@ -48,6 +51,7 @@
         failure_ratio: float,
         warm_ms: int,
         is_accepting: bool,
+        slowness: float = 1,
     ) -> None:
         """Keep the fields as given."""
         self.node_id = node_id
@@ -60,3 +64,4 @@
         self.failure_ratio = failure_ratio
         self.warm_ms = warm_ms
         self.is_accepting = is_accepting
+        self.slowness = slowness
--- a/packages/core/src/lavendermount_core/utils/logs.py
+++ b/packages/core/src/lavendermount_core/utils/logs.py
@@ -8,7 +8,7 @@
 import json
 import logging
 import string
-from typing import Any
+from typing import Any, TextIO
 
 from pythonjsonlogger.core import BaseJsonFormatter
 
@@ -40,12 +40,13 @@
         return ' '.join(f'{key}={quote(str(field))}' for key, field in present)
 
 
-def configure_logging(level: str) -> None:
-    """Send all logs to standard error, one line for each event.
+def configure_logging(level: str, stream: TextIO | None = None) -> None:
+    """Send all logs to one stream, one line for each event.
 
     :param level: name of a standard logging level.
+    :param stream: where the lines go; ``None`` for standard error.
     """
-    stream_handler = logging.StreamHandler()
+    stream_handler = logging.StreamHandler(stream)
     stream_handler.setFormatter(
         KeyValueFormatter(
             _FORMAT,
--- a/packages/node/src/lavendermountd/admin/server.py
+++ b/packages/node/src/lavendermountd/admin/server.py
@@ -16,6 +16,7 @@
 from lavendermount_core.config import options as opt
 from lavendermount_core.config.findings import Finding
 from lavendermount_core.config.node import PORT_LIMIT
+from lavendermountd.gate.reports import TargetReport
 
 if TYPE_CHECKING:
     from lavendermountd.node import Node
@@ -65,7 +66,16 @@
         if findings:
             self.refuse(findings)
             return
-        self.node.take_announcement(announcement)
+        self.node.take_report(
+            TargetReport(
+                announcement.service,
+                announcement.host,
+                announcement.port,
+                announcement.slots,
+                announcement.instance,
+                announcement.state,
+            ),
+        )
         self.write({'accepted': True})
 
     def refuse(self, findings: list[Finding]) -> None:
--- a/packages/node/src/lavendermountd/caller/classification.py
+++ b/packages/node/src/lavendermountd/caller/classification.py
@@ -5,13 +5,18 @@
 
 from __future__ import annotations
 
-from tornado.httputil import HTTPHeaders, RequestStartLine
-
-from lavendermount_core.config.preset import RouteOptions
-from lavendermount_core.structure.calls import CallClass
+from lavendermount_core.config.preset import (
+    ALWAYS,
+    BY_METHOD,
+    LONGEST_PREFIX,
+    RouteOptions,
+)
+from lavendermount_core.structure.calls import CallClass, Headers
+from lavendermountd.caller.splitting import choose_service
+from lavendermountd.http1.messages import WireRequest, find_header
 from lavendermountd.presets.holder import InForcePreset
+from lavendermountd.presets.route_index import matches
 
-DEADLINE_HEADER = 'X-Deadline-Ms'
 DEADLINE_LIMIT_MS = 600000
 
 
@@ -20,68 +25,90 @@
 
     :param call_class: service, tenant, class and repeatability.
     :param deadline_ms: time to answer.
+    :param target_ms: time within which an answer is worth most.
+    :param attempts: targets that may be tried; 0 takes the preset's number.
     """
 
-    __slots__ = ('call_class', 'deadline_ms')
+    __slots__ = ('call_class', 'deadline_ms', 'target_ms', 'attempts')
 
-    def __init__(self, call_class: CallClass, deadline_ms: float) -> None:
+    def __init__(
+        self,
+        call_class: CallClass,
+        deadline_ms: float,
+        target_ms: float,
+        attempts: int,
+    ) -> None:
         """Keep the fields as given."""
         self.call_class = call_class
         self.deadline_ms = deadline_ms
+        self.target_ms = target_ms
+        self.attempts = attempts
 
 
 def classify(
     preset: InForcePreset,
-    start_line: RequestStartLine,
-    headers: HTTPHeaders,
+    request: WireRequest,
+    asked_ms: float | None,
 ) -> Classified | None:
-    """Apply the first route that matches.
+    """Apply the route that wins.
 
     :param preset: preset in force.
-    :param start_line: method and path.
-    :param headers: headers as received.
+    :param request: the request.
+    :param asked_ms: how long the caller waits; ``None`` if it doesn't say.
     :returns: what the route says, or ``None`` without a matching route.
     """
-    for route in preset.schema.route:
-        if _matches(route, start_line, headers):
-            return _apply(preset, route, start_line, headers)
-    return None
+    route = find_route(preset, request)
+    if route is None:
+        return None
+    return _apply(preset, route, request, asked_ms)
 
 
-def _matches(
-    route: RouteOptions,
-    start_line: RequestStartLine,
-    headers: HTTPHeaders,
-) -> bool:
-    if route.methods and start_line.method not in route.methods:
-        return False
-    if not start_line.path.startswith(route.path):
-        return False
-    host = headers.get('Host', '').partition(':')[0].lower()
-    return not route.host or route.host.lower() == host
+def find_route(preset: InForcePreset, request: WireRequest) -> RouteOptions | None:
+    """Find the route that wins for a request.
+
+    :returns: the route, or ``None`` if none matches.
+    """
+    host = _host_of(request.headers)
+    if preset.schema.matching == LONGEST_PREFIX:
+        return preset.index.find(host, request.method, request.target)
+    return next(
+        (
+            route
+            for route in preset.schema.route
+            if matches(route, host, request.method, request.target)
+        ),
+        None,
+    )
+
+
+def _host_of(headers: Headers) -> str:
+    return find_header(headers, 'host').partition(':')[0].lower()
 
 
 def _apply(
     preset: InForcePreset,
     route: RouteOptions,
-    start_line: RequestStartLine,
-    headers: HTTPHeaders,
+    request: WireRequest,
+    asked_ms: float | None,
 ) -> Classified:
-    tenant = headers.get(route.tenant_header, '') if route.tenant_header else ''
+    tenant = ''
+    if route.tenant_header:
+        tenant = find_header(request.headers, route.tenant_header.lower())
     call_class = CallClass(
-        route.service,
+        choose_service(route, preset.turns),
         tenant or route.tenant,
         route.class_,
-        start_line.method in route.repeatable,
+        _is_repeatable(route, request.method),
     )
     options = preset.class_options(route.class_)
     allowed_ms = route.deadline_ms or options.deadline_ms
-    asked_ms = _asked_deadline(headers)
-    if asked_ms is None:
-        return Classified(call_class, allowed_ms)
-    return Classified(call_class, min(asked_ms, DEADLINE_LIMIT_MS))
+    deadline_ms = allowed_ms if asked_ms is None else min(asked_ms, DEADLINE_LIMIT_MS)
+    if route.timeout_ms:
+        deadline_ms = min(deadline_ms, route.timeout_ms)
+    return Classified(call_class, deadline_ms, route.target_ms, route.attempts)
 
 
-def _asked_deadline(headers: HTTPHeaders) -> float | None:
-    text = headers.get(DEADLINE_HEADER, '')
-    return int(text) if text.isascii() and text.isdigit() else None
+def _is_repeatable(route: RouteOptions, method: str) -> bool:
+    if route.repeat == BY_METHOD:
+        return method in route.repeatable
+    return route.repeat == ALWAYS
--- /dev/null
+++ b/packages/node/src/lavendermountd/caller/connection.py
@@ -0,0 +1,208 @@
+"""One connection of a caller, which may send requests ahead of the answers.
+
+:units: seconds on the node's monotonic clock.
+:errors: none escape; a connection that breaks ends its requests.
+:source: RFC 9112, section 9.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import socket
+import time
+from collections import deque
+
+from tornado.iostream import IOStream, StreamClosedError
+
+from lavendermount_core.structure.calls import CallReply
+from lavendermountd.caller.exchange import CallExchange
+from lavendermountd.caller.service import CallService
+from lavendermountd.http1.messages import (
+    CONTENT_LENGTH,
+    NO_BODY_STATUS,
+    encode_head,
+    find_header,
+)
+from lavendermountd.http1.request_parser import RequestParser
+
+log = logging.getLogger(__name__)
+
+READ_BYTES = 65536
+MAX_AHEAD = 16
+LINGER_S = 1.0
+CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+
+
+class CallerConnection:
+    """Reads requests, runs them at the same time and answers in order.
+
+    :param service: answers requests.
+    :param stream: the connection.
+    """
+
+    __slots__ = (
+        'service',
+        'stream',
+        'parser',
+        'exchanges',
+        'changed',
+        'used_at',
+        'is_ending',
+        'reader',
+    )
+
+    def __init__(self, service: CallService, stream: IOStream) -> None:
+        """Take over the connection."""
+        self.service = service
+        self.stream = stream
+        self.parser = RequestParser(service.limits)
+        self.exchanges: deque[CallExchange] = deque()
+        self.changed = asyncio.Event()
+        self.used_at = time.monotonic()
+        self.is_ending = False
+        self.reader: asyncio.Task[None] | None = None
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is under way or half read."""
+        return not self.exchanges and self.parser.is_between
+
+    async def run(self) -> None:
+        """Serve until one side closes the connection."""
+        self.reader = asyncio.create_task(self.read_requests())
+        writer = asyncio.create_task(self.write_answers())
+        tasks = {self.reader, writer}
+        try:
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            self.abandon_all()
+            self.stream.close()
+
+    def leave(self) -> None:
+        """Stop work for a caller that has closed its connection."""
+        log.debug('caller-closed', extra={'under_way': len(self.exchanges)})
+        self.abandon_all()
+
+    def abandon_all(self) -> None:
+        """Stop every request that is under way."""
+        for exchange in self.exchanges:
+            exchange.abandon()
+
+    async def read_requests(self) -> None:
+        """Begin each request as soon as it is whole.
+
+        What comes after the last request is read and dropped: a connection
+        closed with bytes unread is reset, and the caller might lose the last
+        answer.
+        """
+        while True:
+            if len(self.exchanges) >= MAX_AHEAD and not self.is_ending:
+                await self.wait_for_change()
+                continue
+            try:
+                chunk = await self.read_chunk()
+            except StreamClosedError:
+                self.leave()
+                return
+            if not self.is_ending:
+                self.used_at = time.monotonic()
+                self.take(chunk)
+
+    async def wait_for_change(self) -> None:
+        """Wait until a request begins, ends, or none may begin any more."""
+        self.changed.clear()
+        await self.changed.wait()
+
+    async def read_chunk(self) -> bytes:
+        """Read what comes next; idle or slow callers end the connection."""
+        while True:
+            limit_s = self.service.idle_s
+            if self.parser.is_in_head:
+                limit_s = self.service.header_s
+            try:
+                async with asyncio.timeout(limit_s):
+                    return await self.stream.read_bytes(READ_BYTES, partial=True)
+            except TimeoutError:
+                if self.parser.is_in_head or self.is_idle:
+                    self.end()
+
+    def end(self) -> None:
+        """Take no further request."""
+        self.is_ending = True
+        self.changed.set()
+
+    def take(self, chunk: bytes) -> None:
+        """Parse bytes and begin the requests that became whole."""
+        for request in self.parser.feed(chunk):
+            self.exchanges.append(CallExchange(self.service, request))
+            self.changed.set()
+        if self.parser.is_broken:
+            self.is_ending = True
+        if self.parser.take_continue():
+            self.stream.write(CONTINUE)
+
+    async def write_answers(self) -> None:
+        """Write each answer once those before it are written."""
+        while self.exchanges or not self.is_ending:
+            if not self.exchanges:
+                await self.wait_for_change()
+                continue
+            await self.answer(self.exchanges[0])
+            self.exchanges.popleft()
+            self.used_at = time.monotonic()
+            self.changed.set()
+        await self.close_gently()
+
+    async def answer(self, exchange: CallExchange) -> None:
+        """Wait for one answer and write it."""
+        try:
+            reply = await exchange.task
+        except asyncio.CancelledError:
+            if not exchange.task.cancelled():
+                raise
+            return
+        is_last = self.is_last(exchange)
+        payload = _encode(reply, exchange.request.method, is_last)
+        with contextlib.suppress(StreamClosedError):
+            await self.stream.write(payload)
+
+    def is_last(self, exchange: CallExchange) -> bool:
+        """Whether the connection ends with this answer.
+
+        It never ends before a request that was taken already.
+        """
+        is_alone = len(self.exchanges) == 1
+        if self.service.is_stopping or not exchange.request.keeps_alive:
+            self.is_ending = self.is_ending or is_alone
+        return self.is_ending and is_alone
+
+    async def close_gently(self) -> None:
+        """Say that nothing more comes, and let the caller close first."""
+        with contextlib.suppress(OSError):
+            self.stream.socket.shutdown(socket.SHUT_WR)
+        if self.reader is not None:
+            await asyncio.wait({self.reader}, timeout=LINGER_S)
+
+    def end_if_idle(self) -> None:
+        """Close the connection if no request is under way on it."""
+        if self.is_idle:
+            self.end()
+
+
+def _encode(reply: CallReply, method: str, is_last: bool) -> bytes:
+    headers = list(reply.headers)
+    body = reply.body
+    if method == 'HEAD':
+        body = b''
+    elif reply.status not in NO_BODY_STATUS and not find_header(
+        headers, CONTENT_LENGTH
+    ):
+        headers.append(('Content-Length', str(len(body))))
+    if is_last:
+        headers.append(('Connection', 'close'))
+    return encode_head(f'HTTP/1.1 {reply.status} {reply.reason}', headers) + body
--- /dev/null
+++ b/packages/node/src/lavendermountd/caller/exchange.py
@@ -0,0 +1,178 @@
+"""One request of a caller and the reply to it.
+
+:units: seconds on the node's monotonic clock; milliseconds in logs.
+:errors: none; every failure becomes a refusal in the caller's dialect.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from http import HTTPStatus
+from typing import cast
+
+from returns.result import Success
+
+from lavendermount_core.structure.calls import (
+    CallReply,
+    CallRequest,
+    Reason,
+    Refusal,
+    not_run,
+    unknown,
+)
+from lavendermount_core.utils.digests import random_identifier
+from lavendermount_core.utils.units import MS_PER_S
+from lavendermountd.caller.classification import Classified, classify
+from lavendermountd.caller.headers import end_to_end
+from lavendermountd.caller.service import CallService
+from lavendermountd.gate.attempts import AttemptResult
+from lavendermountd.http1.messages import WireRequest
+
+log = logging.getLogger(__name__)
+
+NO_PRESET_RETRY_S = 0.5
+PROBLEM_REASONS = {
+    HTTPStatus.BAD_REQUEST: (Reason.MALFORMED, 'the request is malformed'),
+    HTTPStatus.REQUEST_ENTITY_TOO_LARGE: (Reason.TOO_LARGE, 'the body is too large'),
+    HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE: (
+        Reason.HEAD_TOO_LARGE,
+        'the head is too large',
+    ),
+}
+
+
+class CallExchange:
+    """Finds the answer to one request.
+
+    :param service: answers requests.
+    :param request: the request as received.
+    """
+
+    __slots__ = (
+        'service',
+        'request',
+        'terms',
+        'request_id',
+        'arrived_at',
+        'call_class',
+        'task',
+    )
+
+    def __init__(self, service: CallService, request: WireRequest) -> None:
+        """Begin to look for the answer in a task of its own."""
+        self.service = service
+        self.request = request
+        self.terms = service.dialect.read_terms(request.headers)
+        self.request_id = self.terms.request_id or random_identifier()
+        self.arrived_at = time.monotonic()
+        self.call_class = None  # type: ignore[var-annotated]
+        self.task = asyncio.create_task(self.serve())
+        service.under_way.add(self.task)
+        self.task.add_done_callback(service.under_way.discard)
+
+    def abandon(self) -> None:
+        """Stop what nobody waits for.
+
+        Repeatable work is called off wherever it is. Other work that reached
+        a target goes on, since it may have begun; what still waits does not
+        start.
+        """
+        if self.task.done():
+            return
+        log.info('caller-gone', extra={'request': self.request_id})
+        if self.call_class is None or self.call_class.is_repeatable:
+            self.task.cancel()
+            return
+        self.service.router.abandon(self.request_id)
+
+    async def serve(self) -> CallReply:
+        """Find the answer.
+
+        :returns: the target's reply or a refusal.
+        """
+        try:
+            return await self.reply()
+        except asyncio.CancelledError:
+            raise
+        except Exception:
+            log.exception('request-failed', extra={'request': self.request_id})
+            return self.refuse(unknown(Reason.INTERNAL, 'the node failed'))
+
+    async def reply(self) -> CallReply:
+        """Route the request."""
+        await self.service.wait_until_current()
+        preset = self.service.holder.current
+        refusal = self.refusal_before_routing()
+        if refusal is not None or preset is None:
+            return self.refuse(refusal or _no_preset())
+        classified = classify(preset, self.request, self.terms.deadline_ms)
+        if classified is None:
+            return self.refuse(not_run(Reason.NO_ROUTE, 'no route matches'))
+        self.call_class = classified.call_class
+        outcome = await self.service.answer(self.to_request(classified), preset)
+        self.conclude(outcome)
+        if isinstance(outcome, Success):
+            return self.pass_on(cast('CallReply', outcome.unwrap()))
+        return self.refuse(outcome.failure())
+
+    def refusal_before_routing(self) -> Refusal | None:
+        """Refuse what is malformed."""
+        problem = self.request.problem
+        if problem:
+            reason, detail = PROBLEM_REASONS[HTTPStatus(problem)]
+            return not_run(reason, detail)
+        if not self.request.target.startswith('/'):
+            return not_run(Reason.MALFORMED, 'the path is malformed')
+        return None
+
+    def to_request(self, classified: Classified) -> CallRequest:
+        """Build the request that is routed."""
+        dialect = self.service.dialect
+        due = classified.target_ms and self.arrived_at + classified.target_ms / MS_PER_S
+        return CallRequest(
+            self.request_id,
+            self.request.method,
+            self.request.target,
+            dialect.forwarded(
+                end_to_end(self.request.headers),
+                self.request_id,
+                self.service.origin,
+            ),
+            self.request.body,
+            classified.call_class,
+            self.arrived_at + classified.deadline_ms / MS_PER_S,
+            due,
+            classified.attempts,
+        )
+
+    def conclude(self, outcome: AttemptResult) -> None:
+        """Count the answer and log how it came about."""
+        elapsed_s = time.monotonic() - self.arrived_at
+        self.service.metrics.observe_call(self.call_class, elapsed_s, outcome)
+
+    def pass_on(self, reply: CallReply) -> CallReply:
+        """Return a target's reply."""
+        headers = self.service.dialect.returned(reply.headers, self.request_id)
+        return CallReply(reply.status, reply.reason, headers, reply.body)
+
+    def refuse(self, refusal: Refusal) -> CallReply:
+        """Tell a refusal in the caller's dialect, and log it."""
+        log.info(
+            'request-refused',
+            extra={
+                'request': self.request_id,
+                'outcome': refusal.outcome,
+                'reason': refusal.reason,
+                'detail': refusal.detail,
+                'retry_after_s': round(refusal.retry_after_s, 3),
+                'elapsed_ms': round((time.monotonic() - self.arrived_at) * MS_PER_S),
+                'revision': self.service.holder.revision,
+            },
+        )
+        return self.service.dialect.refusal_reply(refusal, self.request_id)
+
+
+def _no_preset() -> Refusal:
+    return not_run(Reason.NO_PRESET, 'no preset is in force yet', NO_PRESET_RETRY_S)
--- a/packages/node/src/lavendermountd/caller/headers.py
+++ b/packages/node/src/lavendermountd/caller/headers.py
@@ -5,13 +5,13 @@
 
 from __future__ import annotations
 
-from tornado.httputil import HTTPHeaders
-
 from lavendermount_core.structure.calls import Headers
+from lavendermountd.http1.messages import find_header
 
 HOP_BY_HOP = frozenset(
     (
         'connection',
+        'content-length',
         'keep-alive',
         'proxy-authenticate',
         'proxy-authorization',
@@ -24,17 +24,17 @@
 )
 
 
-def end_to_end(headers: HTTPHeaders) -> Headers:
-    """Drop the headers that end at this hop.
+def end_to_end(headers: Headers) -> Headers:
+    """Drop the headers that end at this hop, and the framing of the body.
 
     :param headers: headers as received.
     :returns: names and values in order; repeated names stay repeated.
     """
-    named = headers.get('Connection', '').lower().split(',')
-    dropped = HOP_BY_HOP.union(name.strip() for name in named)
-    return [
-        (name, text) for name, text in headers.get_all() if name.lower() not in dropped
-    ]
+    named = find_header(headers, 'connection').lower()
+    dropped = HOP_BY_HOP
+    if named:
+        dropped = dropped.union(name.strip() for name in named.split(','))
+    return without(headers, dropped)
 
 
 def without(headers: Headers, dropped: frozenset[str]) -> Headers:
--- a/packages/node/src/lavendermountd/caller/problems.py
+++ b/packages/node/src/lavendermountd/caller/problems.py
@@ -22,6 +22,7 @@
         Reason.NO_ROUTE: 404,
         Reason.CLAIMED: 409,
         Reason.TOO_LARGE: 413,
+        Reason.HEAD_TOO_LARGE: 431,
     }
 )
 UNKNOWN_DEADLINE_STATUS = 504
--- a/packages/node/src/lavendermountd/caller/service.py
+++ b/packages/node/src/lavendermountd/caller/service.py
@@ -7,15 +7,21 @@
 
 import asyncio
 
+from lavendermount_core.config.preset import LimitOptions
 from lavendermount_core.structure.calls import CallRequest
-from lavendermount_core.utils.units import DEFAULT_BODY_BYTES
+from lavendermount_core.utils.units import DEFAULT_BODY_BYTES, MS_PER_S
 from lavendermountd.claims.claims import ClaimService
+from lavendermountd.dialects.base import Dialect
 from lavendermountd.gate.attempts import AttemptResult
+from lavendermountd.http1.request_parser import RequestLimits
 from lavendermountd.metrics import NodeMetrics
 from lavendermountd.presets.holder import InForcePreset, PresetHolder
 from lavendermountd.routing.router import Router
 
 FENCE_WAIT_S = 0.5
+DEFAULT_HEADER_BYTES = 65536
+DEFAULT_HEADER_S = 60.0
+DEFAULT_IDLE_S = 300.0
 
 
 class CallService:
@@ -25,6 +31,8 @@
     :param router: takes requests to targets.
     :param claims: decides about idempotency keys.
     :param metrics: counts and times.
+    :param dialect: how callers say what they say.
+    :param origin: service that runs on this VM.
     """
 
     def __init__(
@@ -33,6 +41,8 @@
         router: Router,
         claims: ClaimService,
         metrics: NodeMetrics,
+        dialect: Dialect,
+        origin: str,
     ) -> None:
         """Start with nothing under way."""
         self.holder = holder
@@ -40,11 +50,22 @@
         self.claims = claims
         self.metrics = metrics
         self.under_way: set[asyncio.Task[None]] = set()
-        self.max_body = DEFAULT_BODY_BYTES
+        self.dialect = dialect
+        self.origin = origin
+        self.limits = RequestLimits(DEFAULT_HEADER_BYTES, DEFAULT_BODY_BYTES)
+        self.header_s = DEFAULT_HEADER_S
+        self.idle_s = DEFAULT_IDLE_S
         self.is_stopping = False
         self.is_current = asyncio.Event()
         self.is_current.set()
 
+    def take_limits(self, limits: LimitOptions) -> None:
+        """Take over the limits of a preset; open connections follow."""
+        self.limits.header_bytes = limits.header_bytes
+        self.limits.body_bytes = limits.body_bytes
+        self.header_s = limits.header_ms / MS_PER_S
+        self.idle_s = limits.idle_ms / MS_PER_S
+
     async def wait_until_current(self) -> None:
         """After a freeze, wait a little for the log to be read again."""
         if self.is_current.is_set():
--- /dev/null
+++ b/packages/node/src/lavendermountd/caller/splitting.py
@@ -0,0 +1,31 @@
+"""Sharing the requests of one route among several services.
+
+A request keeps its service through all retries: what does not fit one part
+is not moved to another, so each part gets its share of the requests.
+"""
+
+from __future__ import annotations
+
+from lavendermount_core.config.preset import RouteOptions
+
+Turns = dict[int, dict[str, float]]
+
+
+def choose_service(route: RouteOptions, turns: Turns) -> str:
+    """Choose the service that answers a request of a route.
+
+    Smooth weighted round robin: the part that is furthest behind its share
+    is next, so every short sequence keeps the weights too.
+
+    :param route: the route.
+    :param turns: what each part is behind, by route; changed here.
+    """
+    parts = [part for part in route.split if part.weight > 0]
+    if not parts:
+        return route.service
+    behind = turns.setdefault(id(route), {part.service: 0 for part in parts})
+    for part in parts:
+        behind[part.service] += part.weight
+    chosen = max(parts, key=lambda part: behind[part.service]).service
+    behind[chosen] -= sum(part.weight for part in parts)
+    return chosen
--- a/packages/node/src/lavendermountd/claims/claims.py
+++ b/packages/node/src/lavendermountd/claims/claims.py
@@ -18,7 +18,7 @@
 from returns.result import Failure, Success
 
 from lavendermount_core.exceptions import LogUnavailableError
-from lavendermount_core.platform.adapter import LogAdapter
+from lavendermount_core.log.adapter import LogAdapter
 from lavendermount_core.structure.calls import (
     CallReply,
     CallRequest,
--- a/packages/node/src/lavendermountd/claims/stream.py
+++ b/packages/node/src/lavendermountd/claims/stream.py
@@ -13,7 +13,7 @@
     LogUnavailableError,
     RecordError,
 )
-from lavendermount_core.platform.adapter import LogAdapter, LogBatch
+from lavendermount_core.log.adapter import LogAdapter, LogBatch
 from lavendermount_core.structure.records import Record
 from lavendermountd.claims.records import (
     Claim,
--- /dev/null
+++ b/packages/node/src/lavendermountd/dialects/__init__.py
@@ -0,0 +1,1 @@
+"""How callers and targets say what they say, in headers."""
--- /dev/null
+++ b/packages/node/src/lavendermountd/dialects/native.py
@@ -0,0 +1,66 @@
+"""The project's own dialect: problem documents and ``X-Request-Id``.
+
+:units: milliseconds for deadlines.
+"""
+
+from __future__ import annotations
+
+from lavendermount_core.structure.calls import (
+    CallReply,
+    CallRequest,
+    Headers,
+    Refusal,
+)
+from lavendermount_core.utils.digests import random_identifier
+from lavendermountd.caller.headers import without
+from lavendermountd.caller.problems import problem_reply
+from lavendermountd.dialects.base import CallTerms, Dialect, ReplyFacts, dialects
+from lavendermountd.http1.messages import find_header
+
+REQUEST_ID_HEADER = 'X-Request-Id'
+DEADLINE_HEADER = 'X-Deadline-Ms'
+OWN_HEADERS = frozenset(('expect', 'x-request-id', 'x-deadline-ms'))
+REPLY_OWN_HEADERS = frozenset(('x-request-id',))
+
+
+@dialects.register('native')
+class NativeDialect(Dialect):
+    """Requests get an identifier here; every reply of a target is taken."""
+
+    def read_terms(self, headers: Headers) -> CallTerms:
+        """Read the deadline; the identifier is always a new one."""
+        text = find_header(headers, DEADLINE_HEADER.lower())
+        is_number = text.isascii() and text.isdigit()
+        return CallTerms('', int(text) if is_number else None)
+
+    def forwarded(self, headers: Headers, request_id: str, origin: str) -> Headers:
+        """Add the identifier and the start of a trace."""
+        kept = without(headers, OWN_HEADERS)
+        kept.append((REQUEST_ID_HEADER, request_id))
+        if not find_header(kept, 'traceparent'):
+            trace_id = random_identifier() + request_id
+            kept.append(('traceparent', f'00-{trace_id}-{request_id}-01'))
+        return kept
+
+    def expectations(
+        self,
+        request: CallRequest,
+        remaining_ms: int,
+        instance: str,
+    ) -> Headers:
+        """Tell the time that is left."""
+        return [(DEADLINE_HEADER, str(remaining_ms))]
+
+    def read_reply(self, status: int, headers: Headers) -> ReplyFacts:
+        """Read nothing: targets say nothing beside their answer."""
+        return ReplyFacts()
+
+    def returned(self, headers: Headers, request_id: str) -> Headers:
+        """Add the identifier."""
+        kept = without(headers, REPLY_OWN_HEADERS)
+        kept.append((REQUEST_ID_HEADER, request_id))
+        return kept
+
+    def refusal_reply(self, refusal: Refusal, request_id: str) -> CallReply:
+        """Build a problem document."""
+        return problem_reply(refusal, request_id)
--- /dev/null
+++ b/packages/node/src/lavendermountd/endpoints.py
@@ -0,0 +1,17 @@
+"""Endpoints that adapters add to a node.
+
+:shapes: an endpoint is served at one address until it is cancelled.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING
+
+from lavendermount_core.utils.registry import Registry
+
+if TYPE_CHECKING:
+    from lavendermountd.node import Node
+
+Serve = Callable[['Node', str, int], Awaitable[None]]
+endpoints: Registry[str, Serve] = Registry('endpoint')
--- a/packages/node/src/lavendermountd/gate/admission.py
+++ b/packages/node/src/lavendermountd/gate/admission.py
@@ -34,7 +34,7 @@
         self.deadline = deadline
         self.is_exclusive = is_exclusive
         self.is_gone = False
-        self.started: asyncio.Future[None] | None = None
+        self.started: asyncio.Future[bool] | None = None
 
 
 Place = tuple[float, int, Ticket]
@@ -200,6 +200,15 @@
         """Leave the queue without having run."""
         ticket.is_gone = True
 
+    def dismiss(self) -> list[Ticket]:
+        """Empty the queue.
+
+        :returns: the requests that waited.
+        """
+        places = [place for heap in self.waiting.values() for place in heap]
+        self.waiting.clear()
+        return [ticket for _, _, ticket in places if not ticket.is_gone]
+
     def release(self, ticket: Ticket) -> list[Ticket]:
         """Give a slot back.
 
--- a/packages/node/src/lavendermountd/gate/gate.py
+++ b/packages/node/src/lavendermountd/gate/gate.py
@@ -26,6 +26,7 @@
 )
 from lavendermount_core.structure.loads import LoadReport
 from lavendermount_core.utils.units import MS_PER_S
+from lavendermountd.dialects.base import Dialect, ReplyFacts
 from lavendermountd.gate.admission import Admission, Ticket
 from lavendermountd.gate.attempts import Attempt, AttemptResult
 from lavendermountd.gate.ledger import HORIZON_S, Ledger, refuse_buried
@@ -48,13 +49,14 @@
     """Admits, dispatches and remembers attempts.
 
     :param identity: the node's own name and incarnation.
+    :param dialect: how the target says what it says.
     """
 
-    def __init__(self, identity: Identity) -> None:
+    def __init__(self, identity: Identity, dialect: Dialect) -> None:
         """Start without a target."""
         self.identity = identity
         self.target = Target()
-        self.client = TargetClient(self.target)
+        self.client = TargetClient(self.target, dialect)
         self.admission = Admission(0)
         self.ledger = Ledger()
         self.suspects = SuspectTable()
@@ -62,6 +64,7 @@
         self.is_closed = False
         self.on_suspect: Callable[[Suspected], None] = _ignore_suspect
         self.on_load_change: Callable[[], None] = _ignore_change
+        self.on_other_target: Callable[[], None] = _ignore_change
 
     def load(self) -> LoadReport:
         """Report the target's load as it is now."""
@@ -79,6 +82,7 @@
             round(target.current_failure_ratio(now), 3),
             target.warm_ms(now),
             target.is_accepting and not self.is_closed,
+            round(target.current_slowness(now), 2),
         )
 
     async def execute(self, attempt: Attempt) -> AttemptResult:
@@ -126,8 +130,7 @@
     def refusal_before_queue(self, attempt: Attempt) -> Refusal | None:
         """Refuse at once what can't run here."""
         if self.is_closed or self.target.state == TargetState.DRAINING:
-            detail = 'the target is leaving'
-            return not_run(Reason.DRAINING, detail, TARGET_DOWN_RETRY_S)
+            return self.refuse_leaving()
         if not self.target.is_accepting:
             return not_run(
                 Reason.TARGET_DOWN,
@@ -157,14 +160,25 @@
         latest = ticket.deadline - self.target.service_ms / MS_PER_S
         try:
             async with asyncio.timeout_at(latest):
-                await ticket.started
+                has_slot = await ticket.started
         except TimeoutError:
             self.abandon(ticket)
             return self.refuse(Reason.DEADLINE, 'no slot became free in time')
         except asyncio.CancelledError:
             self.abandon(ticket)
             raise
-        return None
+        return None if has_slot else self.refuse_leaving()
+
+    def refuse_leaving(self) -> Refusal:
+        """Refuse work for a target that takes none any more."""
+        detail = 'the target is leaving'
+        return not_run(Reason.DRAINING, detail, TARGET_DOWN_RETRY_S)
+
+    def dismiss_waiting(self) -> None:
+        """Refuse all that waits, so that it goes to another target in time."""
+        for ticket in self.admission.dismiss():
+            if ticket.started is not None and not ticket.started.done():
+                ticket.started.set_result(False)
 
     def is_hopeless(self, ticket: Ticket) -> bool:
         """Whether a request that has to wait can't finish in time.
@@ -193,7 +207,7 @@
             if ticket.started is None or ticket.started.done():
                 self.leave(ticket)
                 continue
-            ticket.started.set_result(None)
+            ticket.started.set_result(True)
 
     async def run(self, attempt: Attempt) -> AttemptResult:
         """Dispatch an attempt that holds a slot."""
@@ -201,7 +215,7 @@
         self.target.begin(attempt.attempt_id, begun)
         try:
             async with asyncio.timeout_at(attempt.request.deadline):
-                reply = await self.client.exchange(attempt)
+                answer = await self.client.exchange(attempt)
         except TargetError as error:
             return Failure(await self.refusal_for(attempt, error))
         except TimeoutError:
@@ -212,9 +226,27 @@
             raise
         finally:
             self.target.end(attempt.attempt_id, time.monotonic())
-        self.observe(begun, is_failure=is_failure(reply))
         self.suspects.clear(attempt.fingerprint)
-        return Success(reply)
+        refusal = self.refusal_in(answer.facts)
+        is_bad = refusal is not None or is_failure(answer.reply)
+        self.observe(begun, is_failure=is_bad)
+        if refusal is not None:
+            return Failure(refusal)
+        return Success(answer.reply)
+
+    def refusal_in(self, facts: ReplyFacts) -> Refusal | None:
+        """Read a refusal out of what a reply says beside its answer."""
+        if facts.load is not None:
+            self.target.note_slowness(facts.load.slowness, time.monotonic())
+        if facts.is_other_target:
+            self.on_other_target()
+            detail = 'another target answers at the address'
+            return not_run(Reason.OTHER_TARGET, detail, TARGET_DOWN_RETRY_S)
+        if facts.is_not_run:
+            return self.refuse(Reason.TARGET_SHED, 'the target took no more work')
+        if not facts.is_genuine:
+            return unknown(Reason.TARGET_REPLY, 'the target did not say what it did')
+        return None
 
     def observe_abandoned(self, begun: float) -> None:
         """Learn from an exchange that a hedge has overtaken.
@@ -239,7 +271,7 @@
             self.mark_down()
         if not attempt.has_left:
             return not_run(error.reason, str(error), TARGET_DOWN_RETRY_S)
-        if error.reason == Reason.TARGET_REPLY and not await self.is_dead():
+        if not await self.is_dead():
             return unknown(error.reason, str(error), NO_ADVICE)
         self.blame(attempt)
         return unknown(Reason.TARGET_DIED, str(error), TARGET_DOWN_RETRY_S)
@@ -247,10 +279,10 @@
     async def is_dead(self) -> bool:
         """Whether the target refuses connections now."""
         try:
-            stream = await self.client.connect()
+            connection = await self.client.connect()
         except TargetError as error:
             return error.reason == Reason.TARGET_DOWN
-        self.client.discard(stream)
+        self.client.put_back(connection)
         return False
 
     def blame(self, attempt: Attempt) -> None:
@@ -296,11 +328,19 @@
         slots = max(self.target.slots, 1)
         return work * self.target.service_ms / slots / MS_PER_S
 
-    def cancel(self, attempt_id: str) -> None:
-        """Call an attempt off, whether it waits or runs."""
+    def cancel(self, attempt_id: str, is_waiting_only: bool = False) -> None:
+        """Call an attempt off.
+
+        :param attempt_id: which attempt.
+        :param is_waiting_only: whether one that has reached the target goes
+            on; such work may have begun and is not to be cut off.
+        """
         attempt = self.ledger.running.get(attempt_id)
-        if attempt is not None and attempt.task is not None:
-            attempt.task.cancel()
+        if attempt is None or attempt.task is None:
+            return
+        if is_waiting_only and attempt.has_left:
+            return
+        attempt.task.cancel()
 
     async def outcome_of(
         self,
@@ -334,8 +374,8 @@
     return not_run(reason, 'the request had not left the gate')
 
 
-def _is_granted(started: asyncio.Future[None]) -> bool:
-    return started.done() and not started.cancelled()
+def _is_granted(started: asyncio.Future[bool]) -> bool:
+    return started.done() and not started.cancelled() and started.result()
 
 
 def _ignore_suspect(told: Suspected) -> None:
--- /dev/null
+++ b/packages/node/src/lavendermountd/gate/reports.py
@@ -0,0 +1,119 @@
+"""What a target says of itself.
+
+:units: milliseconds since the epoch for starts; milliseconds for durations.
+"""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+
+class ReportedState(StrEnum):
+    """What a target says that it does."""
+
+    READY = 'ready'
+    DRAINING = 'draining'
+    STOPPED = 'stopped'
+
+
+class TargetReport:
+    """One report of a target to the node beside it.
+
+    :param service: service that the target answers for.
+    :param host: IP number of the target.
+    :param port: port of the target.
+    :param slots: requests it works on at once.
+    :param instance: name of this start of the target.
+    :param state: a ``ReportedState``.
+    :param born_ms: when this start began; 0 if not said.
+    :param sequence: grows with each report of this start; 0 if not said.
+    :param cold_ms: how much longer it stays slow after its start; ``None`` if
+        not said.
+    """
+
+    __slots__ = (
+        'service',
+        'host',
+        'port',
+        'slots',
+        'instance',
+        'state',
+        'born_ms',
+        'sequence',
+        'cold_ms',
+    )
+
+    def __init__(
+        self,
+        service: str,
+        host: str,
+        port: int,
+        slots: int,
+        instance: str,
+        state: str = ReportedState.READY,
+        born_ms: int = 0,
+        sequence: int = 0,
+        cold_ms: int | None = None,
+    ) -> None:
+        """Keep the fields as given."""
+        self.service = service
+        self.host = host
+        self.port = port
+        self.slots = slots
+        self.instance = instance
+        self.state = state
+        self.born_ms = born_ms
+        self.sequence = sequence
+        self.cold_ms = cold_ms
+
+    @property
+    def start(self) -> tuple[str, int]:
+        """Name of the start, unique even where an instance name comes again."""
+        return self.instance, self.born_ms
+
+
+class StartHistory:
+    """Which starts of a target came before which, and which have left.
+
+    Reports arrive late and out of order. A start that said it was leaving
+    never comes back; only a later start takes its place.
+    """
+
+    __slots__ = ('current', 'sequence', 'departed')
+
+    def __init__(self) -> None:
+        """Start with no report."""
+        self.current: tuple[str, int] = ('', 0)
+        self.sequence = 0
+        self.departed: dict[tuple[str, int], None] = {}
+
+    def is_late(self, report: TargetReport) -> bool:
+        """Whether something newer than a report is known already."""
+        if report.start in self.departed:
+            return report.state == ReportedState.READY
+        if report.start == self.current:
+            return bool(report.sequence) and report.sequence <= self.sequence
+        return bool(report.born_ms) and report.born_ms < self.current[1]
+
+    def note(self, report: TargetReport) -> None:
+        """Remember a report that was not late."""
+        if report.start != self.current:
+            self.current = report.start
+            self.sequence = 0
+        self.sequence = max(self.sequence, report.sequence)
+
+    def note_departure(self, start: tuple[str, int]) -> None:
+        """Remember that a start has left."""
+        self.departed[start] = None
+        if len(self.departed) > MAX_DEPARTED:
+            self.departed.pop(next(iter(self.departed)))
+
+    def has_left(self, instance: str) -> bool:
+        """Whether the present start is this one and has left.
+
+        :param instance: name of a start, as a reply bears it.
+        """
+        return any(name == instance for name, _ in self.departed)
+
+
+MAX_DEPARTED = 64
--- a/packages/node/src/lavendermountd/gate/silence.py
+++ b/packages/node/src/lavendermountd/gate/silence.py
@@ -13,7 +13,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from tornado.iostream import IOStream
+from lavendermountd.http1.client import HttpConnection
 
 from lavendermount_core.utils.units import MS_PER_S
 
@@ -27,15 +27,15 @@
     """Closes a connection that seems to be silent for good.
 
     :param client: what it knows of other connections.
-    :param stream: the reused connection that is written to next.
+    :param connection: the reused connection that is written to next.
     """
 
-    __slots__ = ('client', 'stream', 'number', 'patience_s', 'timer')
+    __slots__ = ('client', 'connection', 'number', 'patience_s', 'timer')
 
-    def __init__(self, client: TargetClient, stream: IOStream) -> None:
+    def __init__(self, client: TargetClient, connection: HttpConnection) -> None:
         """Look for the first time after the patience that the target has earned."""
         self.client = client
-        self.stream = stream
+        self.connection = connection
         self.number = client.begun + 1
         learned_s = PATIENCE_FACTOR * client.target.service_ms / MS_PER_S
         self.patience_s = max(client.silent_s, learned_s)
@@ -46,7 +46,7 @@
         """Close the connection, or look again later."""
         is_overtaken = self.client.last_answered > self.number
         if is_overtaken or self.client.in_exchange == 1:
-            self.stream.close()
+            self.connection.close()
             return
         loop = asyncio.get_running_loop()
         self.timer = loop.call_later(self.patience_s, self.check)
--- a/packages/node/src/lavendermountd/gate/suspects.py
+++ b/packages/node/src/lavendermountd/gate/suspects.py
@@ -49,11 +49,22 @@
 class SuspectTable:
     """Suspected requests by fingerprint, merged with what others saw."""
 
-    __slots__ = ('suspects',)
+    __slots__ = ('suspects', 'max_victims', 'is_isolating')
 
     def __init__(self) -> None:
         """Start with no suspicion."""
         self.suspects: dict[str, Suspect] = {}
+        self.max_victims = MAX_VICTIMS
+        self.is_isolating = True
+
+    def configure(self, max_victims: int, is_isolating: bool) -> None:
+        """Take over the rules of a preset.
+
+        :param max_victims: targets that may die before a request is refused.
+        :param is_isolating: whether a suspect runs alone.
+        """
+        self.max_victims = max_victims
+        self.is_isolating = is_isolating
 
     def verdict(self, fingerprint: str) -> Verdict:
         """Decide how a request may run.
@@ -63,9 +74,9 @@
         suspect = self.find(fingerprint)
         if suspect is None:
             return Verdict.FREE
-        if len(suspect.victims) >= MAX_VICTIMS:
+        if len(suspect.victims) >= self.max_victims:
             return Verdict.REFUSED
-        return Verdict.ALONE
+        return Verdict.ALONE if self.is_isolating else Verdict.FREE
 
     def find(self, fingerprint: str) -> Suspect | None:
         """Find an unexpired suspicion."""
--- a/packages/node/src/lavendermountd/gate/target.py
+++ b/packages/node/src/lavendermountd/gate/target.py
@@ -9,10 +9,13 @@
 from enum import StrEnum
 
 from lavendermount_core.utils.units import MS_PER_S
+from lavendermountd.gate.reports import StartHistory, TargetReport
 
 SERVICE_WEIGHT = 0.1
 FAILURE_WEIGHT = 0.1
 FORGET_S = 5.0
+SLOWNESS_AGE_S = 0.5
+SETTLED_S = 3600.0
 
 
 class TargetState(StrEnum):
@@ -40,6 +43,9 @@
         'failure_ratio',
         'started_at',
         'observed_at',
+        'history',
+        'slowness',
+        'slowness_at',
     )
 
     def __init__(self) -> None:
@@ -56,44 +62,59 @@
         self.failure_ratio: float = 0
         self.started_at: dict[str, float] = {}
         self.observed_at: float = 0
+        self.history = StartHistory()
+        self.slowness: float = 1
+        self.slowness_at: float = 0
 
     @property
     def is_accepting(self) -> bool:
         """Whether new work may start."""
         return self.state == TargetState.UP
 
-    def announce(
-        self,
-        service: str,
-        host: str,
-        port: int,
-        slots: int,
-        instance: str,
-    ) -> bool:
-        """Take over an announcement.
-
-        :param instance: changes with each start of the target.
+    def announce(self, report: TargetReport) -> bool:
+        """Take over a report of a target that is ready.
+
+        :param report: newer than what is known.
         :returns: whether this is a new start of the target.
         """
-        is_new = instance != self.instance or self.state != TargetState.UP
-        self.service = service
-        self.host = host
-        self.port = port
-        self.slots = slots
-        self.instance = instance
+        is_new = report.instance != self.instance or self.state != TargetState.UP
+        self.history.note(report)
+        self.service = report.service
+        self.host = report.host
+        self.port = report.port
+        self.slots = report.slots
+        self.instance = report.instance
         self.state = TargetState.UP
         if is_new:
-            self.mark_started()
+            self.mark_started(is_warm=report.cold_ms == 0)
         return is_new
 
-    def mark_started(self) -> None:
-        """Begin the averages anew for a target that just started."""
-        self.ready_at = time.monotonic()
+    def depart(self, report: TargetReport) -> None:
+        """Remember that a start of the target leaves."""
+        self.history.note_departure(report.start)
+        if report.instance == self.instance:
+            self.state = TargetState.DRAINING
+
+    def mark_started(self, is_warm: bool = False) -> None:
+        """Begin the averages anew for a target that just started.
+
+        :param is_warm: whether the target says that it is slow no longer.
+        """
+        self.ready_at = time.monotonic() - is_warm * SETTLED_S
         self.start += 1
         self.state = TargetState.UP
         self.service_ms = 0
         self.failure_ratio = 0
 
+    def note_slowness(self, slowness: float, now: float) -> None:
+        """Keep how slow the target's VM is at the moment."""
+        self.slowness = slowness
+        self.slowness_at = now
+
+    def current_slowness(self, now: float) -> float:
+        """How slow the target's VM is; 1 if nothing recent is known."""
+        return self.slowness if now - self.slowness_at < SLOWNESS_AGE_S else 1
+
     def begin(self, attempt_id: str, now: float) -> None:
         """Note that a request went to the target."""
         self.started_at[attempt_id] = now
--- a/packages/node/src/lavendermountd/gate/target_client.py
+++ b/packages/node/src/lavendermountd/gate/target_client.py
@@ -1,35 +1,26 @@
 """HTTP to the node's own target over kept-alive connections.
 
 :errors: ``TargetError`` tells whether a first byte may have left.
-:source: ``tornado.http1connection`` as a client.
 """
 
 from __future__ import annotations
 
-import asyncio
-import socket
 import time
 
-from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
-from tornado.httputil import (
-    HTTPHeaders,
-    HTTPMessageDelegate,
-    RequestStartLine,
-    ResponseStartLine,
-)
-from tornado.iostream import IOStream, StreamClosedError
-
-from lavendermount_core.structure.calls import CallReply, CallRequest, Reason
+from lavendermount_core.structure.calls import CallReply, Headers, Reason
 from lavendermount_core.utils.units import DEFAULT_BODY_BYTES, MS_PER_S
 from lavendermountd.caller.headers import end_to_end
+from lavendermountd.dialects.base import Dialect, ReplyFacts
 from lavendermountd.gate.attempts import Attempt, Progress
 from lavendermountd.gate.silence import SilenceWatch
 from lavendermountd.gate.target import Target
+from lavendermountd.http1.client import ExchangeError, HttpConnection, connect
+from lavendermountd.http1.messages import WireReply, encode_head
 
-CONNECT_TIMEOUT_S = 1.0
+CONNECT_TIMEOUT_S = 0.3
 TRUSTED_IDLE_S = 1.0
-MAX_HEADER_BYTES = 65536
-NO_BODY_STATUS = frozenset((204, 304))
+IDLE_SHARE = 0.8
+BODY_METHODS = frozenset(('POST', 'PUT', 'PATCH'))
 
 
 class TargetError(Exception):
@@ -44,86 +35,31 @@
         self.reason = reason
 
 
-class ReplyReader(HTTPMessageDelegate):
-    """Collects one reply and checks that it is whole.
+class TargetAnswer:
+    """A whole reply and what its headers say beside the answer.
 
-    :param method: method of the request.
+    :param reply: the reply without headers that end at this hop.
+    :param facts: what the headers say.
     """
 
-    __slots__ = ('method', 'start_line', 'headers', 'parts', 'is_whole')
+    __slots__ = ('reply', 'facts')
 
-    def __init__(self, method: str) -> None:
-        """Start with nothing read."""
-        self.method = method
-        self.start_line: ResponseStartLine | None = None
-        self.headers = HTTPHeaders()
-        self.parts: list[bytes] = []
-        self.is_whole = False
-
-    def headers_received(
-        self,
-        start_line: RequestStartLine | ResponseStartLine,
-        headers: HTTPHeaders,
-    ) -> None:
-        """Keep the head; an interim one is replaced by the next."""
-        if isinstance(start_line, ResponseStartLine):
-            self.start_line = start_line
-        self.headers = headers
-
-    def data_received(self, chunk: bytes) -> None:
-        """Keep a part of the body."""
-        self.parts.append(chunk)
-
-    def finish(self) -> None:
-        """Note that the body came to its stated end."""
-        self.is_whole = True
-
-    def on_connection_close(self) -> None:
-        """Note that the connection closed before the end."""
-        self.is_whole = False
-
-    @property
-    def is_delimited(self) -> bool:
-        """Whether the end of the body can be told from a cut."""
-        if self.start_line is None:
-            return False
-        if self.method == 'HEAD' or self.start_line.code in NO_BODY_STATUS:
-            return True
-        has_length = 'Content-Length' in self.headers
-        return has_length or 'Transfer-Encoding' in self.headers
-
-    @property
-    def may_reuse(self) -> bool:
-        """Whether the target keeps the connection open."""
-        if self.start_line is None or self.start_line.version != 'HTTP/1.1':
-            return False
-        return self.headers.get('Connection', '').lower() != 'close'
-
-    def to_reply(self) -> CallReply:
-        """Build the reply.
-
-        :raises TargetError: if it is not whole.
-        """
-        if self.start_line is None:
-            raise TargetError(Reason.TARGET_DIED, 'the target closed unanswered')
-        if not self.is_whole or not self.is_delimited:
-            raise TargetError(Reason.TARGET_REPLY, 'the reply was cut off')
-        return CallReply(
-            self.start_line.code,
-            self.start_line.reason,
-            end_to_end(self.headers),
-            b''.join(self.parts),
-        )
+    def __init__(self, reply: CallReply, facts: ReplyFacts) -> None:
+        """Keep the fields as given."""
+        self.reply = reply
+        self.facts = facts
 
 
 class TargetClient:
     """Connections to one target.
 
     :param target: where to connect to.
+    :param dialect: how the target says what it says.
     """
 
     __slots__ = (
         'target',
+        'dialect',
         'idle',
         'limit',
         'max_body',
@@ -134,10 +70,11 @@
         'last_answered',
     )
 
-    def __init__(self, target: Target) -> None:
+    def __init__(self, target: Target, dialect: Dialect) -> None:
         """Open no connection yet."""
         self.target = target
-        self.idle: list[tuple[IOStream, float]] = []
+        self.dialect = dialect
+        self.idle: list[HttpConnection] = []
         self.limit = 200
         self.max_body = DEFAULT_BODY_BYTES
         self.silent_s = 0.3
@@ -146,7 +83,7 @@
         self.in_exchange = 0
         self.last_answered = 0
 
-    async def exchange(self, attempt: Attempt) -> CallReply:
+    async def exchange(self, attempt: Attempt) -> TargetAnswer:
         """Send a request and wait for the whole reply.
 
         Repeatable work whose reused connection went silent, or was closed
@@ -156,14 +93,15 @@
         :raises TargetError: if no whole reply came.
         :returns: the reply.
         """
-        stream = self.take_idle()
-        if stream is None:
+        is_repeatable = attempt.request.call_class.is_repeatable
+        connection = self.take_idle(is_repeatable)
+        if connection is None:
             return await self.exchange_over(await self.connect(), attempt)
-        if not attempt.request.call_class.is_repeatable:
-            return await self.exchange_over(stream, attempt)
-        watch = SilenceWatch(self, stream)
+        if not is_repeatable:
+            return await self.exchange_over(connection, attempt)
+        watch = SilenceWatch(self, connection)
         try:
-            return await self.exchange_over(stream, attempt)
+            return await self.exchange_over(connection, attempt)
         except TargetError as error:
             if error.reason != Reason.TARGET_DIED:
                 raise
@@ -173,118 +111,141 @@
 
     async def exchange_over(
         self,
-        stream: IOStream,
+        connection: HttpConnection,
         attempt: Attempt,
-    ) -> CallReply:
+    ) -> TargetAnswer:
         """Exchange on one connection; it is reused only if all went well."""
         is_clean = False
         self.in_exchange += 1
         try:
-            reader = await self.send_and_read(stream, attempt)
-            reply = reader.to_reply()
-            is_clean = reader.may_reuse
+            answer = await self.send_and_read(connection, attempt)
+            is_clean = True
         finally:
             self.in_exchange -= 1
-            self.put_back(stream, is_clean)
-        return reply
+            if not is_clean:
+                connection.is_spoiled = True
+            self.put_back(connection)
+        return answer
 
     async def send_and_read(
         self,
-        stream: IOStream,
+        connection: HttpConnection,
         attempt: Attempt,
-    ) -> ReplyReader:
-        """Write the request and read one reply."""
-        request = attempt.request
-        limits = HTTP1ConnectionParameters(
-            max_header_size=MAX_HEADER_BYTES,
-            max_body_size=self.max_body,
-        )
-        connection = HTTP1Connection(stream, True, limits)
-        reader = ReplyReader(request.method)
+    ) -> TargetAnswer:
+        """Write the request and read its reply."""
         self.begun += 1
         number = self.begun
         attempt.progress = Progress.WRITTEN
         attempt.target_start = self.target.start
         try:
-            connection.write_headers(
-                RequestStartLine(request.method, request.path, 'HTTP/1.1'),
-                _request_headers(request),
-                request.body or None,
+            reply = await connection.exchange(
+                self.encode(attempt),
+                lambda other: self.is_answer(attempt, other),
+                attempt.request.method == 'HEAD',
             )
-            connection.finish()
-            await connection.read_response(reader)
-        except (StreamClosedError, OSError):
-            reader.is_whole = False
-        if reader.is_whole:
-            self.last_answered = max(self.last_answered, number)
-        return reader
-
-    def take_idle(self) -> IOStream | None:
-        """Take the connection used last, if it answered just now.
-
-        One that was idle for longer may have gone silent meanwhile.
+        except ExchangeError as error:
+            reason = Reason.TARGET_DIED
+            if error.is_malformed:
+                reason = Reason.TARGET_REPLY
+            raise TargetError(reason, str(error)) from error
+        self.last_answered = max(self.last_answered, number)
+        facts = self.dialect.read_reply(reply.status, reply.headers)
+        connection.idle_limit_s = facts.idle_s * IDLE_SHARE or TRUSTED_IDLE_S
+        return TargetAnswer(_to_call_reply(reply), facts)
+
+    def is_answer(self, attempt: Attempt, reply: WireReply) -> bool:
+        """Whether a reply belongs to a request, as far as it says."""
+        facts = self.dialect.read_reply(reply.status, reply.headers)
+        return facts.request_id in {'', attempt.request.request_id}
+
+    def encode(self, attempt: Attempt) -> bytes:
+        """Encode a request with the time that is left for it."""
+        request = attempt.request
+        remaining = request.deadline - time.monotonic()
+        headers: Headers = list(request.headers)
+        headers.extend(
+            self.dialect.expectations(
+                request,
+                max(0, int(remaining * MS_PER_S)),
+                self.target.instance,
+            ),
+        )
+        if request.body or request.method in BODY_METHODS:
+            headers.append(('Content-Length', str(len(request.body))))
+        first_line = f'{request.method} {request.path} HTTP/1.1'
+        return encode_head(first_line, headers) + request.body
+
+    def take_idle(self, is_repeatable: bool) -> HttpConnection | None:
+        """Take the connection used last, if it answered lately.
+
+        One that was idle for longer may have gone silent meanwhile; work that
+        may not be repeated is not risked on it.
         """
-        oldest = time.monotonic() - TRUSTED_IDLE_S
+        now = time.monotonic()
         while self.idle:
-            stream, since = self.idle.pop()
-            if not stream.closed() and since >= oldest:
-                return stream
-            self.discard(stream)
+            connection = self.idle.pop()
+            limit_s = connection.idle_limit_s
+            if not is_repeatable:
+                limit_s = min(limit_s, TRUSTED_IDLE_S)
+            if connection.is_reusable and now - connection.used_at < limit_s:
+                return connection
+            self.discard(connection)
         return None
 
-    async def connect(self) -> IOStream:
+    async def connect(self) -> HttpConnection:
         """Open a connection.
 
         :raises TargetError: if the target cannot be reached; no byte left.
         """
         if self.open_count >= self.limit:
             raise TargetError(Reason.OVERLOADED, 'all connections are in use')
-        stream = IOStream(socket.socket(), max_buffer_size=2 * self.max_body)
         self.open_count += 1
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                await stream.connect((self.target.host, self.target.port))
-        except (StreamClosedError, OSError, TimeoutError) as error:
-            self.discard(stream)
+            stream = await connect(
+                self.target.host,
+                self.target.port,
+                CONNECT_TIMEOUT_S,
+            )
+        except OSError as error:
+            self.open_count -= 1
             raise TargetError(Reason.TARGET_DOWN, str(error)) from error
-        except asyncio.CancelledError:
-            self.discard(stream)
+        except BaseException:
+            self.open_count -= 1
             raise
-        stream.set_nodelay(True)
-        return stream
+        connection = HttpConnection(stream, self.max_body)
+        connection.idle_limit_s = TRUSTED_IDLE_S
+        return connection
 
-    def put_back(self, stream: IOStream, is_clean: bool) -> None:
+    def put_back(self, connection: HttpConnection) -> None:
         """Keep a connection for the next request, or close it."""
-        if not is_clean or stream.closed():
-            self.discard(stream)
+        if not connection.is_reusable:
+            self.discard(connection)
             return
-        self.idle.append((stream, time.monotonic()))
+        self.idle.append(connection)
         self.close_stale()
 
     def close_stale(self) -> None:
         """Close a connection that was not needed for long."""
-        stream, since = self.idle[0]
-        if time.monotonic() - since > TRUSTED_IDLE_S:
+        oldest = self.idle[0]
+        if time.monotonic() - oldest.used_at > oldest.idle_limit_s:
             self.idle.pop(0)
-            self.discard(stream)
+            self.discard(oldest)
 
     def close_idle(self) -> None:
         """Close all connections that nobody uses."""
         while self.idle:
-            self.discard(self.idle.pop()[0])
+            self.discard(self.idle.pop())
 
-    def discard(self, stream: IOStream) -> None:
+    def discard(self, connection: HttpConnection) -> None:
         """Close a connection for good."""
-        stream.close()
+        connection.close()
         self.open_count -= 1
 
 
-def _request_headers(request: CallRequest) -> HTTPHeaders:
-    headers = HTTPHeaders()
-    for name, text in request.headers:
-        headers.add(name, text)
-    remaining = request.deadline - time.monotonic()
-    headers['X-Deadline-Ms'] = str(max(0, int(remaining * MS_PER_S)))
-    if request.body or request.method in {'POST', 'PUT', 'PATCH'}:
-        headers['Content-Length'] = str(len(request.body))
-    return headers
+def _to_call_reply(reply: WireReply) -> CallReply:
+    return CallReply(
+        reply.status,
+        reply.reason,
+        end_to_end(reply.headers),
+        reply.body,
+    )
--- a/packages/node/src/lavendermountd/gate/watch.py
+++ b/packages/node/src/lavendermountd/gate/watch.py
@@ -1,6 +1,6 @@
-"""Notices when a target that was down accepts connections again.
+"""Notices when a target that was down, or not yet known, takes requests.
 
-:units: seconds.
+:units: seconds on the node's monotonic clock.
 """
 
 from __future__ import annotations
@@ -9,41 +9,125 @@
 import logging
 
 from lavendermountd.gate.gate import Gate
+from lavendermountd.gate.reports import TargetReport
 from lavendermountd.gate.target import TargetState
 from lavendermountd.gate.target_client import TargetError
+from lavendermountd.http1.client import ExchangeError, HttpConnection
+from lavendermountd.http1.messages import WireReply, encode_head
 
 log = logging.getLogger(__name__)
 
 DOWN_CHECK_S = 0.2
 UP_CHECK_S = 1.0
+HEALTH_TIMEOUT_S = 1.0
+OK = 200
 
 
 class TargetWatch:
-    """Connects to a target that is down, over loopback, until it is up.
+    """Asks a target that is down, over loopback, until it is up.
+
+    Health answers are believed only of targets that are down or unknown;
+    of the others their answers to requests tell more.
 
     :param gate: whose target is watched.
+    :param needs_health: whether a connection alone shows nothing.
     """
 
-    def __init__(self, gate: Gate) -> None:
-        """Keep the gate."""
+    __slots__ = ('gate', 'health_path', 'needs_health')
+
+    def __init__(self, gate: Gate, needs_health: bool) -> None:
+        """Keep the gate; without a health path a connection says enough."""
         self.gate = gate
+        self.health_path = ''
+        self.needs_health = needs_health
 
     async def run(self) -> None:
         """Watch until cancelled."""
         while True:
-            is_down = self.gate.target.state == TargetState.DOWN
-            if is_down:
+            is_waited_for = self.is_waited_for()
+            if is_waited_for:
                 await self.check()
-            await asyncio.sleep(DOWN_CHECK_S if is_down else UP_CHECK_S)
+            await asyncio.sleep(DOWN_CHECK_S if is_waited_for else UP_CHECK_S)
+
+    def is_waited_for(self) -> bool:
+        """Whether there is an address at which a target may come up."""
+        target = self.gate.target
+        if target.state == TargetState.DOWN:
+            return True
+        return target.state == TargetState.ABSENT and bool(target.port)
 
     async def check(self) -> None:
-        """Connect once."""
+        """Connect once, and ask for health where that is possible."""
         try:
-            stream = await self.gate.client.connect()
+            connection = await self.gate.client.connect()
         except TargetError:
             return
-        self.gate.client.discard(stream)
+        if self.health_path:
+            await self.ask(connection)
+            return
+        self.gate.client.discard(connection)
+        if self.needs_health:
+            return
         if self.gate.target.state == TargetState.DOWN:
             self.gate.target.mark_started()
-            log.info('target-up', extra={'service': self.gate.target.service})
-            self.gate.on_load_change()
+            self.tell('connection')
+
+    async def ask(self, connection: HttpConnection) -> None:
+        """Ask for health; a healthy target is up under the name it gives."""
+        try:
+            async with asyncio.timeout(HEALTH_TIMEOUT_S):
+                reply = await connection.exchange(self.request(), _is_any)
+        except (ExchangeError, TimeoutError) as error:
+            log.debug('health-unanswered', extra={'cause': str(error)})
+            self.gate.client.discard(connection)
+            return
+        self.gate.client.put_back(connection)
+        self.take(reply)
+
+    def request(self) -> bytes:
+        """Encode a request for health."""
+        target = self.gate.target
+        host = [('Host', f'{target.host}:{target.port}')]
+        return encode_head(f'GET {self.health_path} HTTP/1.1', host)
+
+    def take(self, reply: WireReply) -> None:
+        """Take a target that says it is healthy for up."""
+        target = self.gate.target
+        facts = self.gate.client.dialect.read_reply(reply.status, reply.headers)
+        is_known = bool(facts.instance) and not target.history.has_left(facts.instance)
+        if reply.status != OK or not is_known or not self.is_waited_for():
+            return
+        if facts.load is not None:
+            target.slots = facts.load.slots
+        born_ms = 0
+        if facts.instance == target.history.current[0]:
+            born_ms = target.history.current[1]
+        target.announce(
+            TargetReport(
+                target.service,
+                target.host,
+                target.port,
+                target.slots,
+                facts.instance,
+                born_ms=born_ms,
+            ),
+        )
+        self.tell('health')
+
+    def tell(self, evidence: str) -> None:
+        """Let the gate take work again."""
+        target = self.gate.target
+        log.info(
+            'target-up',
+            extra={
+                'service': target.service,
+                'instance': target.instance,
+                'evidence': evidence,
+            },
+        )
+        self.gate.admission.slots = target.slots
+        self.gate.on_load_change()
+
+
+def _is_any(reply: WireReply) -> bool:
+    return True
--- /dev/null
+++ b/packages/node/src/lavendermountd/http1/client.py
@@ -0,0 +1,204 @@
+"""One connection to a server, for one exchange at a time.
+
+:errors: ``ExchangeError`` when no whole reply came.
+:source: ``tornado.iostream`` and ``httptools``.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from collections.abc import Callable
+from typing import Final
+
+from tornado.iostream import IOStream, StreamClosedError
+
+from lavendermountd.http1.messages import WireReply
+from lavendermountd.http1.reply_parser import ReplyError, ReplyParser
+
+READ_BYTES = 65536
+KEEPALIVE_IDLE_S: Final = 1
+KEEPALIVE_EVERY_S: Final = 1
+KEEPALIVE_PROBES: Final = 3
+USER_TIMEOUT_MS: Final = 4000
+
+IsAnswer = Callable[[WireReply], bool]
+
+
+class ExchangeError(Exception):
+    """No whole reply came.
+
+    :param is_malformed: whether the server sent something that is no reply
+        or only a part of one.
+    """
+
+    def __init__(self, detail: str, is_malformed: bool) -> None:
+        """Keep the distinction beside the text."""
+        super().__init__(detail)
+        self.is_malformed = is_malformed
+
+
+class HttpConnection:
+    """An open connection; a reading task notices at once when it closes.
+
+    A reply that nobody asked for, or bytes after a reply, end the
+    connection: what follows could be taken for the next answer.
+
+    :param stream: an open stream.
+    :param max_body: largest body of a reply.
+    """
+
+    __slots__ = (
+        'stream',
+        'parser',
+        'reader',
+        'waiter',
+        'is_answer',
+        'is_spoiled',
+        'used_at',
+        'exchanges',
+        'idle_limit_s',
+    )
+
+    def __init__(self, stream: IOStream, max_body: int) -> None:
+        """Take over the stream and start to read."""
+        self.stream = stream
+        self.parser = ReplyParser(max_body)
+        self.waiter: asyncio.Future[WireReply] | None = None
+        self.is_answer: IsAnswer = _is_any
+        self.is_spoiled = False
+        self.used_at = time.monotonic()
+        self.exchanges = 0
+        self.idle_limit_s: float = 0
+        self.reader = asyncio.create_task(self.read())
+
+    @property
+    def is_reusable(self) -> bool:
+        """Whether another exchange may begin."""
+        return not self.is_spoiled and not self.stream.closed()
+
+    async def exchange(
+        self,
+        payload: bytes,
+        is_answer: IsAnswer,
+        is_head_request: bool = False,
+    ) -> WireReply:
+        """Send a request and wait for its whole reply.
+
+        :param payload: the request as it stands on the wire.
+        :param is_answer: tells the reply from one to an earlier request.
+        :param is_head_request: whether the reply has no body.
+        :raises ExchangeError: if no whole reply came.
+        :returns: the reply.
+        """
+        self.waiter = asyncio.get_running_loop().create_future()
+        self.is_answer = is_answer
+        self.parser.is_head_request = is_head_request
+        self.exchanges += 1
+        try:
+            self.stream.write(payload)
+            return await self.waiter
+        except StreamClosedError as error:
+            raise ExchangeError('the connection was closed', False) from error
+        finally:
+            self.waiter = None
+            self.used_at = time.monotonic()
+            self.is_spoiled = self.is_spoiled or self.stream.writing()
+
+    async def read(self) -> None:
+        """Read until the connection closes."""
+        try:
+            await self.take_chunks()
+        except StreamClosedError:
+            self.end()
+        except ReplyError as error:
+            self.take_replies(self.parser.take_whole())
+            self.fail(ExchangeError(str(error), is_malformed=True))
+        finally:
+            self.stream.close()
+
+    async def take_chunks(self) -> None:
+        """Parse what comes; bytes that nobody waits for spoil it."""
+        while True:
+            chunk = await self.stream.read_bytes(READ_BYTES, partial=True)
+            if self.waiter is None:
+                self.is_spoiled = True
+                return
+            self.take_replies(self.parser.feed(chunk))
+
+    def take_replies(self, replies: list[WireReply]) -> None:
+        """Hand the answer to who waits; others are to no present request."""
+        for reply in replies:
+            self.is_spoiled = self.is_spoiled or not reply.keeps_alive
+            waiter = self.waiter
+            if waiter is None or waiter.done() or not self.is_answer(reply):
+                self.is_spoiled = True
+                continue
+            waiter.set_result(reply)
+        if not self.parser.is_between and self.is_settled():
+            self.is_spoiled = True
+
+    def is_settled(self) -> bool:
+        """Whether nobody waits for a reply any more."""
+        return self.waiter is None or self.waiter.done()
+
+    def end(self) -> None:
+        """Take a reply that ends with the connection, unless it was reset."""
+        is_reset = self.stream.error is not None
+        if not is_reset:
+            self.take_replies(self.parser.finish())
+        is_cut = not self.parser.is_between
+        self.fail(ExchangeError('the connection was closed', is_cut))
+
+    def fail(self, error: ExchangeError) -> None:
+        """Tell who waits that no reply comes."""
+        self.is_spoiled = True
+        if self.waiter is not None and not self.waiter.done():
+            self.waiter.set_exception(error)
+
+    def close(self) -> None:
+        """Close the connection; who waits is told that no reply comes."""
+        self.fail(ExchangeError('the connection was given up', False))
+        self.reader.cancel()
+        self.stream.close()
+
+
+async def connect(host: str, port: int, timeout_s: float) -> IOStream:
+    """Open a stream that notices when the other side is gone.
+
+    :param host: IP number.
+    :param port: port.
+    :param timeout_s: time to connect in seconds.
+    :raises OSError: if the server can't be reached in time.
+    """
+    stream = IOStream(socket.socket())
+    try:
+        async with asyncio.timeout(timeout_s):
+            await stream.connect((host, port))
+    except (StreamClosedError, TimeoutError) as error:
+        stream.close()
+        raise ConnectionError(f'{host}:{port} {stream.error or error}') from error
+    except BaseException:
+        stream.close()
+        raise
+    watch_peer(stream)
+    return stream
+
+
+def watch_peer(stream: IOStream) -> None:
+    """Let the kernel probe a connection, so that a silent one closes."""
+    stream.set_nodelay(True)
+    options = (
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_EVERY_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+    )
+    for level, name, setting in options:
+        stream.socket.setsockopt(level, name, setting)
+
+
+def _is_any(reply: WireReply) -> bool:
+    return True
--- /dev/null
+++ b/packages/node/src/lavendermountd/http1/messages.py
@@ -0,0 +1,100 @@
+"""Requests and replies as they stand on the wire.
+
+:units: bytes.
+:source: RFC 9112.
+"""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+
+from lavendermount_core.structure.calls import Headers
+
+CONTENT_LENGTH = 'content-length'
+TRANSFER_ENCODING = 'transfer-encoding'
+NO_BODY_STATUS = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
+
+
+class WireRequest:
+    """A whole request.
+
+    :param method: HTTP method.
+    :param target: path and query, as received.
+    :param headers: headers in order, as received.
+    :param body: whole body, without framing.
+    :param keeps_alive: whether the connection may carry another request.
+    :param problem: status of the refusal where the request breaks a limit;
+        0 for a proper request.
+    """
+
+    __slots__ = ('method', 'target', 'headers', 'body', 'keeps_alive', 'problem')
+
+    def __init__(
+        self,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: bytes,
+        keeps_alive: bool,
+        problem: int = 0,
+    ) -> None:
+        """Keep the fields as given."""
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+        self.keeps_alive = keeps_alive
+        self.problem = problem
+
+
+class WireReply:
+    """A whole reply.
+
+    :param status: HTTP status code.
+    :param reason: HTTP reason phrase.
+    :param headers: headers in order, as received.
+    :param body: whole body, without framing.
+    :param keeps_alive: whether the connection may carry another request.
+    """
+
+    __slots__ = ('status', 'reason', 'headers', 'body', 'keeps_alive')
+
+    def __init__(
+        self,
+        status: int,
+        reason: str,
+        headers: Headers,
+        body: bytes,
+        keeps_alive: bool,
+    ) -> None:
+        """Keep the fields as given."""
+        self.status = status
+        self.reason = reason
+        self.headers = headers
+        self.body = body
+        self.keeps_alive = keeps_alive
+
+
+def find_header(headers: Headers, name: str) -> str:
+    """Find the first header of a name.
+
+    :param headers: headers in order.
+    :param name: name in lower case.
+    :returns: its text; empty if there is none.
+    """
+    for other, text in headers:
+        if other.lower() == name:
+            return text
+    return ''
+
+
+def encode_head(first_line: str, headers: Headers) -> bytes:
+    """Encode a first line and headers.
+
+    :param first_line: request or status line.
+    :param headers: headers in order; parsed ones hold no line break.
+    """
+    lines = [first_line]
+    lines.extend(f'{name}: {text}' for name, text in headers)
+    lines.append('\r\n')
+    return '\r\n'.join(lines).encode('latin-1')
--- /dev/null
+++ b/packages/node/src/lavendermountd/membership/directory.py
@@ -0,0 +1,86 @@
+"""Finding the first peers through one record of each node.
+
+:shapes: a record's key is the node's id, its body the row of a ``Member``.
+:errors: none escape while the log is down; gossip of others serves instead.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+
+from lavendermount_core.exceptions import LogUnavailableError, RecordError
+from lavendermount_core.log.adapter import KeyedLog, KeyedRecord
+from lavendermount_core.structure.members import Member
+from lavendermount_core.structure.records import pack, unpack
+from lavendermountd.membership.gossip import Gossip
+
+log = logging.getLogger(__name__)
+
+MEMBER_STREAM = 'keyed.members'
+FIRST_RETRY_S = 0.3
+RETRY_LIMIT_S = 3.0
+CHECK_S = 2.0
+ALONE_READ_S = 5.0
+
+
+class KeyedJoiner:
+    """Writes the node's record, then reads those of the others.
+
+    Of two nodes that start at the same time, the one that writes later reads
+    the record of the other; so at least one of them knows the other.
+
+    :param gossip: speaks to the peers found.
+    :param keyed_log: where the records are.
+    """
+
+    def __init__(self, gossip: Gossip, keyed_log: KeyedLog) -> None:
+        """Start with nothing read or written."""
+        self.gossip = gossip
+        self.table = gossip.table
+        self.keyed_log = keyed_log
+        self.written = 0
+        self.read_at: float = 0
+        self.retry_s = FIRST_RETRY_S
+
+    async def run(self) -> None:
+        """Join, and look again while alone, until cancelled."""
+        while True:
+            try:
+                await self.step()
+            except LogUnavailableError as error:
+                log.info('join-delayed', extra={'cause': str(error)})
+                await asyncio.sleep(self.retry_s * (0.5 + random.random()))
+                self.retry_s = min(self.retry_s * 2, RETRY_LIMIT_S)
+            else:
+                self.retry_s = FIRST_RETRY_S
+                await asyncio.sleep(CHECK_S)
+
+    async def step(self) -> None:
+        """Write and read what is due."""
+        own = self.table.own
+        if self.written != own.incarnation:
+            written = own.incarnation
+            body = pack(own.to_row())
+            keyed = KeyedRecord(own.node_id, body)
+            await self.keyed_log.append_keyed(MEMBER_STREAM, keyed)
+            self.written = written
+        now = asyncio.get_running_loop().time()
+        is_due = not self.table.living() and now - self.read_at > ALONE_READ_S
+        if self.read_at and not is_due:
+            return
+        newest = await self.keyed_log.newest(MEMBER_STREAM)
+        self.read_at = now
+        for body in newest.bodies.values():
+            self.take(body)
+        log.info('members-read', extra={'members': len(self.table.members)})
+
+    def take(self, body: bytes) -> None:
+        """Take over a record; its writer may be gone by now."""
+        try:
+            member = Member.checked_from_row(unpack(body))
+        except RecordError as error:
+            log.warning('join-record-malformed', extra={'cause': str(error)})
+            return
+        self.table.merge(member)
--- a/packages/node/src/lavendermountd/membership/joining.py
+++ b/packages/node/src/lavendermountd/membership/joining.py
@@ -15,7 +15,7 @@
     LogUnavailableError,
     RecordError,
 )
-from lavendermount_core.platform.adapter import LogAdapter, LogBatch
+from lavendermount_core.log.adapter import LogAdapter, LogBatch
 from lavendermount_core.structure.members import Member, MemberStatus
 from lavendermount_core.structure.records import pack, unpack
 from lavendermountd.membership.gossip import Gossip
--- a/packages/node/src/lavendermountd/membership/table.py
+++ b/packages/node/src/lavendermountd/membership/table.py
@@ -69,8 +69,16 @@
         return True
 
     def refute(self, rumour: Member) -> bool:
-        """Contradict what others say of this node, if it is wrong."""
+        """Contradict what others say of this node, if it is wrong.
+
+        An incarnation above the own one is that of a former process whose
+        clock was ahead; this process takes the one after it.
+        """
         own = self.own
+        if rumour.incarnation > own.incarnation:
+            own.incarnation = rumour.incarnation + 1
+            self.store(own)
+            return True
         if rumour.incarnation != own.incarnation or not rumour.supersedes(own):
             return False
         own.version = rumour.version + 1
--- a/packages/node/src/lavendermountd/node.py
+++ b/packages/node/src/lavendermountd/node.py
@@ -11,21 +11,26 @@
 import time
 from enum import StrEnum
 
-from lavendermount_core.config.node import NodeSchema
-from lavendermount_core.platform.adapter import open_log
+from lavendermount_core.config.findings import Finding
+from lavendermount_core.config.node import HEALTH, KEYED, STREAM, NodeSchema
+from lavendermount_core.config.preset import ALONE
+from lavendermount_core.exceptions import ConfigurationError
+from lavendermount_core.log.adapter import KeyedLog, open_log
 from lavendermount_core.structure.members import Member, MemberStatus
 from lavendermount_core.utils.units import MS_PER_S
-from lavendermountd.admin.server import Announcement
 from lavendermountd.caller.server import CallerServer
 from lavendermountd.caller.service import CallService
 from lavendermountd.claims.claims import ClaimService
 from lavendermountd.claims.holders import HolderClient
 from lavendermountd.control.channels import ChannelPool
+from lavendermountd.dialects.base import open_dialect
 from lavendermountd.gate.admission import ClassRule
 from lavendermountd.gate.gate import Gate
+from lavendermountd.gate.reports import ReportedState, TargetReport
 from lavendermountd.gate.target import TargetState
 from lavendermountd.gate.watch import TargetWatch
 from lavendermountd.identity import Identity
+from lavendermountd.membership.directory import KeyedJoiner
 from lavendermountd.membership.exchange import GossipExchange
 from lavendermountd.membership.gossip import Gossip
 from lavendermountd.membership.joining import Joiner
@@ -36,9 +41,10 @@
 from lavendermountd.peer.links import LinkPool
 from lavendermountd.peer.server import PeerServer
 from lavendermountd.presets.catchup import PresetCatchUp
+from lavendermountd.presets.decoders import preset_decoders
 from lavendermountd.presets.follower import PresetFollower
 from lavendermountd.presets.holder import InForcePreset, PresetHolder
-from lavendermountd.presets.keeper import PresetKeeper
+from lavendermountd.presets.newest import NewestPresetFollower
 from lavendermountd.recorder.recorder import Recorder
 from lavendermountd.routing.budgets import MeasuringBudget, TokenBucket
 from lavendermountd.routing.chooser import Chooser
@@ -52,6 +58,7 @@
 TOLD_AT_ONCE = 16
 STOP_POLL_S = 0.02
 START_BUDGET_BYTES = 20000
+RELOADED = ('drain_s', 'listen_s', 'origin')
 
 
 class Phase(StrEnum):
@@ -74,6 +81,7 @@
         self.stop_requested = asyncio.Event()
         self.identity = Identity(settings)
         self.metrics = NodeMetrics()
+        self.dialect = open_dialect(settings.dialect)
         self.guard = FreezeGuard()
         self.platform_log = open_log(
             settings.log.adapter,
@@ -90,7 +98,7 @@
         """Build the gate, the members and gossip."""
         membership = self.settings.membership
         self.channels = ChannelPool(self.identity)
-        self.gate = Gate(self.identity)
+        self.gate = Gate(self.identity, self.dialect)
         self.view = LoadView(self.identity)
         self.budget = MeasuringBudget(
             TokenBucket(START_BUDGET_BYTES, START_BUDGET_BYTES),
@@ -110,13 +118,30 @@
             self.timers,
             membership.period_ms / MS_PER_S,
         )
-        self.joiner = Joiner(
+        self.joiner = self.build_joiner()
+
+    def build_joiner(self) -> Joiner | KeyedJoiner:
+        """Build what finds the first peers."""
+        membership = self.settings.membership
+        if membership.directory == KEYED:
+            return KeyedJoiner(self.gossip, self.keyed_log())
+        return Joiner(
             self.gossip,
             self.platform_log,
             membership.seeds,
             self.settings.log.retention_s,
         )
 
+    def keyed_log(self) -> KeyedLog:
+        """Take the log as one that keeps the newest record of each key.
+
+        :raises ConfigurationError: if the adapter of the settings does not.
+        """
+        if isinstance(self.platform_log, KeyedLog):
+            return self.platform_log
+        finding = Finding('log.adapter', 'keeps no newest record of each key')
+        raise ConfigurationError([finding])
+
     def build_routing(self) -> None:
         """Build what takes a request to a target."""
         self.links = LinkPool(
@@ -151,14 +176,22 @@
     def build_presets(self) -> None:
         """Build what follows and keeps the preset in force."""
         self.holder = PresetHolder()
-        self.follower = PresetFollower(self.platform_log, self.holder)
-        self.keeper = PresetKeeper(
-            self.platform_log,
-            self.follower,
-            self.settings.log.retention_s,
-        )
+        self.follower = self.build_follower()
         self.catch_up = PresetCatchUp(self.holder, self.channels)
 
+    def build_follower(self) -> PresetFollower | NewestPresetFollower:
+        """Build what follows the preset in force."""
+        options = self.settings.presets
+        if options.source == STREAM:
+            return PresetFollower(self.platform_log, self.holder)
+        return NewestPresetFollower(
+            self.keyed_log(),
+            self.holder,
+            options.stream,
+            options.key,
+            preset_decoders.find(options.decoder),
+        )
+
     def build_servers(self) -> None:
         """Build the servers; they listen when the tree runs them."""
         self.service = CallService(
@@ -166,10 +199,15 @@
             self.router,
             self.claims,
             self.metrics,
+            self.dialect,
+            self.settings.origin,
         )
         self.caller_server = CallerServer(self.service)
         self.peer_server = PeerServer(self.gate, self.guard)
-        self.target_watch = TargetWatch(self.gate)
+        self.target_watch = TargetWatch(
+            self.gate,
+            self.settings.target.evidence == HEALTH,
+        )
 
     def wire(self) -> None:
         """Connect the parts that tell each other of changes."""
@@ -178,18 +216,20 @@
         self.exchange.on_revision = self.catch_up.note
         self.gate.on_load_change = self.tell_load
         self.gate.on_suspect = self.tell_suspect
+        self.gate.on_other_target = self.lose_target
         self.guard.on_freeze.append(self.fence)
         self.links.count_ping = self.count_ping
         self.table.listeners.append(self.forget_if_dead)
         static = self.settings.target
         if static.service:
-            self.gate.target.announce(
+            report = TargetReport(
                 static.service,
                 static.host,
                 static.port,
                 static.slots,
                 'static',
             )
+            self.gate.target.announce(report)
             self.gate.target.state = TargetState.DOWN
             self.enlist()
 
@@ -215,12 +255,20 @@
         rules = [ClassRule.from_options(entry) for entry in schema.class_]
         self.gate.admission.take_rules(rules)
         self.gate.client.limit = limits.connections
+        service = preset.services.get(self.settings.origin)
+        if service is not None:
+            self.gate.client.limit = service.connections or limits.connections
+            self.target_watch.health_path = service.health_path
         self.gate.client.silent_s = limits.silent_ms / MS_PER_S
         self.links.silent_s = limits.silent_ms / MS_PER_S
         self.gate.client.max_body = limits.body_bytes
         self.links.max_body = limits.body_bytes
         self.peer_server.max_body = limits.body_bytes
-        self.service.max_body = limits.body_bytes
+        self.service.take_limits(limits)
+        self.gate.suspects.configure(
+            schema.suspects.victims,
+            schema.suspects.isolation == ALONE,
+        )
         self.router.configure(preset)
         budget = schema.budget
         self.budget.local.configure(
@@ -235,26 +283,62 @@
         self.link_bucket.configure(link_rate, link_rate)
         self.link_bucket.earn(link_rate)
 
-    def take_announcement(self, announcement: Announcement) -> None:
-        """Take over what the target beside the node says of itself."""
-        if announcement.state != 'ready':
-            self.drain_target()
-            return
+    def take_settings(self, settings: NodeSchema) -> None:
+        """Take over the settings that may change while the node runs.
+
+        Addresses and names need a new process.
+        """
+        changed = [
+            name
+            for name in RELOADED
+            if getattr(settings, name) != getattr(self.settings, name)
+        ]
+        for name in changed:
+            self.settings.checked[name] = getattr(settings, name)
+        self.service.origin = self.settings.origin
+        log.info('settings-reloaded', extra={'changed': ','.join(changed)})
+
+    def take_report(self, report: TargetReport) -> None:
+        """Take over what the target beside the node says of itself.
+
+        A report that says the target leaves closes the gate before this
+        returns, so that an answer to the report may promise it.
+        """
         target = self.gate.target
-        is_new = target.announce(
-            announcement.service,
-            announcement.host,
-            announcement.port,
-            announcement.slots,
-            announcement.instance,
+        is_late = target.history.is_late(report)
+        log.info(
+            'target-reported',
+            extra={
+                'instance': report.instance,
+                'state': str(report.state),
+                'born_ms': report.born_ms,
+                'sequence': report.sequence,
+                'is_late': is_late,
+            },
         )
-        if is_new:
-            log.info(
-                'target-announced',
-                extra={'service': target.service, 'slots': target.slots},
-            )
+        if is_late:
+            return
+        if report.state != ReportedState.READY:
+            self.take_departure(report)
+        elif target.announce(report):
             self.enlist()
 
+    def take_departure(self, report: TargetReport) -> None:
+        """Give a target that leaves no new work; what runs goes on."""
+        target = self.gate.target
+        target.history.note(report)
+        target.depart(report)
+        if report.instance in {target.instance, ''}:
+            self.drain_target()
+
+    def lose_target(self) -> None:
+        """Ask who answers at the target's address; it is not the one known."""
+        if self.gate.target.state == TargetState.UP:
+            self.gate.target.state = TargetState.DOWN
+            self.gate.client.close_idle()
+            log.warning('target-replaced', extra={'instance': self.gate.target.instance})
+            self.tell_load()
+
     def enlist(self) -> None:
         """Tell the others which service the target answers for."""
         target = self.gate.target
@@ -269,6 +353,7 @@
             return
         log.info('target-draining', extra={'service': self.gate.target.service})
         self.gate.target.state = TargetState.DRAINING
+        self.gate.dismiss_waiting()
         self.table.change_own(self.gate.target.service, MemberStatus.LEAVING)
         self.tell_load()
 
@@ -305,7 +390,7 @@
         while True:
             await self.follower.is_caught_up.wait()
             self.service.is_current.set()
-            await asyncio.sleep(self.settings.membership.period_ms / MS_PER_S / 4)
+            await asyncio.sleep(self.period_s / 4)
 
     async def stop(self) -> None:
         """Stop without cutting anything off.
@@ -316,26 +401,43 @@
         log.info('node-stopping')
         self.phase = Phase.STOPPING
         self.service.is_stopping = True
-        self.gate.is_closed = True
+        begun = time.monotonic()
+        listen_s = self.settings.listen_s or self.period_s
         self.table.change_own(self.gate.target.service, MemberStatus.LEAVING)
-        self.tell_load()
-        deadline = time.monotonic() + self.settings.drain_s
         nearby = self.gossip.nearby()
         told = random.sample(nearby, min(TOLD_AT_ONCE, len(nearby)))
         await self.gossip.tell(told)
-        await asyncio.sleep(self.settings.membership.period_ms / MS_PER_S)
+        self.close_gate()
+        await self.wait_until(begun + listen_s)
         self.caller_server.stop_listening()
-        while self.has_work() and time.monotonic() < deadline:
+        self.caller_server.end_idle()
+        while self.has_work() and time.monotonic() < begun + self.settings.drain_s:
             await asyncio.sleep(STOP_POLL_S)
+            self.caller_server.end_idle()
         await self.flush()
         log.info('node-stopped', extra={'work_left': self.has_work()})
 
+    def close_gate(self) -> None:
+        """Let no new work through to the target; what waits goes elsewhere."""
+        self.gate.is_closed = True
+        self.gate.dismiss_waiting()
+        self.tell_load()
+
+    async def wait_until(self, moment: float) -> None:
+        """Wait until a time on the node's monotonic clock."""
+        await asyncio.sleep(max(0, moment - time.monotonic()))
+
+    @property
+    def period_s(self) -> float:
+        """Time between rounds of gossip."""
+        return self.settings.membership.period_ms / MS_PER_S
+
     def has_work(self) -> bool:
         """Whether anything is under way that a stop would cut off."""
         admission = self.gate.admission
         answers = any(session.tasks for session in self.peer_server.sessions)
         callers = bool(self.service.under_way)
-        if callers or answers or self.caller_server.has_recent_callers():
+        if callers or answers or self.caller_server.connections:
             return True
         return bool(admission.in_flight + admission.queued)
 
--- a/packages/node/src/lavendermountd/peer/frames.py
+++ b/packages/node/src/lavendermountd/peer/frames.py
@@ -30,6 +30,7 @@
     :param headers: end-to-end headers as pairs.
     :param call_class: row of a ``CallClass``.
     :param remaining_ms: time left to answer.
+    :param due_ms: time in which the answer is worth most; 0 if not said.
     :param fingerprint: digest that tells requests apart for crash suspicion.
     :param body_size: size of the whole body.
     :param body: first part of the body.
@@ -43,6 +44,7 @@
         'headers',
         'call_class',
         'remaining_ms',
+        'due_ms',
         'fingerprint',
         'body_size',
         'body',
@@ -57,6 +59,7 @@
         headers: list[Any],
         call_class: list[Any],
         remaining_ms: float,
+        due_ms: float,
         fingerprint: str,
         body_size: int,
         body: bytes,
@@ -69,6 +72,7 @@
         self.headers = headers
         self.call_class = call_class
         self.remaining_ms = remaining_ms
+        self.due_ms = due_ms
         self.fingerprint = fingerprint
         self.body_size = body_size
         self.body = body
@@ -161,13 +165,15 @@
     """Nobody waits for the attempt any more.
 
     :param attempt_id: which attempt.
+    :param is_waiting_only: whether it goes on if it has reached the target.
     """
 
-    __slots__ = ('attempt_id',)
+    __slots__ = ('attempt_id', 'is_waiting_only')
 
-    def __init__(self, attempt_id: str) -> None:
-        """Keep the field as given."""
+    def __init__(self, attempt_id: str, is_waiting_only: bool) -> None:
+        """Keep the fields as given."""
         self.attempt_id = attempt_id
+        self.is_waiting_only = is_waiting_only
 
 
 @frame_kinds.register(6)
--- a/packages/node/src/lavendermountd/peer/server.py
+++ b/packages/node/src/lavendermountd/peer/server.py
@@ -173,7 +173,7 @@
 async def on_cancel(session: PeerSession, frame: Record) -> None:
     """Call an attempt off."""
     assert isinstance(frame, Cancel)
-    session.gate.cancel(frame.attempt_id)
+    session.gate.cancel(frame.attempt_id, frame.is_waiting_only)
 
 
 @frame_handlers.register(Ask)
@@ -204,14 +204,16 @@
 
 def attempt_from(frame: Dispatch) -> Attempt:
     """Build an attempt whose deadline is on this node's clock."""
+    now = time.monotonic()
     request = CallRequest(
-        frame.attempt_id.partition('-')[0],
+        frame.attempt_id.rpartition('-')[0],
         frame.method,
         frame.path,
         frame.headers,
         frame.body,
         CallClass.from_row(frame.call_class),
-        time.monotonic() + frame.remaining_ms / MS_PER_S,
+        now + frame.remaining_ms / MS_PER_S,
+        frame.due_ms and now + frame.due_ms / MS_PER_S,
     )
     return Attempt(frame.attempt_id, request, frame.fingerprint, is_remote=True)
 
--- /dev/null
+++ b/packages/node/src/lavendermountd/presets/decoders.py
@@ -0,0 +1,14 @@
+"""Decoders of records that other systems write for presets.
+
+:errors: a decoder raises ``ConfigurationError`` with every finding.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from lavendermount_core.presets.records import InForce
+from lavendermount_core.utils.registry import Registry
+
+Decode = Callable[[bytes], InForce]
+preset_decoders: Registry[str, Decode] = Registry('preset decoder')
--- a/packages/node/src/lavendermountd/presets/follower.py
+++ b/packages/node/src/lavendermountd/presets/follower.py
@@ -9,7 +9,7 @@
 import logging
 
 from lavendermount_core.exceptions import LogEvictedError, LogUnavailableError
-from lavendermount_core.platform.adapter import LogAdapter, LogBatch
+from lavendermount_core.log.adapter import LogAdapter, LogBatch
 from lavendermount_core.presets.fold import PresetFold
 from lavendermount_core.presets.records import PRESET_STREAM
 from lavendermountd.presets.holder import PresetHolder
--- a/packages/node/src/lavendermountd/presets/holder.py
+++ b/packages/node/src/lavendermountd/presets/holder.py
@@ -12,6 +12,7 @@
 from lavendermount_core.presets.fold import PresetFold
 from lavendermount_core.presets.records import NO_REVISION, InForce
 from lavendermount_core.routing.tuning import tuning_from
+from lavendermountd.presets.route_index import RouteIndex
 
 log = logging.getLogger(__name__)
 
@@ -22,7 +23,16 @@
     :param statement: the record that names it.
     """
 
-    __slots__ = ('revision', 'version', 'schema', 'classes', 'tuning')
+    __slots__ = (
+        'revision',
+        'version',
+        'schema',
+        'classes',
+        'services',
+        'tuning',
+        'index',
+        'turns',
+    )
 
     def __init__(self, statement: InForce) -> None:
         """Parse the preset; a fold only ever states a valid one."""
@@ -30,7 +40,10 @@
         self.version = statement.version
         self.schema = parse_preset(statement.body, statement.name)
         self.classes = {entry.name: entry for entry in self.schema.class_}
+        self.services = {entry.name: entry for entry in self.schema.service}
         self.tuning = tuning_from(self.schema)
+        self.index = RouteIndex(self.schema)
+        self.turns: dict[int, dict[str, float]] = {}
 
     def class_options(self, name: str) -> ClassOptions:
         """Find a class; routes only name classes that exist."""
--- a/packages/node/src/lavendermountd/presets/keeper.py
+++ b/packages/node/src/lavendermountd/presets/keeper.py
@@ -11,7 +11,7 @@
 import random
 
 from lavendermount_core.exceptions import LogUnavailableError
-from lavendermount_core.platform.adapter import LogAdapter
+from lavendermount_core.log.adapter import LogAdapter
 from lavendermount_core.presets.fold import PresetFold
 from lavendermount_core.presets.records import (
     NO_REVISION,
--- /dev/null
+++ b/packages/node/src/lavendermountd/presets/newest.py
@@ -0,0 +1,134 @@
+"""Follows the newest record of one key, which names the preset in force.
+
+:units: seconds.
+:errors: none escape; the node goes on with the preset that it has while the
+    log is down, and past records that can't be read.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+
+from lavendermount_core.exceptions import (
+    ConfigurationError,
+    LogEvictedError,
+    LogUnavailableError,
+    RecordError,
+)
+from lavendermount_core.log.adapter import KeyedLog, KeyedRecord
+from lavendermount_core.presets.records import InForce
+from lavendermountd.presets.decoders import Decode
+from lavendermountd.presets.holder import PresetHolder
+
+log = logging.getLogger(__name__)
+
+POLL_S = 20.0
+FIRST_RETRY_S = 0.2
+RETRY_LIMIT_S = 2.0
+JITTER = 0.5
+UNREAD = -1
+
+
+class NewestPresetFollower:
+    """Reads the newest record at the start, then each one that comes.
+
+    :param keyed_log: where the records are.
+    :param holder: takes each preset that is newer than its own.
+    :param stream: keyed stream.
+    :param key: key of the record.
+    :param decode: turns a record into a preset.
+    """
+
+    def __init__(
+        self,
+        keyed_log: KeyedLog,
+        holder: PresetHolder,
+        stream: str,
+        key: str,
+        decode: Decode,
+    ) -> None:
+        """Start without having read anything."""
+        self.keyed_log = keyed_log
+        self.holder = holder
+        self.stream = stream
+        self.key = key
+        self.decode = decode
+        self.offset = UNREAD
+        self.is_reachable = False
+        self.is_caught_up = asyncio.Event()
+        self.retry_s = FIRST_RETRY_S
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            await self.step()
+
+    async def step(self) -> None:
+        """Read once."""
+        try:
+            await self.read()
+        except LogEvictedError as error:
+            log.info('presets-evicted', extra={'oldest': error.oldest})
+            self.offset = UNREAD
+        except LogUnavailableError as error:
+            await self.wait_for_log(error)
+        else:
+            self.mark_reachable()
+
+    async def read(self) -> None:
+        """Read the newest record, or wait for the next ones."""
+        if self.offset == UNREAD or not self.is_caught_up.is_set():
+            newest = await self.keyed_log.newest(self.stream)
+            if self.key in newest.bodies:
+                self.take(newest.bodies[self.key])
+            self.offset = newest.end
+            self.is_caught_up.set()
+            return
+        batch = await self.keyed_log.read(self.stream, self.offset, POLL_S)
+        self.offset = batch.next_offset
+        newest_body = b''
+        for record in batch.records:
+            keyed = self.split(record.body)
+            if keyed is not None and keyed.key == self.key:
+                newest_body = keyed.body
+        if newest_body:
+            self.take(newest_body)
+
+    def split(self, body: bytes) -> KeyedRecord | None:
+        """Take a record apart; one that is malformed is passed over."""
+        try:
+            return self.keyed_log.split_key(body)
+        except RecordError as error:
+            log.warning('preset-record-malformed', extra={'cause': str(error)})
+            return None
+
+    def take(self, body: bytes) -> None:
+        """Put a preset in force unless it is older or malformed."""
+        statement = self.decoded(body)
+        if statement is not None and statement.revision > self.holder.revision:
+            self.holder.adopt(statement)
+
+    def decoded(self, body: bytes) -> InForce | None:
+        """Decode a record; findings are logged with their place."""
+        try:
+            return self.decode(body)
+        except ConfigurationError as error:
+            log.warning('preset-refused', extra={'findings': str(error)})
+            return None
+
+    async def wait_for_log(self, error: LogUnavailableError) -> None:
+        """Wait before the next try, longer each time."""
+        if self.is_reachable:
+            log.warning('log-unreachable', extra={'cause': str(error)})
+        self.is_reachable = False
+        await asyncio.sleep(self.retry_s * (1 + JITTER * random.random()))
+        self.retry_s = min(self.retry_s * 2, RETRY_LIMIT_S)
+
+    def mark_reachable(self) -> None:
+        """Note that the log answered."""
+        if not self.is_reachable:
+            log.info('log-reachable')
+        self.is_reachable = True
+        self.retry_s = FIRST_RETRY_S
--- a/packages/node/src/lavendermountd/process.py
+++ b/packages/node/src/lavendermountd/process.py
@@ -9,24 +9,34 @@
 import gc
 import logging
 import signal
+from collections.abc import Callable
 
 from lavendermount_core.config.node import NodeSchema
+from lavendermount_core.exceptions import ConfigurationError
 from lavendermountd.node import Node
 from lavendermountd.tree import NodeTree
 
 log = logging.getLogger(__name__)
 
+Reload = Callable[[], NodeSchema]
 
-async def run_process(settings: NodeSchema) -> None:
+
+async def run_process(
+    settings: NodeSchema,
+    reload_settings: Reload | None = None,
+) -> None:
     """Run a node until it is told to stop.
 
     :param settings: validated settings.
+    :param reload_settings: reads the settings again; ``None`` if they never
+        change.
     :raises SupervisionError: if the tree gave up.
     """
     node = Node(settings)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, node.stop_requested.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload, node, reload_settings)
     tree = asyncio.create_task(NodeTree(node).root().run())
     stop = asyncio.create_task(node.stop_requested.wait())
     gc.freeze()
@@ -39,3 +49,14 @@
     await asyncio.gather(tree, return_exceptions=True)
     node.links.close_all()
     await node.channels.close()
+
+
+def _reload(node: Node, reload_settings: Reload | None) -> None:
+    """Take over settings that changed; bad ones change nothing."""
+    if reload_settings is None:
+        log.info('settings-kept', extra={'cause': 'the node reads them at a start'})
+        return
+    try:
+        node.take_settings(reload_settings())
+    except ConfigurationError as error:
+        log.warning('settings-refused', extra={'findings': str(error)})
--- a/packages/node/src/lavendermountd/recorder/recorder.py
+++ b/packages/node/src/lavendermountd/recorder/recorder.py
@@ -10,7 +10,7 @@
 from collections import deque
 
 from lavendermount_core.exceptions import LogUnavailableError
-from lavendermount_core.platform.adapter import LogAdapter
+from lavendermount_core.log.adapter import LogAdapter
 from lavendermount_core.replay.records import (
     DECISION_STREAM,
     NO_CHAIN,
--- a/packages/node/src/lavendermountd/routing/journey.py
+++ b/packages/node/src/lavendermountd/routing/journey.py
@@ -10,13 +10,16 @@
 from returns.result import Failure, Success
 
 from lavendermount_core.routing.candidates import Decision, Situation
-from lavendermount_core.structure.calls import CallRequest, Reason, unknown
+from lavendermount_core.structure.calls import CallRequest, Reason, Refusal, unknown
 from lavendermount_core.structure.members import Member
 from lavendermountd.gate.attempts import AttemptResult
 from lavendermountd.gate.suspects import fingerprint_of
 from lavendermountd.presets.holder import InForcePreset
 
 
+TURNED_AWAY = frozenset((Reason.TARGET_SHED, Reason.OTHER_TARGET))
+
+
 class Cause(StrEnum):
     """Why an attempt is made."""
 
@@ -40,6 +43,9 @@
         'tried',
         'may_have_run',
         'last_reply',
+        'arrivals',
+        'under_way',
+        'is_abandoned',
     )
 
     def __init__(self, request: CallRequest, preset: InForcePreset) -> None:
@@ -51,6 +57,9 @@
         self.tried: set[str] = set()
         self.may_have_run = False
         self.last_reply: AttemptResult | None = None
+        self.arrivals = 0
+        self.under_way: dict[str, Member] = {}
+        self.is_abandoned = False
 
     def next_number(self) -> int:
         """Count one more attempt."""
@@ -68,8 +77,10 @@
         """
         if isinstance(outcome, Success):
             self.last_reply = outcome
+            self.arrivals += 1
             return
         refusal = outcome.failure()
+        self.arrivals += has_arrived(refusal)
         if not refusal.is_not_run:
             self.may_have_run = True
         if refusal.reason == Reason.NOT_ARRIVED:
@@ -94,6 +105,14 @@
         return Failure(unknown(reason, detail, refusal.retry_after_s))
 
 
+def has_arrived(refusal: Refusal) -> bool:
+    """Whether a request reached a target, though it may not have run.
+
+    A gate's own refusal means that no target has seen the request.
+    """
+    return not refusal.is_not_run or refusal.reason in TURNED_AWAY
+
+
 class Choice:
     """A decision with its inputs and the member it names.
 
--- /dev/null
+++ b/packages/node/src/lavendermountd/routing/retry_budget.py
@@ -0,0 +1,61 @@
+"""The budget of repeated work that all nodes share without speaking of it.
+
+A service may get a number of repeats in any window: a share of the requests
+for it, and a constant beside. Each node earns the share from the requests that
+callers send to it, and an equal part of the constant as time passes. However
+the load is spread, the sum over all nodes then stays within the budget.
+
+:units: repeats; seconds on the node's monotonic clock.
+"""
+
+from __future__ import annotations
+
+from lavendermount_core.config.preset import RetryOptions
+from lavendermountd.routing.budgets import TokenBucket
+
+
+class RetryBudget:
+    """Repeats that this node may cause, by service."""
+
+    __slots__ = ('buckets', 'rate', 'burst', 'share', 'spent')
+
+    def __init__(self) -> None:
+        """Start without a preset; nothing may be repeated."""
+        self.buckets: dict[str, TokenBucket] = {}
+        self.rate: float = 0
+        self.burst: float = 0
+        self.share: float = 0
+        self.spent = 0
+
+    def configure(self, options: RetryOptions, nodes: int) -> None:
+        """Take over a preset, or another number of nodes.
+
+        :param nodes: nodes that share the constant part; those that cannot be
+            reached may still spend theirs and count.
+        """
+        self.share = options.share
+        self.rate = options.shared_per_s / nodes
+        self.burst = options.burst + options.shared_burst / nodes
+        for bucket in self.buckets.values():
+            bucket.configure(self.rate, self.burst)
+
+    def bucket(self, service: str) -> TokenBucket:
+        """Find the bucket of a service."""
+        found = self.buckets.get(service)
+        if found is None:
+            found = TokenBucket(self.rate, self.burst)
+            self.buckets[service] = found
+        return found
+
+    def earn(self, service: str) -> None:
+        """Count a request of a caller."""
+        self.bucket(service).earn(self.share)
+
+    def try_spend(self, service: str) -> bool:
+        """Spend one repeat.
+
+        :returns: whether the budget allows it.
+        """
+        is_allowed = self.bucket(service).try_spend(1)
+        self.spent += is_allowed
+        return is_allowed
--- a/packages/node/src/lavendermountd/routing/router.py
+++ b/packages/node/src/lavendermountd/routing/router.py
@@ -28,11 +28,13 @@
 from lavendermountd.routing.chooser import Chooser
 from lavendermountd.routing.journey import Cause, Choice, Journey
 from lavendermountd.routing.latency import LatencyWindow
+from lavendermountd.routing.retry_budget import RetryBudget
 from lavendermountd.routing.sender import Sender
 from lavendermountd.routing.trial import Trial, decision_record
 
 NO_TARGET_RETRY_S = 1.0
 CANCELLED = 'cancelled'
+MAX_REDIRECTS = 4
 
 
 Tasks = set[asyncio.Task[AttemptResult]]
@@ -59,7 +61,8 @@
         self.sender = sender
         self.recorder = recorder
         self.suspects = suspects
-        self.retries = TokenBucket(0, 0)
+        self.retries = RetryBudget()
+        self.journeys: dict[str, Journey] = {}
         self.hedges = TokenBucket(0, 0)
         self.latencies: dict[str, LatencyWindow] = defaultdict(LatencyWindow)
 
@@ -67,8 +70,7 @@
         """Take over the budgets of a preset."""
         retry = preset.schema.retry
         hedge = preset.schema.hedge
-        if self.retries.burst != retry.burst:
-            self.retries = TokenBucket(0, retry.burst)
+        self.retries.configure(retry, max(1, len(self.chooser.table.members)))
         if self.hedges.burst != hedge.burst:
             self.hedges = TokenBucket(0, hedge.burst)
 
@@ -84,9 +86,18 @@
         :returns: the reply, or why there is none.
         """
         journey = Journey(request, preset)
+        self.journeys[request.request_id] = journey
+        try:
+            return await self.travel(journey)
+        finally:
+            self.journeys.pop(request.request_id, None)
+
+    async def travel(self, journey: Journey) -> AttemptResult:
+        """Make attempts until one of them is the last."""
+        preset = journey.preset
         if self.suspects.verdict(journey.fingerprint) == Verdict.REFUSED:
             return Failure(self.refuse_suspect(journey))
-        self.retries.earn(preset.schema.retry.share)
+        self.retries.earn(journey.request.call_class.service)
         self.hedges.earn(preset.schema.hedge.share)
         cause = Cause.FIRST
         while True:
@@ -95,6 +106,18 @@
                 return journey.final(outcome)
             cause = Cause.RETRY
 
+    def abandon(self, request_id: str) -> None:
+        """Start nothing more for a request whose caller has left.
+
+        What has reached a target goes on.
+        """
+        journey = self.journeys.get(request_id)
+        if journey is None:
+            return
+        journey.is_abandoned = True
+        for attempt_id, member in tuple(journey.under_way.items()):
+            self.sender.cancel(member, attempt_id, is_waiting_only=True)
+
     async def attempt(self, journey: Journey, cause: Cause) -> AttemptResult:
         """Make one attempt, and a hedge beside it if it is slow."""
         choice = self.chooser.choose(journey)
@@ -144,6 +167,7 @@
         """Send one attempt and record its decision with the outcome."""
         journey = trial.journey
         journey.tried.add(trial.node_id)
+        journey.under_way[trial.attempt_id] = trial.member
         self.chooser.view.begin(trial.node_id, trial.attempt_id)
         label = CANCELLED
         try:
@@ -162,6 +186,7 @@
 
         :param label: its outcome as recorded.
         """
+        trial.journey.under_way.pop(trial.attempt_id, None)
         self.chooser.view.end(trial.node_id, trial.attempt_id)
         self.chooser.charge_link(trial.member, len(trial.journey.request.body))
         self.recorder.add(trial.to_record(label))
@@ -196,13 +221,24 @@
         """
         if isinstance(outcome, Success) and not is_failure(outcome.unwrap()):
             return False
-        if not _is_safe(journey, outcome) or not self.has_others(journey):
+        if journey.is_abandoned or not _is_safe(journey, outcome):
             return False
-        if journey.attempts >= journey.preset.schema.retry.attempts:
+        if not self.has_others(journey) or self.is_used_up(journey):
             return False
         if time.monotonic() >= journey.request.deadline:
             return False
-        return self.retries.try_spend(1)
+        if not journey.arrivals:
+            return True
+        return self.retries.try_spend(journey.request.call_class.service)
+
+    def is_used_up(self, journey: Journey) -> bool:
+        """Whether no further target may be tried for a request.
+
+        What a gate refuses has reached no target; such refusals are bounded
+        by a limit of their own.
+        """
+        limit = journey.request.max_targets or journey.preset.schema.retry.attempts
+        return journey.arrivals >= limit or journey.attempts >= limit + MAX_REDIRECTS
 
     def has_others(self, journey: Journey) -> bool:
         """Whether a target is left that was not tried."""
--- a/packages/node/src/lavendermountd/routing/sender.py
+++ b/packages/node/src/lavendermountd/routing/sender.py
@@ -28,7 +28,7 @@
 
 ASK_ATTEMPTS = 3
 ASK_PAUSE_S = 0.1
-RETURN_MARGIN_S = 0.002
+RETURN_MARGIN_S = 0.02
 UNREACHABLE_RETRY_S = 1.0
 
 
@@ -142,13 +142,25 @@
             self.links.avoidance.note_failure(member.node_id)
             raise
 
-    def cancel(self, member: Member, attempt_id: str) -> None:
-        """Tell the gate that nobody waits any more."""
+    def cancel(
+        self,
+        member: Member,
+        attempt_id: str,
+        is_waiting_only: bool = False,
+    ) -> None:
+        """Tell the gate that nobody waits any more.
+
+        :param is_waiting_only: whether work that has reached its target is to
+            go on.
+        """
+        if member.node_id == self.gate.identity.node_id:
+            self.gate.cancel(attempt_id, is_waiting_only)
+            return
         link = self.links.find_open(member)
         if link is None:
             return
         try:
-            link.frames.send(Cancel(attempt_id))
+            link.frames.send(Cancel(attempt_id, is_waiting_only))
         except PeerLinkError:
             link.close()
 
@@ -159,7 +171,9 @@
     attempt_id: str,
 ) -> Dispatch:
     request = journey.request
-    remaining_s = request.deadline - time.monotonic() - RETURN_MARGIN_S
+    now = time.monotonic()
+    remaining_s = request.deadline - now - RETURN_MARGIN_S
+    due_ms = max(1, (request.due - now) * MS_PER_S) if request.due else 0
     return Dispatch(
         attempt_id,
         member.incarnation,
@@ -168,6 +182,7 @@
         request.headers,
         request.call_class.to_row(),
         round(remaining_s * MS_PER_S, 1),
+        round(due_ms, 1),
         journey.fingerprint,
         len(request.body),
         request.body[:PART_BYTES],
--- a/packages/node/src/lavendermountd/routing/view.py
+++ b/packages/node/src/lavendermountd/routing/view.py
@@ -113,6 +113,7 @@
             _oldest_ms(sent, now),
             max(0, int((now - seen.seen_at) * MS_PER_S)),
             report.warm_ms,
+            report.slowness,
         )
 
     def distance_to(self, member: Member) -> Distance:
--- a/packages/node/src/lavendermountd/tree.py
+++ b/packages/node/src/lavendermountd/tree.py
@@ -18,10 +18,14 @@
 
 from collections.abc import Awaitable
 
+from lavendermount_core.config.node import EndpointOptions
 from lavendermount_core.utils.units import MS_PER_S
 from lavendermountd.admin.server import serve_admin
 from lavendermountd.control.server import serve_control
+from lavendermountd.endpoints import endpoints
 from lavendermountd.node import Node
+from lavendermountd.presets.follower import PresetFollower
+from lavendermountd.presets.keeper import PresetKeeper
 from lavendermountd.supervision.supervisor import Child, Supervisor
 
 
@@ -50,15 +54,19 @@
     def log(self) -> Supervisor:
         """Build the branch that speaks to the platform's log."""
         node = self.node
-        return self.supervisor(
-            'log',
-            [
-                Child('preset-follower', node.follower.run),
-                Child('preset-keeper', node.keeper.run),
-                Child('recorder', self.run_recorder),
-                Child('joiner', node.joiner.run),
-            ],
-        )
+        children = [
+            Child('preset-follower', node.follower.run),
+            Child('recorder', self.run_recorder),
+            Child('joiner', node.joiner.run),
+        ]
+        if isinstance(node.follower, PresetFollower):
+            keeper = PresetKeeper(
+                node.platform_log,
+                node.follower,
+                node.settings.log.retention_s,
+            )
+            children.append(Child('preset-keeper', keeper.run))
+        return self.supervisor('log', children)
 
     def members(self) -> Supervisor:
         """Build the branch that speaks to other nodes about members."""
@@ -84,12 +92,19 @@
 
     def callers(self) -> Supervisor:
         """Build the branch that serves callers and operators."""
-        return self.supervisor(
-            'callers',
-            [
-                Child('caller-server', self.run_callers),
-                Child('admin-server', self.run_admin),
-            ],
+        children = [
+            Child('caller-server', self.run_callers),
+            Child('admin-server', self.run_admin),
+        ]
+        children.extend(map(self.endpoint, self.node.settings.endpoint))
+        return self.supervisor('callers', children)
+
+    def endpoint(self, options: EndpointOptions) -> Child:
+        """Build the task that serves an endpoint of an adapter."""
+        serve = endpoints.find(options.name)
+        return Child(
+            options.name,
+            lambda: serve(self.node, options.host, options.port),
         )
 
     def clock(self) -> Supervisor:
