--- a/packages/core/src/lavendermount_core/config/preset.py
+++ b/packages/core/src/lavendermount_core/config/preset.py
@@ -144,6 +144,37 @@
         'ms',
         high=60000,
     )
+    slow_ms = opt.Number(
+        0,
+        'Time that work is held up on a VM that is slow at the moment.',
+        'ms',
+        high=60000,
+    )
+    zone_kb_ms = opt.Number(
+        0,
+        'Time that a kilobyte of reply between zones counts as.',
+        'ms/kB',
+        high=1000,
+    )
+    region_kb_ms = opt.Number(
+        0,
+        'Time that a kilobyte of reply between regions counts as.',
+        'ms/kB',
+        high=1000,
+    )
+    probe_ms = opt.Integer(
+        0,
+        'Age of what a target told of its VM, after which its node asks; 0 for '
+        'never.',
+        'ms',
+        high=60000,
+    )
+    patience_ms = opt.Integer(
+        0,
+        'Time a request waits at one gate while others may take it; 0 for no limit.',
+        'ms',
+        high=60000,
+    )
 
 
 class RetryOptions(opt.Schema):
@@ -178,6 +209,13 @@
         high=1,
     )
     floor_ms = opt.Number(5, 'Shortest wait before a hedge.', 'ms', high=60000)
+    margin_ms = opt.Number(
+        0,
+        'Time before the latest moment at which a hedge can still be in time, '
+        'where the route names such a time.',
+        'ms',
+        high=60000,
+    )
 
 
 class BudgetOptions(opt.Schema):
--- a/packages/core/src/lavendermount_core/replay/records.py
+++ b/packages/core/src/lavendermount_core/replay/records.py
@@ -52,6 +52,7 @@
     :param scores: node ids and expected milliseconds.
     :param outcome: such as ``whole:200`` or ``not-run:queue-full``.
     :param elapsed_ms: time the attempt took.
+    :param reply_kb: kilobytes that replies of the class had on average.
     """
 
     __slots__ = (
@@ -73,6 +74,7 @@
         'scores',
         'outcome',
         'elapsed_ms',
+        'reply_kb',
     )
 
     def __init__(
@@ -95,6 +97,7 @@
         scores: list[Any],
         outcome: str,
         elapsed_ms: float,
+        reply_kb: float = 0,
     ) -> None:
         """Keep the fields as given."""
         self.request_id = request_id
@@ -115,6 +118,7 @@
         self.scores = scores
         self.outcome = outcome
         self.elapsed_ms = elapsed_ms
+        self.reply_kb = reply_kb
 
     def to_situation(self) -> Situation:
         """Rebuild the inputs of the decision.
@@ -128,6 +132,7 @@
             self.turn,
             self.is_link_allowed,
             [Candidate.from_row(row) for row in self.candidates],
+            self.reply_kb,
         )
 
     def to_decision(self) -> Decision:
--- a/packages/core/src/lavendermount_core/routing/candidates.py
+++ b/packages/core/src/lavendermount_core/routing/candidates.py
@@ -92,6 +92,9 @@
     :param zone_ms: one-way delay between zones.
     :param region_ms: one-way delay between regions.
     :param failure_ms: time a failed answer counts as.
+    :param slow_ms: time that work is held up on a VM that is slow now.
+    :param zone_kb_ms: time that a kilobyte between zones counts as.
+    :param region_kb_ms: time that a kilobyte between regions counts as.
     """
 
     __slots__ = (
@@ -101,6 +104,9 @@
         'zone_ms',
         'region_ms',
         'failure_ms',
+        'slow_ms',
+        'zone_kb_ms',
+        'region_kb_ms',
     )
 
     def __init__(
@@ -111,6 +117,9 @@
         zone_ms: float,
         region_ms: float,
         failure_ms: float,
+        slow_ms: float = 0,
+        zone_kb_ms: float = 0,
+        region_kb_ms: float = 0,
     ) -> None:
         """Keep the fields as given."""
         self.sample = sample
@@ -119,6 +128,9 @@
         self.zone_ms = zone_ms
         self.region_ms = region_ms
         self.failure_ms = failure_ms
+        self.slow_ms = slow_ms
+        self.zone_kb_ms = zone_kb_ms
+        self.region_kb_ms = region_kb_ms
 
 
 class Situation:
@@ -130,6 +142,7 @@
     :param turn: decisions this node made for the service before.
     :param is_link_allowed: whether the link between regions has budget left.
     :param candidates: targets that may be chosen, ordered by node id.
+    :param reply_kb: kilobytes that replies of the class have on average.
     """
 
     __slots__ = (
@@ -139,6 +152,7 @@
         'turn',
         'is_link_allowed',
         'candidates',
+        'reply_kb',
     )
 
     def __init__(
@@ -149,6 +163,7 @@
         turn: int,
         is_link_allowed: bool,
         candidates: list[Candidate],
+        reply_kb: float = 0,
     ) -> None:
         """Keep the fields as given."""
         self.policy = policy
@@ -157,6 +172,7 @@
         self.turn = turn
         self.is_link_allowed = is_link_allowed
         self.candidates = candidates
+        self.reply_kb = reply_kb
 
 
 class Decision(Record):
--- a/packages/core/src/lavendermount_core/routing/expected_time.py
+++ b/packages/core/src/lavendermount_core/routing/expected_time.py
@@ -18,6 +18,8 @@
 OVERDUE_SERVICES = 8
 UNKNOWN_SHARE = 0.5
 LEAST_SERVICE_MS = 0.1
+SLOW = 1.5
+SLOW_LIFETIME_MS = 500
 
 
 class Fleet:
@@ -38,12 +40,18 @@
         )
 
 
-def expected_ms(candidate: Candidate, fleet: Fleet, tuning: Tuning) -> float:
+def expected_ms(
+    candidate: Candidate,
+    fleet: Fleet,
+    tuning: Tuning,
+    reply_kb: float = 0,
+) -> float:
     """Estimate how long a request sent now takes to be answered.
 
     :param candidate: the target.
     :param fleet: typical values among all candidates.
     :param tuning: numbers from the preset.
+    :param reply_kb: kilobytes that the reply is expected to have.
     :returns: path, wait and service time with the risk of failure.
     """
     trust = math.exp(-candidate.age_ms / tuning.stale_ms)
@@ -61,19 +69,31 @@
     waiting = max(0, crowd + 1 / max(candidate.slots, 1) - 1)
     busy = service * (1 + CROWDING_SHARE * crowd + waiting)
     warm = busy * _cold_factor(candidate, tuning)
-    return path_ms(candidate, tuning) + warm + failures * tuning.failure_ms
+    path = path_ms(candidate, tuning, reply_kb)
+    held_up = held_up_ms(candidate, tuning)
+    return path + warm + held_up + failures * tuning.failure_ms
 
 
-def path_ms(candidate: Candidate, tuning: Tuning) -> float:
-    """Round trip to a target's gate.
+def path_ms(candidate: Candidate, tuning: Tuning, reply_kb: float = 0) -> float:
+    """Round trip to a target's gate, and what the reply's bytes count as.
 
     :returns: milliseconds on the network.
     """
     if candidate.distance <= Distance.SAME_ZONE:
         return 0
     if candidate.distance == Distance.SAME_REGION:
-        return tuning.zone_ms * ROUND_TRIP
-    return tuning.region_ms * ROUND_TRIP
+        return tuning.zone_ms * ROUND_TRIP + tuning.zone_kb_ms * reply_kb
+    return tuning.region_ms * ROUND_TRIP + tuning.region_kb_ms * reply_kb
+
+
+def held_up_ms(candidate: Candidate, tuning: Tuning) -> float:
+    """Time that a VM which was slow when last heard of holds work up.
+
+    Such a state lasts a fraction of a second, so old news of it say little.
+    """
+    if candidate.slowness < SLOW:
+        return 0
+    return tuning.slow_ms * math.exp(-candidate.age_ms / SLOW_LIFETIME_MS)
 
 
 def _backlog_trust(candidate: Candidate, service_ms: float) -> float:
--- a/packages/core/src/lavendermount_core/routing/policies.py
+++ b/packages/core/src/lavendermount_core/routing/policies.py
@@ -56,7 +56,10 @@
     scores = [
         (
             seen.node_id,
-            round(expected_ms(seen, fleet, situation.tuning), SCORE_DIGITS),
+            round(
+                expected_ms(seen, fleet, situation.tuning, situation.reply_kb),
+                SCORE_DIGITS,
+            ),
         )
         for seen in sample
     ]
--- a/packages/core/src/lavendermount_core/routing/tuning.py
+++ b/packages/core/src/lavendermount_core/routing/tuning.py
@@ -19,4 +19,7 @@
         choosing.zone_ms,
         choosing.region_ms,
         choosing.failure_ms,
+        choosing.slow_ms,
+        choosing.zone_kb_ms,
+        choosing.region_kb_ms,
     )
--- a/packages/core/src/lavendermount_core/structure/calls.py
+++ b/packages/core/src/lavendermount_core/structure/calls.py
@@ -32,6 +32,7 @@
     TOO_LARGE = 'too-large'
     HEAD_TOO_LARGE = 'head-too-large'
     QUEUE_FULL = 'queue-full'
+    BUSY = 'busy'
     DEADLINE = 'deadline'
     DRAINING = 'draining'
     TARGET_DOWN = 'target-down'
--- a/packages/node/src/lavendermountd/gate/admission.py
+++ b/packages/node/src/lavendermountd/gate/admission.py
@@ -19,20 +19,31 @@
     :param call_class: name of its class.
     :param deadline: when its answer is worth nothing.
     :param is_exclusive: whether it must run alone.
+    :param patience_s: how long it may wait here while other targets might take
+        it; 0 if it waits until its deadline.
     """
 
-    __slots__ = ('call_class', 'deadline', 'is_exclusive', 'is_gone', 'started')
+    __slots__ = (
+        'call_class',
+        'deadline',
+        'is_exclusive',
+        'patience_s',
+        'is_gone',
+        'started',
+    )
 
     def __init__(
         self,
         call_class: str,
         deadline: float,
         is_exclusive: bool = False,
+        patience_s: float = 0,
     ) -> None:
         """Start outside the queue."""
         self.call_class = call_class
         self.deadline = deadline
         self.is_exclusive = is_exclusive
+        self.patience_s = patience_s
         self.is_gone = False
         self.started: asyncio.Future[bool] | None = None
 
@@ -200,14 +211,22 @@
         """Leave the queue without having run."""
         ticket.is_gone = True
 
-    def dismiss(self) -> list[Ticket]:
-        """Empty the queue.
+    def dismiss(self, is_impatient_only: bool = False) -> list[Ticket]:
+        """Take requests out of the queue.
 
-        :returns: the requests that waited.
+        :param is_impatient_only: whether those that wait until their deadline
+            stay.
+        :returns: the requests that wait no longer.
         """
         places = [place for heap in self.waiting.values() for place in heap]
-        self.waiting.clear()
-        return [ticket for _, _, ticket in places if not ticket.is_gone]
+        dismissed = [
+            ticket
+            for _, _, ticket in places
+            if not ticket.is_gone and (ticket.patience_s or not is_impatient_only)
+        ]
+        for ticket in dismissed:
+            self.leave(ticket)
+        return dismissed
 
     def release(self, ticket: Ticket) -> list[Ticket]:
         """Give a slot back.
--- a/packages/node/src/lavendermountd/gate/attempts.py
+++ b/packages/node/src/lavendermountd/gate/attempts.py
@@ -6,10 +6,11 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from enum import IntEnum
 from typing import Any
 
-from returns.result import Result
+from returns.result import Result, Success
 
 from lavendermount_core.structure.calls import CallReply, CallRequest, Refusal
 
@@ -42,6 +43,9 @@
         'is_remote',
         'task',
         'target_start',
+        'arrived_at',
+        'started_at',
+        'patience_s',
     )
 
     def __init__(
@@ -60,6 +64,9 @@
         self.finished: asyncio.Future[AttemptResult] = asyncio.Future()
         self.task: asyncio.Task[Any] | None = None
         self.target_start = 0
+        self.arrived_at = time.monotonic()
+        self.started_at: float = 0
+        self.patience_s: float = 0
 
     @property
     def has_left(self) -> bool:
@@ -72,3 +79,11 @@
         self.task = None
         if not self.finished.done():
             self.finished.set_result(outcome)
+
+
+def outcome_label(outcome: AttemptResult) -> str:
+    """Name an outcome for logs and records."""
+    if isinstance(outcome, Success):
+        return f'whole:{outcome.unwrap().status}'
+    refusal = outcome.failure()
+    return f'{refusal.outcome}:{refusal.reason}'
--- a/packages/node/src/lavendermountd/gate/gate.py
+++ b/packages/node/src/lavendermountd/gate/gate.py
@@ -17,6 +17,7 @@
 
 from returns.result import Failure, Success
 
+from lavendermount_core.routing.expected_time import SLOW
 from lavendermount_core.structure.calls import (
     Reason,
     Refusal,
@@ -26,9 +27,9 @@
 )
 from lavendermount_core.structure.loads import LoadReport
 from lavendermount_core.utils.units import MS_PER_S
-from lavendermountd.dialects.base import Dialect, ReplyFacts
+from lavendermountd.dialects.base import Dialect, ReplyFacts, TargetLoad
 from lavendermountd.gate.admission import Admission, Ticket
-from lavendermountd.gate.attempts import Attempt, AttemptResult
+from lavendermountd.gate.attempts import Attempt, AttemptResult, outcome_label
 from lavendermountd.gate.ledger import HORIZON_S, Ledger, refuse_buried
 from lavendermountd.gate.suspects import SuspectTable, Verdict
 from lavendermountd.gate.target import Target, TargetState
@@ -64,6 +65,7 @@
         self.is_closed = False
         self.on_suspect: Callable[[Suspected], None] = _ignore_suspect
         self.on_load_change: Callable[[], None] = _ignore_change
+        self.on_slowness_change: Callable[[], None] = _ignore_change
         self.on_other_target: Callable[[], None] = _ignore_change
 
     def load(self) -> LoadReport:
@@ -105,8 +107,30 @@
             log.exception('attempt-failed', extra={'attempt': attempt.attempt_id})
             outcome = Failure(_interrupted(attempt, Reason.INTERNAL))
         self.ledger.close(attempt, outcome, time.monotonic())
+        self.log_end(attempt, outcome)
         return outcome
 
+    def log_end(self, attempt: Attempt, outcome: AttemptResult) -> None:
+        """Log what became of an attempt, and what decided it."""
+        now = time.monotonic()
+        started_at = attempt.started_at or now
+        label = outcome_label(outcome)
+        log.info(
+            'attempt-ended',
+            extra={
+                'attempt': attempt.attempt_id,
+                'class': attempt.request.call_class.name,
+                'outcome': label,
+                'waited_ms': round((started_at - attempt.arrived_at) * MS_PER_S),
+                'ran_ms': round((now - started_at) * MS_PER_S),
+                'left_ms': round((attempt.request.deadline - now) * MS_PER_S),
+                'instance': self.target.instance,
+                'in_flight': self.admission.in_flight,
+                'queued': self.admission.queued,
+                'slowness': round(self.target.current_slowness(now), 2),
+            },
+        )
+
     async def admit_and_run(self, attempt: Attempt) -> AttemptResult:
         """Wait for a slot and run the attempt in it."""
         refusal = self.refusal_before_queue(attempt)
@@ -118,6 +142,7 @@
             request.call_class.name,
             request.deadline,
             verdict == Verdict.ALONE,
+            attempt.patience_s,
         )
         refusal = await self.enter(ticket)
         if refusal is not None:
@@ -152,31 +177,65 @@
         """
         if self.admission.try_start(ticket):
             return None
+        if ticket.patience_s and self.is_too_busy(ticket):
+            return self.refuse(Reason.BUSY, 'others may be quicker')
         if self.is_hopeless(ticket):
             return self.refuse(Reason.DEADLINE, 'the queue is too long to be in time')
         if not self.admission.wait(ticket):
             return self.refuse(Reason.QUEUE_FULL, 'the queue of the class is full')
         ticket.started = asyncio.get_running_loop().create_future()
         latest = ticket.deadline - self.target.service_ms / MS_PER_S
+        if ticket.patience_s:
+            latest = min(latest, time.monotonic() + ticket.patience_s)
         try:
             async with asyncio.timeout_at(latest):
                 has_slot = await ticket.started
         except TimeoutError:
             self.abandon(ticket)
-            return self.refuse(Reason.DEADLINE, 'no slot became free in time')
+            reason = Reason.BUSY if ticket.patience_s else Reason.DEADLINE
+            return self.refuse(reason, 'no slot became free in time')
         except asyncio.CancelledError:
             self.abandon(ticket)
             raise
-        return None if has_slot else self.refuse_leaving()
+        return None if has_slot else self.refuse_dismissed()
+
+    def is_too_busy(self, ticket: Ticket) -> bool:
+        """Whether a request is likely to wait longer than it may."""
+        turns = self.admission.queued_before(ticket.call_class) + 1
+        return self.is_slow or self.time_for_s(turns) > ticket.patience_s
+
+    @property
+    def is_slow(self) -> bool:
+        """Whether the target's VM is slow at the moment."""
+        return self.target.current_slowness(time.monotonic()) >= SLOW
+
+    def refuse_dismissed(self) -> Refusal:
+        """Refuse work that waited until the target left or became slow."""
+        if self.target.is_accepting and not self.is_closed:
+            return self.refuse(Reason.BUSY, 'the target became slow')
+        return self.refuse_leaving()
+
+    def note_load(self, load: TargetLoad) -> None:
+        """Keep what the target says of its load.
+
+        When it becomes slow, those who wait try elsewhere.
+        """
+        was_slow = self.is_slow
+        self.target.note_slowness(load.slowness, time.monotonic())
+        if self.is_slow == was_slow:
+            return
+        self.on_slowness_change()
+        if self.is_slow:
+            self.dismiss_waiting(is_impatient_only=True)
 
     def refuse_leaving(self) -> Refusal:
         """Refuse work for a target that takes none any more."""
         detail = 'the target is leaving'
         return not_run(Reason.DRAINING, detail, TARGET_DOWN_RETRY_S)
 
-    def dismiss_waiting(self) -> None:
-        """Refuse all that waits, so that it goes to another target in time."""
-        for ticket in self.admission.dismiss():
+    def dismiss_waiting(self, is_impatient_only: bool = False) -> None:
+        """Refuse what waits, so that it goes to another target in time."""
+        for ticket in self.admission.dismiss(is_impatient_only):
             if ticket.started is not None and not ticket.started.done():
                 ticket.started.set_result(False)
 
@@ -212,6 +271,7 @@
     async def run(self, attempt: Attempt) -> AttemptResult:
         """Dispatch an attempt that holds a slot."""
         begun = time.monotonic()
+        attempt.started_at = begun
         self.target.begin(attempt.attempt_id, begun)
         try:
             async with asyncio.timeout_at(attempt.request.deadline):
@@ -237,7 +297,7 @@
     def refusal_in(self, facts: ReplyFacts) -> Refusal | None:
         """Read a refusal out of what a reply says beside its answer."""
         if facts.load is not None:
-            self.target.note_slowness(facts.load.slowness, time.monotonic())
+            self.note_load(facts.load)
         if facts.is_other_target:
             self.on_other_target()
             detail = 'another target answers at the address'
--- a/packages/node/src/lavendermountd/gate/watch.py
+++ b/packages/node/src/lavendermountd/gate/watch.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+import time
 
 from lavendermountd.gate.gate import Gate
 from lavendermountd.gate.reports import TargetReport
@@ -33,21 +34,38 @@
     :param needs_health: whether a connection alone shows nothing.
     """
 
-    __slots__ = ('gate', 'health_path', 'needs_health')
+    __slots__ = ('gate', 'health_path', 'needs_health', 'probe_s')
 
     def __init__(self, gate: Gate, needs_health: bool) -> None:
         """Keep the gate; without a health path a connection says enough."""
         self.gate = gate
         self.health_path = ''
         self.needs_health = needs_health
+        self.probe_s: float = 0
 
     async def run(self) -> None:
         """Watch until cancelled."""
         while True:
-            is_waited_for = self.is_waited_for()
-            if is_waited_for:
+            if self.is_waited_for():
                 await self.check()
-            await asyncio.sleep(DOWN_CHECK_S if is_waited_for else UP_CHECK_S)
+                await asyncio.sleep(DOWN_CHECK_S)
+            elif self.probe_s and self.health_path:
+                await self.probe_if_due()
+                await asyncio.sleep(self.probe_s / 2)
+            else:
+                await asyncio.sleep(UP_CHECK_S)
+
+    async def probe_if_due(self) -> None:
+        """Ask a target that is up for its load if it told none lately."""
+        target = self.gate.target
+        age_s = time.monotonic() - target.slowness_at
+        if target.state != TargetState.UP or age_s < self.probe_s:
+            return
+        connection = self.gate.client.take_idle(is_repeatable=True)
+        if connection is not None:
+            await self.ask(connection)
+            return
+        await self.check()
 
     def is_waited_for(self) -> bool:
         """Whether there is an address at which a target may come up."""
@@ -94,6 +112,8 @@
         """Take a target that says it is healthy for up."""
         target = self.gate.target
         facts = self.gate.client.dialect.read_reply(reply.status, reply.headers)
+        if facts.load is not None:
+            self.gate.note_load(facts.load)
         is_known = bool(facts.instance) and not target.history.has_left(facts.instance)
         if reply.status != OK or not is_known or not self.is_waited_for():
             return
--- a/packages/node/src/lavendermountd/node.py
+++ b/packages/node/src/lavendermountd/node.py
@@ -16,6 +16,7 @@
 from lavendermount_core.config.preset import ALONE
 from lavendermount_core.exceptions import ConfigurationError
 from lavendermount_core.log.adapter import KeyedLog, open_log
+from lavendermount_core.structure.loads import LoadReport
 from lavendermount_core.structure.members import Member, MemberStatus
 from lavendermount_core.utils.units import MS_PER_S
 from lavendermountd.caller.server import CallerServer
@@ -145,7 +146,7 @@
     def build_routing(self) -> None:
         """Build what takes a request to a target."""
         self.links = LinkPool(
-            self.identity, self.view.take_report, self.gate.learn_suspect
+            self.identity, self.take_load, self.gate.learn_suspect
         )
         self.link_bucket = TokenBucket(0, 0)
         self.chooser = Chooser(
@@ -217,6 +218,7 @@
         self.gate.on_load_change = self.tell_load
         self.gate.on_suspect = self.tell_suspect
         self.gate.on_other_target = self.lose_target
+        self.gate.on_slowness_change = self.tell_slowness
         self.guard.on_freeze.append(self.fence)
         self.links.count_ping = self.count_ping
         self.table.listeners.append(self.forget_if_dead)
@@ -233,6 +235,10 @@
             self.gate.target.state = TargetState.DOWN
             self.enlist()
 
+    def take_load(self, report: LoadReport) -> None:
+        """Take over the load that another gate told."""
+        self.router.take_load(report)
+
     def current_revision(self) -> int:
         """Revision of the preset in force here."""
         return self.holder.revision
@@ -265,6 +271,7 @@
         self.links.max_body = limits.body_bytes
         self.peer_server.max_body = limits.body_bytes
         self.service.take_limits(limits)
+        self.target_watch.probe_s = schema.choosing.probe_ms / MS_PER_S
         self.gate.suspects.configure(
             schema.suspects.victims,
             schema.suspects.isolation == ALONE,
@@ -363,6 +370,16 @@
         self.view.take_report(load)
         self.peer_server.tell_all(Pong(0, load.to_row()))
 
+    def tell_slowness(self) -> None:
+        """Tell the nodes of the own region how slow the target is.
+
+        The state lasts too short a time to be worth bytes between regions.
+        """
+        load = self.gate.load()
+        self.router.take_load(load)
+        hosts = frozenset(member.host for member in self.gossip.nearby())
+        self.peer_server.tell_all(Pong(0, load.to_row()), hosts)
+
     def tell_suspect(self, told: Suspected) -> None:
         """Tell a suspicion to every node that a connection is open to."""
         self.peer_server.tell_all(told)
--- a/packages/node/src/lavendermountd/peer/frames.py
+++ b/packages/node/src/lavendermountd/peer/frames.py
@@ -31,6 +31,7 @@
     :param call_class: row of a ``CallClass``.
     :param remaining_ms: time left to answer.
     :param due_ms: time in which the answer is worth most; 0 if not said.
+    :param patience_ms: time it may wait at the gate; 0 for no limit.
     :param fingerprint: digest that tells requests apart for crash suspicion.
     :param body_size: size of the whole body.
     :param body: first part of the body.
@@ -45,6 +46,7 @@
         'call_class',
         'remaining_ms',
         'due_ms',
+        'patience_ms',
         'fingerprint',
         'body_size',
         'body',
@@ -60,6 +62,7 @@
         call_class: list[Any],
         remaining_ms: float,
         due_ms: float,
+        patience_ms: int,
         fingerprint: str,
         body_size: int,
         body: bytes,
@@ -73,6 +76,7 @@
         self.call_class = call_class
         self.remaining_ms = remaining_ms
         self.due_ms = due_ms
+        self.patience_ms = patience_ms
         self.fingerprint = fingerprint
         self.body_size = body_size
         self.body = body
--- a/packages/node/src/lavendermountd/peer/server.py
+++ b/packages/node/src/lavendermountd/peer/server.py
@@ -9,6 +9,7 @@
 import logging
 import time
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 from returns.result import Result, Success
 from tornado.iostream import IOStream, StreamClosedError
@@ -58,7 +59,7 @@
     :param max_body: largest body in bytes.
     """
 
-    __slots__ = ('frames', 'gate', 'bodies', 'tasks')
+    __slots__ = ('frames', 'gate', 'bodies', 'tasks', 'host')
 
     def __init__(self, stream: FrameStream, gate: Gate, max_body: int) -> None:
         """Take over the connection."""
@@ -66,6 +67,7 @@
         self.gate = gate
         self.bodies = BodyAssembler(max_body)
         self.tasks: set[asyncio.Task[None]] = set()
+        self.host = ''
 
     async def run(self, guard: FreezeGuard) -> None:
         """Serve frames until the connection closes.
@@ -215,7 +217,9 @@
         now + frame.remaining_ms / MS_PER_S,
         frame.due_ms and now + frame.due_ms / MS_PER_S,
     )
-    return Attempt(frame.attempt_id, request, frame.fingerprint, is_remote=True)
+    attempt = Attempt(frame.attempt_id, request, frame.fingerprint, is_remote=True)
+    attempt.patience_s = frame.patience_ms / MS_PER_S
+    return attempt
 
 
 class PeerServer(TCPServer):
@@ -233,9 +237,10 @@
         self.max_body = DEFAULT_BODY_BYTES
         self.sessions: set[PeerSession] = set()
 
-    async def handle_stream(self, stream: IOStream, address: object) -> None:
+    async def handle_stream(self, stream: IOStream, address: tuple[Any, ...]) -> None:
         """Serve one connection until it closes."""
         session = PeerSession(FrameStream(stream), self.gate, self.max_body)
+        session.host = str(address[0])
         self.sessions.add(session)
         try:
             await session.run(self.guard)
@@ -250,9 +255,14 @@
         finally:
             self.stop()
 
-    def tell_all(self, frame: Record) -> None:
-        """Send a frame on every open connection."""
+    def tell_all(self, frame: Record, hosts: frozenset[str] | None = None) -> None:
+        """Send a frame on every open connection.
+
+        :param hosts: IP numbers of the nodes that are told; ``None`` for all.
+        """
         for session in tuple(self.sessions):
+            if hosts is not None and session.host not in hosts:
+                continue
             try:
                 session.frames.send(frame)
             except PeerLinkError:
--- a/packages/node/src/lavendermountd/routing/chooser.py
+++ b/packages/node/src/lavendermountd/routing/chooser.py
@@ -19,6 +19,8 @@
 from lavendermountd.routing.view import LoadView
 
 SEED_BITS = 48
+REPLY_WEIGHT = 0.05
+BYTES_PER_KB = 1000
 
 
 class Chooser:
@@ -30,7 +32,15 @@
     :param avoidance: nodes that could not be reached of late.
     """
 
-    __slots__ = ('table', 'view', 'link_bucket', 'avoidance', 'seeds', 'turns')
+    __slots__ = (
+        'table',
+        'view',
+        'link_bucket',
+        'avoidance',
+        'seeds',
+        'turns',
+        'reply_kb',
+    )
 
     def __init__(
         self,
@@ -46,6 +56,7 @@
         self.avoidance = avoidance
         self.seeds = random.Random()
         self.turns: dict[str, int] = defaultdict(int)
+        self.reply_kb: dict[str, float] = defaultdict(float)
 
     def choose(self, journey: Journey, is_same_region: bool = False) -> Choice:
         """Choose a target for the next attempt.
@@ -70,6 +81,7 @@
             self.turns[service],
             self.is_link_allowed(journey),
             candidates,
+            round(self.reply_kb[journey.class_key], 1),
         )
         decision = decide(situation)
         return Choice(situation, decision, self.table.find(decision.chosen))
@@ -95,6 +107,15 @@
         ]
         return reachable or members
 
+    def learn_reply(self, journey: Journey, size: int) -> None:
+        """Add a reply to the average size of its class.
+
+        :param size: bytes.
+        """
+        known = self.reply_kb[journey.class_key]
+        weight = REPLY_WEIGHT if known else 1
+        self.reply_kb[journey.class_key] += weight * (size / BYTES_PER_KB - known)
+
     def charge_link(self, member: Member, size: int) -> None:
         """Count bytes of a request or reply that crossed regions.
 
--- a/packages/node/src/lavendermountd/routing/journey.py
+++ b/packages/node/src/lavendermountd/routing/journey.py
@@ -10,6 +10,7 @@
 from returns.result import Failure, Success
 
 from lavendermount_core.routing.candidates import Decision, Situation
+from lavendermount_core.routing.expected_time import SLOW
 from lavendermount_core.structure.calls import CallRequest, Reason, Refusal, unknown
 from lavendermount_core.structure.members import Member
 from lavendermountd.gate.attempts import AttemptResult
@@ -61,6 +62,12 @@
         self.under_way: dict[str, Member] = {}
         self.is_abandoned = False
 
+    @property
+    def class_key(self) -> str:
+        """Name of the request's class within its service."""
+        call_class = self.request.call_class
+        return f'{call_class.service}/{call_class.name}'
+
     def next_number(self) -> int:
         """Count one more attempt."""
         self.attempts += 1
@@ -133,3 +140,10 @@
         self.situation = situation
         self.decision = decision
         self.member = member
+
+    def is_slow(self) -> bool:
+        """Whether the chosen target was slow when last heard of."""
+        return any(
+            seen.node_id == self.decision.chosen and seen.slowness >= SLOW
+            for seen in self.situation.candidates
+        )
--- a/packages/node/src/lavendermountd/routing/router.py
+++ b/packages/node/src/lavendermountd/routing/router.py
@@ -7,11 +7,14 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import time
 from collections import defaultdict
+from typing import Any
 
 from returns.result import Failure, Success
 
+from lavendermount_core.routing.expected_time import SLOW
 from lavendermount_core.structure.calls import (
     CallRequest,
     Reason,
@@ -19,25 +22,32 @@
     is_failure,
     not_run,
 )
+from lavendermount_core.structure.loads import LoadReport
 from lavendermount_core.utils.units import MS_PER_S
-from lavendermountd.gate.attempts import AttemptResult
+from lavendermountd.gate.attempts import AttemptResult, outcome_label
 from lavendermountd.gate.suspects import SuspectTable, Verdict
 from lavendermountd.presets.holder import InForcePreset
 from lavendermountd.recorder.recorder import Recorder
 from lavendermountd.routing.budgets import TokenBucket
 from lavendermountd.routing.chooser import Chooser
+from lavendermountd.routing.hedging import SlowAlarms, hedge_wait_s
 from lavendermountd.routing.journey import Cause, Choice, Journey
 from lavendermountd.routing.latency import LatencyWindow
 from lavendermountd.routing.retry_budget import RetryBudget
 from lavendermountd.routing.sender import Sender
 from lavendermountd.routing.trial import Trial, decision_record
 
+log = logging.getLogger(__name__)
+
 NO_TARGET_RETRY_S = 1.0
 CANCELLED = 'cancelled'
 MAX_REDIRECTS = 4
+ENDLESS_S = 60.0
+PATIENT_FROM = 3
 
 
-Tasks = set[asyncio.Task[AttemptResult]]
+Task = asyncio.Task[AttemptResult]
+Tasks = set[Task]
 
 
 class Router:
@@ -64,6 +74,7 @@
         self.retries = RetryBudget()
         self.journeys: dict[str, Journey] = {}
         self.hedges = TokenBucket(0, 0)
+        self.alarms = SlowAlarms()
         self.latencies: dict[str, LatencyWindow] = defaultdict(LatencyWindow)
 
     def configure(self, preset: InForcePreset) -> None:
@@ -123,30 +134,40 @@
         choice = self.chooser.choose(journey)
         if choice.member is None:
             return self.refuse_without_target(journey, choice, cause)
-        hedge_after_s = self.hedge_after_s(journey)
-        if hedge_after_s is None:
-            return await self.send(Trial(journey, choice, cause))
-        first = asyncio.create_task(self.send(Trial(journey, choice, cause)))
-        done, _ = await _wait_for_any({first}, hedge_after_s)
-        if done:
+        trial = Trial(journey, choice, cause)
+        if not journey.request.call_class.is_repeatable:
+            return await self.send(trial)
+        first = asyncio.create_task(self.send(trial))
+        if await self.is_in_time(first, trial):
             return first.result()
-        hedge = self.start_hedge(journey)
-        return await _await_or_cancel({first} | hedge)
+        return await _await_or_cancel({first} | self.start_hedge(journey))
 
-    def hedge_after_s(self, journey: Journey) -> float | None:
-        """Time after which a second copy is worth sending.
+    async def is_in_time(self, first: Task, trial: Trial) -> bool:
+        """Wait for the first copy until a second one is worth sending.
 
-        :returns: seconds, or ``None`` for work that is never hedged.
+        :returns: whether the first copy ended before that.
         """
-        hedge = journey.preset.schema.hedge
-        call_class = journey.request.call_class
-        if not call_class.is_repeatable or not hedge.share:
-            return None
-        window = self.latencies[_latency_key(journey)]
-        learned = window.quantile(hedge.quantile)
-        if learned is None:
-            return None
-        return max(learned, hedge.floor_ms) / MS_PER_S
+        request = trial.journey.request
+        wait_s = hedge_wait_s(
+            trial.journey.preset.schema.hedge,
+            request,
+            self.latencies[trial.journey.class_key],
+            time.monotonic(),
+        )
+        if wait_s is None:
+            wait_s = max(0, request.deadline - time.monotonic()) + ENDLESS_S
+        with self.alarms.watch(trial.node_id) as alarm:
+            rung = asyncio.ensure_future(alarm.wait())
+            try:
+                await _wait_for_any({first}, wait_s, rung)
+            finally:
+                rung.cancel()
+        return first.done()
+
+    def take_load(self, report: LoadReport) -> None:
+        """Take a load report; wake who waits for a target that became slow."""
+        if self.chooser.view.take_report(report) and report.slowness >= SLOW:
+            self.alarms.ring(report.node_id)
 
     def start_hedge(self, journey: Journey) -> Tasks:
         """Send a second copy within the region, if the budget allows.
@@ -155,10 +176,15 @@
         """
         if self.suspects.verdict(journey.fingerprint) != Verdict.FREE:
             return set()
-        if not self.hedges.try_spend(1):
+        limit = journey.request.max_targets or journey.preset.schema.retry.attempts
+        if journey.arrivals + len(journey.under_way) >= limit:
             return set()
         choice = self.chooser.choose(journey, is_same_region=True)
-        if choice.member is None:
+        if choice.member is None or choice.is_slow():
+            return set()
+        if not self.hedges.try_spend(1):
+            return set()
+        if not self.retries.try_spend(journey.request.call_class.service):
             return set()
         trial = Trial(journey, choice, Cause.HEDGE)
         return {asyncio.create_task(self.send(trial))}
@@ -171,16 +197,32 @@
         self.chooser.view.begin(trial.node_id, trial.attempt_id)
         label = CANCELLED
         try:
-            outcome = await self.sender.send(journey, trial.member, trial.attempt_id)
-            label = _label(outcome)
+            outcome = await self.sender.send(
+                journey,
+                trial.member,
+                trial.attempt_id,
+                self.patience_s(journey),
+            )
+            label = outcome_label(outcome)
             journey.note(outcome, trial.node_id)
         finally:
             self.conclude(trial, label)
         if isinstance(outcome, Success):
-            self.chooser.charge_link(trial.member, len(outcome.unwrap().body))
-            self.latencies[_latency_key(journey)].add(trial.elapsed_ms())
+            size = len(outcome.unwrap().body)
+            self.chooser.learn_reply(journey, size)
+            self.chooser.charge_link(trial.member, size)
+            self.latencies[journey.class_key].add(trial.elapsed_ms())
         return outcome
 
+    def patience_s(self, journey: Journey) -> float:
+        """How long an attempt may wait at a gate before others are asked.
+
+        The last one that may be asked is asked to wait until the deadline.
+        """
+        patience_ms = journey.preset.schema.choosing.patience_ms
+        is_last = journey.attempts >= PATIENT_FROM or not self.has_others(journey)
+        return 0 if is_last else patience_ms / MS_PER_S
+
     def conclude(self, trial: Trial, label: str) -> None:
         """Note that an attempt ended, however it did.
 
@@ -189,7 +231,22 @@
         trial.journey.under_way.pop(trial.attempt_id, None)
         self.chooser.view.end(trial.node_id, trial.attempt_id)
         self.chooser.charge_link(trial.member, len(trial.journey.request.body))
-        self.recorder.add(trial.to_record(label))
+        record = trial.to_record(label)
+        self.recorder.add(record)
+        log.info(
+            'attempt-sent',
+            extra={
+                'attempt': trial.attempt_id,
+                'cause': record.cause,
+                'service': record.service,
+                'class': record.call_class,
+                'revision': record.revision,
+                'target': record.chosen,
+                'scores': _scores_text(record.scores),
+                'outcome': label,
+                'elapsed_ms': round(record.elapsed_ms),
+            },
+        )
 
     def refuse_without_target(
         self,
@@ -202,7 +259,7 @@
         detail = f'no target of {service} takes work now'
         refusal = Failure(not_run(Reason.NO_TARGET, detail, NO_TARGET_RETRY_S))
         record = decision_record(journey, choice, cause)
-        record.outcome = _label(refusal)
+        record.outcome = outcome_label(refusal)
         self.recorder.add(record)
         return refusal
 
@@ -255,25 +312,21 @@
     return refusal.is_not_run or journey.request.call_class.is_repeatable
 
 
-def _label(outcome: AttemptResult) -> str:
-    if isinstance(outcome, Success):
-        return f'whole:{outcome.unwrap().status}'
-    refusal = outcome.failure()
-    return f'{refusal.outcome}:{refusal.reason}'
-
-
-def _latency_key(journey: Journey) -> str:
-    call_class = journey.request.call_class
-    return f'{call_class.service}/{call_class.name}'
+def _scores_text(scores: list[tuple[str, float]]) -> str:
+    return ','.join(f'{node_id}:{round(score)}' for node_id, score in scores)
 
 
 async def _wait_for_any(
     tasks: Tasks,
     timeout_s: float | None,
+    alarm: asyncio.Future[bool] | None = None,
 ) -> tuple[Tasks, Tasks]:
+    awaited: set[asyncio.Future[Any]] = set(tasks)
+    if alarm is not None:
+        awaited.add(alarm)
     try:
-        return await asyncio.wait(
-            tasks,
+        await asyncio.wait(
+            awaited,
             timeout=timeout_s,
             return_when=asyncio.FIRST_COMPLETED,
         )
@@ -281,6 +334,8 @@
         for task in tasks:
             task.cancel()
         raise
+    done = {task for task in tasks if task.done()}
+    return done, tasks - done
 
 
 async def _await_or_cancel(
--- a/packages/node/src/lavendermountd/routing/sender.py
+++ b/packages/node/src/lavendermountd/routing/sender.py
@@ -49,23 +49,25 @@
         journey: Journey,
         member: Member,
         attempt_id: str,
+        patience_s: float = 0,
     ) -> AttemptResult:
         """Run one attempt at a target.
 
         :param journey: the request.
         :param member: node beside the target.
         :param attempt_id: identifier of the attempt.
+        :param patience_s: how long it may wait at the gate; 0 for no limit.
         :returns: the reply, or a refusal that is true.
         """
         if member.node_id == self.gate.identity.node_id:
-            return await self.send_own(journey, attempt_id)
+            return await self.send_own(journey, attempt_id, patience_s)
         try:
             link = await self.links.get(member)
         except PeerLinkError as error:
             refusal = not_run(Reason.LINK_LOST, str(error), UNREACHABLE_RETRY_S)
             return Failure(refusal)
         self.warn(link, journey)
-        frame = _dispatch_frame(journey, member, attempt_id)
+        frame = _dispatch_frame(journey, member, attempt_id, patience_s)
         sent_at = time.monotonic()
         try:
             async with asyncio.timeout_at(journey.request.deadline):
@@ -87,9 +89,15 @@
         with contextlib.suppress(PeerLinkError):
             link.frames.send(suspects.describe(journey.fingerprint))
 
-    async def send_own(self, journey: Journey, attempt_id: str) -> AttemptResult:
+    async def send_own(
+        self,
+        journey: Journey,
+        attempt_id: str,
+        patience_s: float,
+    ) -> AttemptResult:
         """Run one attempt at the node's own target."""
         attempt = Attempt(attempt_id, journey.request, journey.fingerprint)
+        attempt.patience_s = patience_s
         outcome = await self.gate.execute(attempt)
         self.links.on_load(self.gate.load())
         return outcome
@@ -169,6 +177,7 @@
     journey: Journey,
     member: Member,
     attempt_id: str,
+    patience_s: float,
 ) -> Dispatch:
     request = journey.request
     now = time.monotonic()
@@ -183,6 +192,7 @@
         request.call_class.to_row(),
         round(remaining_s * MS_PER_S, 1),
         round(due_ms, 1),
+        round(patience_s * MS_PER_S),
         journey.fingerprint,
         len(request.body),
         request.body[:PART_BYTES],
--- a/packages/node/src/lavendermountd/routing/trial.py
+++ b/packages/node/src/lavendermountd/routing/trial.py
@@ -91,4 +91,5 @@
         choice.decision.scores,
         '',
         0,
+        situation.reply_kb,
     )
