One send a reply: the gate never sends again by itself

It now tells the sender that the connection was lost, and the sender decides within the budget. Work queues by the time it is due; the last slots stay empty where they slow a target down.

--- a/packages/core/src/lavendermount_core/routing/expected_time.py
+++ b/packages/core/src/lavendermount_core/routing/expected_time.py
@@ -18,8 +18,9 @@
 OVERDUE_SERVICES = 8
 UNKNOWN_SHARE = 0.5
 LEAST_SERVICE_MS = 0.1
-SLOW = 1.5
+SLOW = 4.0
 SLOW_LIFETIME_MS = 500
+UNKNOWN_SLOW_SHARE = 0.25
 
 
 class Fleet:
@@ -57,6 +58,8 @@
     trust = math.exp(-candidate.age_ms / tuning.stale_ms)
     known = candidate.service_ms or UNKNOWN_SHARE * fleet.service_ms
     service = max(_blend(known, fleet.service_ms, trust), LEAST_SERVICE_MS)
+    if candidate.slowness < SLOW:
+        service *= max(1, candidate.slowness)
     if candidate.oldest_ms > OVERDUE_SERVICES * fleet.service_ms:
         service = max(service, candidate.oldest_ms)
     failures = _blend(candidate.failure_ratio, fleet.failure_ratio, trust)
@@ -87,13 +90,14 @@
 
 
 def held_up_ms(candidate: Candidate, tuning: Tuning) -> float:
-    """Time that a VM which was slow when last heard of holds work up.
+    """Time that a VM which is slow at the moment holds work up.
 
-    Such a state lasts a fraction of a second, so old news of it say little.
+    Such a state lasts a fraction of a second, so old news say little: a VM
+    that was not heard of lately is taken to be slow in a share of the cases.
     """
-    if candidate.slowness < SLOW:
-        return 0
-    return tuning.slow_ms * math.exp(-candidate.age_ms / SLOW_LIFETIME_MS)
+    trust = math.exp(-candidate.age_ms / SLOW_LIFETIME_MS)
+    is_slow = candidate.slowness >= SLOW
+    return tuning.slow_ms * _blend(is_slow, UNKNOWN_SLOW_SHARE, trust)
 
 
 def _backlog_trust(candidate: Candidate, service_ms: float) -> float:
--- a/packages/core/src/lavendermount_core/structure/calls.py
+++ b/packages/core/src/lavendermount_core/structure/calls.py
@@ -43,6 +43,7 @@
     STALE_INCARNATION = 'stale-incarnation'
     LINK_LOST = 'link-lost'
     NOT_ARRIVED = 'not-arrived'
+    CONNECTION_LOST = 'connection-lost'
     CANCELLED = 'cancelled'
     SUSPECT = 'crash-suspect'
     CLAIMED = 'key-claimed'
--- a/packages/node/src/lavendermountd/gate/gate.py
+++ b/packages/node/src/lavendermountd/gate/gate.py
@@ -30,6 +30,7 @@
 from lavendermountd.dialects.base import Dialect, ReplyFacts, TargetLoad
 from lavendermountd.gate.admission import Admission, Ticket
 from lavendermountd.gate.attempts import Attempt, AttemptResult, outcome_label
+from lavendermountd.gate.fill import FillLimit
 from lavendermountd.gate.ledger import HORIZON_S, Ledger, refuse_buried
 from lavendermountd.gate.suspects import SuspectTable, Verdict
 from lavendermountd.gate.target import Target, TargetState
@@ -60,6 +61,7 @@
         self.client = TargetClient(self.target, dialect)
         self.admission = Admission(0)
         self.ledger = Ledger()
+        self.fill = FillLimit()
         self.suspects = SuspectTable()
         self.sequence = 0
         self.is_closed = False
@@ -140,7 +142,7 @@
         verdict = self.suspects.verdict(attempt.fingerprint)
         ticket = Ticket(
             request.call_class.name,
-            request.deadline,
+            request.due or request.deadline,
             verdict == Verdict.ALONE,
             attempt.patience_s,
         )
@@ -271,6 +273,7 @@
     async def run(self, attempt: Attempt) -> AttemptResult:
         """Dispatch an attempt that holds a slot."""
         begun = time.monotonic()
+        busy = self.admission.in_flight
         attempt.started_at = begun
         self.target.begin(attempt.attempt_id, begun)
         try:
@@ -292,8 +295,19 @@
         self.observe(begun, is_failure=is_bad)
         if refusal is not None:
             return Failure(refusal)
+        if not is_bad:
+            self.learn_fill(attempt, begun, busy)
         return Success(answer.reply)
 
+    def learn_fill(self, attempt: Attempt, begun: float, busy: int) -> None:
+        """Learn whether the target is slower when it is nearly full."""
+        if self.is_slow or self.target.slow_until > begun:
+            return
+        ran_ms = (time.monotonic() - begun) * MS_PER_S
+        name = attempt.request.call_class.name
+        self.fill.observe(name, busy, self.target.slots, ran_ms)
+        self.admission.slots = self.fill.slots_to_use(self.target.slots)
+
     def refusal_in(self, facts: ReplyFacts) -> Refusal | None:
         """Read a refusal out of what a reply says beside its answer."""
         if facts.load is not None:
@@ -326,13 +340,15 @@
         """Say what a failed exchange means for the caller."""
         if error.reason == Reason.OVERLOADED:
             return self.refuse(Reason.OVERLOADED, str(error))
-        self.target.observe(0, is_failure=True)
         if error.reason == Reason.TARGET_DOWN:
             self.mark_down()
         if not attempt.has_left:
             return not_run(error.reason, str(error), TARGET_DOWN_RETRY_S)
         if not await self.is_dead():
+            if error.reason != Reason.CONNECTION_LOST:
+                self.target.observe(0, is_failure=True)
             return unknown(error.reason, str(error), NO_ADVICE)
+        self.target.observe(0, is_failure=True)
         self.blame(attempt)
         return unknown(Reason.TARGET_DIED, str(error), TARGET_DOWN_RETRY_S)
 
--- a/packages/node/src/lavendermountd/gate/target.py
+++ b/packages/node/src/lavendermountd/gate/target.py
@@ -16,6 +16,7 @@
 FORGET_S = 5.0
 SLOWNESS_AGE_S = 0.5
 SETTLED_S = 3600.0
+USUAL = 1.3
 
 
 class TargetState(StrEnum):
@@ -46,6 +47,7 @@
         'history',
         'slowness',
         'slowness_at',
+        'slow_until',
     )
 
     def __init__(self) -> None:
@@ -65,6 +67,7 @@
         self.history = StartHistory()
         self.slowness: float = 1
         self.slowness_at: float = 0
+        self.slow_until: float = 0
 
     @property
     def is_accepting(self) -> bool:
@@ -108,6 +111,8 @@
 
     def note_slowness(self, slowness: float, now: float) -> None:
         """Keep how slow the target's VM is at the moment."""
+        if max(slowness, self.current_slowness(now)) > USUAL:
+            self.slow_until = now
         self.slowness = slowness
         self.slowness_at = now
 
--- a/packages/node/src/lavendermountd/gate/target_client.py
+++ b/packages/node/src/lavendermountd/gate/target_client.py
@@ -86,8 +86,9 @@
     async def exchange(self, attempt: Attempt) -> TargetAnswer:
         """Send a request and wait for the whole reply.
 
-        Repeatable work whose reused connection went silent, or was closed
-        as it was reused, is sent once more on a fresh connection.
+        A reused connection that brings no byte of it may have been closed by
+        the target meanwhile, or gone silent; that is told apart, and the
+        sender decides about a second try.
 
         :param attempt: marked as written before its first byte leaves.
         :raises TargetError: if no whole reply came.
@@ -95,19 +96,16 @@
         """
         is_repeatable = attempt.request.call_class.is_repeatable
         connection = self.take_idle(is_repeatable)
+        # Work with a time to be answered by is hedged when it takes long.
         if connection is None:
             return await self.exchange_over(await self.connect(), attempt)
-        if not is_repeatable:
+        if not is_repeatable or attempt.request.due:
             return await self.exchange_over(connection, attempt)
         watch = SilenceWatch(self, connection)
         try:
             return await self.exchange_over(connection, attempt)
-        except TargetError as error:
-            if error.reason != Reason.TARGET_DIED:
-                raise
         finally:
             watch.stop()
-        return await self.exchange_over(await self.connect(), attempt)
 
     async def exchange_over(
         self,
@@ -144,10 +142,7 @@
                 attempt.request.method == 'HEAD',
             )
         except ExchangeError as error:
-            reason = Reason.TARGET_DIED
-            if error.is_malformed:
-                reason = Reason.TARGET_REPLY
-            raise TargetError(reason, str(error)) from error
+            raise TargetError(_reason_of(error, connection), str(error)) from error
         self.last_answered = max(self.last_answered, number)
         facts = self.dialect.read_reply(reply.status, reply.headers)
         connection.idle_limit_s = facts.idle_s * IDLE_SHARE or TRUSTED_IDLE_S
@@ -242,6 +237,14 @@
         self.open_count -= 1
 
 
+def _reason_of(error: ExchangeError, connection: HttpConnection) -> Reason:
+    if error.is_malformed:
+        return Reason.TARGET_REPLY
+    if connection.exchanges > 1:
+        return Reason.CONNECTION_LOST
+    return Reason.TARGET_DIED
+
+
 def _to_call_reply(reply: WireReply) -> CallReply:
     return CallReply(
         reply.status,
--- a/packages/node/src/lavendermountd/node.py
+++ b/packages/node/src/lavendermountd/node.py
@@ -59,6 +59,7 @@
 TOLD_AT_ONCE = 16
 STOP_POLL_S = 0.02
 START_BUDGET_BYTES = 20000
+RECENT_WORK_S = 3.0
 RELOADED = ('drain_s', 'listen_s', 'origin')
 
 
@@ -351,6 +352,7 @@
         target = self.gate.target
         self.gate.client.close_idle()
         self.gate.admission.slots = target.slots
+        self.gate.fill.forget()
         self.table.change_own(target.service, MemberStatus.ALIVE)
         self.tell_load()
 
@@ -371,14 +373,11 @@
         self.peer_server.tell_all(Pong(0, load.to_row()))
 
     def tell_slowness(self) -> None:
-        """Tell the nodes of the own region how slow the target is.
-
-        The state lasts too short a time to be worth bytes between regions.
-        """
+        """Tell the nodes that sent work lately how slow the target is."""
         load = self.gate.load()
         self.router.take_load(load)
-        hosts = frozenset(member.host for member in self.gossip.nearby())
-        self.peer_server.tell_all(Pong(0, load.to_row()), hosts)
+        since = time.monotonic() - RECENT_WORK_S
+        self.peer_server.tell_all(Pong(0, load.to_row()), since)
 
     def tell_suspect(self, told: Suspected) -> None:
         """Tell a suspicion to every node that a connection is open to."""
--- a/packages/node/src/lavendermountd/peer/server.py
+++ b/packages/node/src/lavendermountd/peer/server.py
@@ -9,8 +9,6 @@
 import logging
 import time
 from collections.abc import Awaitable, Callable
-from typing import Any
-
 from returns.result import Result, Success
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpserver import TCPServer
@@ -59,7 +57,7 @@
     :param max_body: largest body in bytes.
     """
 
-    __slots__ = ('frames', 'gate', 'bodies', 'tasks', 'host')
+    __slots__ = ('frames', 'gate', 'bodies', 'tasks', 'worked_at')
 
     def __init__(self, stream: FrameStream, gate: Gate, max_body: int) -> None:
         """Take over the connection."""
@@ -67,7 +65,7 @@
         self.gate = gate
         self.bodies = BodyAssembler(max_body)
         self.tasks: set[asyncio.Task[None]] = set()
-        self.host = ''
+        self.worked_at: float = 0
 
     async def run(self, guard: FreezeGuard) -> None:
         """Serve frames until the connection closes.
@@ -96,6 +94,7 @@
         if frame.incarnation != self.gate.identity.incarnation:
             self.refuse_stale(frame)
             return
+        self.worked_at = time.monotonic()
         work = self.gate.execute(attempt_from(frame))
         self.answer_later(frame.attempt_id, work)
 
@@ -237,10 +236,9 @@
         self.max_body = DEFAULT_BODY_BYTES
         self.sessions: set[PeerSession] = set()
 
-    async def handle_stream(self, stream: IOStream, address: tuple[Any, ...]) -> None:
+    async def handle_stream(self, stream: IOStream, address: object) -> None:
         """Serve one connection until it closes."""
         session = PeerSession(FrameStream(stream), self.gate, self.max_body)
-        session.host = str(address[0])
         self.sessions.add(session)
         try:
             await session.run(self.guard)
@@ -255,13 +253,13 @@
         finally:
             self.stop()
 
-    def tell_all(self, frame: Record, hosts: frozenset[str] | None = None) -> None:
+    def tell_all(self, frame: Record, since: float = 0) -> None:
         """Send a frame on every open connection.
 
-        :param hosts: IP numbers of the nodes that are told; ``None`` for all.
+        :param since: only those that have brought work since then are told.
         """
         for session in tuple(self.sessions):
-            if hosts is not None and session.host not in hosts:
+            if session.worked_at < since:
                 continue
             try:
                 session.frames.send(frame)
--- a/packages/node/src/lavendermountd/routing/journey.py
+++ b/packages/node/src/lavendermountd/routing/journey.py
@@ -18,6 +18,7 @@
 from lavendermountd.presets.holder import InForcePreset
 
 
+UNBLAMED = frozenset((Reason.NOT_ARRIVED, Reason.CONNECTION_LOST))
 TURNED_AWAY = frozenset((Reason.TARGET_SHED, Reason.OTHER_TARGET))
 
 
@@ -90,7 +91,7 @@
         self.arrivals += has_arrived(refusal)
         if not refusal.is_not_run:
             self.may_have_run = True
-        if refusal.reason == Reason.NOT_ARRIVED:
+        if refusal.reason in UNBLAMED:
             self.tried.discard(node_id)
 
     def final(self, outcome: AttemptResult) -> AttemptResult:
