--- a/features/builders.py
+++ b/features/builders.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from lavendermount_core.config.loader import load_text
+from lavendermount_core.config.node import NodeSchema
 from lavendermount_core.structure.calls import CallClass, CallRequest
 from lavendermount_core.structure.loads import LoadReport
 from lavendermount_core.structure.members import Member, MemberStatus
@@ -11,6 +13,10 @@
     Settings,
     TargetShape,
 )
+from lavendermountd.dialects.native import NativeDialect
+from lavendermountd.gate.gate import Gate
+from lavendermountd.gate.reports import TargetReport
+from lavendermountd.identity import Identity
 
 DEALER = 'dealer-desk'
 DOCS = 'field-docs'
@@ -133,3 +139,15 @@
     for name, value in changes.items():
         setattr(built, name, value)
     return built
+
+
+def open_gate(port: int) -> Gate:
+    """Build a gate whose target is up.
+
+    :param port: port of the target on loopback.
+    """
+    settings = load_text(NodeSchema, NODE_SETTINGS, 'test')
+    gate = Gate(Identity(settings), NativeDialect())
+    gate.target.announce(TargetReport('s', '127.0.0.1', port, 6, 'i'))
+    gate.admission.slots = 6
+    return gate
--- a/features/steps/fault_steps.py
+++ b/features/steps/fault_steps.py
@@ -10,7 +10,7 @@
 from urllib.request import Request, urlopen
 
 from behave import then, when
-from builders import NODE_SETTINGS, call_request, member, preset_text
+from builders import NODE_SETTINGS, call_request, member, open_gate, preset_text
 from deployment_steps import instance_of
 from hypothesis import given as generated
 from hypothesis import strategies as st
@@ -26,9 +26,7 @@
 from lavendermountd.claims.records import Claim, Release, encode_claims
 from lavendermountd.claims.stream import ClaimFold
 from lavendermountd.gate.attempts import Attempt, Progress
-from lavendermountd.gate.gate import Gate
 from lavendermountd.gate.target import TargetState
-from lavendermountd.identity import Identity
 from lavendermountd.node import Node
 from lavendermountd.presets.holder import InForcePreset
 
@@ -68,10 +66,7 @@
 
 
 async def _ask_first() -> None:
-    settings = load_text(NodeSchema, NODE_SETTINGS, 'test')
-    gate = Gate(Identity(settings))
-    gate.target.announce('s', '127.0.0.1', 1, 6, 'i')
-    gate.admission.slots = 6
+    gate = open_gate(1)
     told = await gate.outcome_of('a-1', gate.identity.incarnation, 5)
     assert told.failure().outcome == 'not-run'
     outcome = await gate.execute(Attempt('a-1', call_request('POST'), 'f'))
@@ -105,7 +100,7 @@
         node.table.merge(member(f'n{number}'))
     left = list(outcomes)
 
-    async def send(journey: Any, chosen: Any, attempt_id: str) -> Any:
+    async def send(*sent: Any) -> Any:
         return left.pop(0) if len(left) > 1 else left[0]
 
     node.router.sender.send = send  # type: ignore[method-assign]
@@ -125,9 +120,7 @@
 
 
 async def _break_client() -> None:
-    gate = Gate(Identity(load_text(NodeSchema, NODE_SETTINGS, 'test')))
-    gate.target.announce('s', '127.0.0.1', 1, 6, 'i')
-    gate.admission.slots = 6
+    gate = open_gate(1)
 
     async def exchange(attempt: Attempt) -> Any:
         attempt.progress = Progress.WRITTEN
@@ -149,7 +142,6 @@
 
 
 async def _drain_while_running() -> None:
-    gate = Gate(Identity(load_text(NodeSchema, NODE_SETTINGS, 'test')))
     answer = asyncio.Event()
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -159,8 +151,7 @@
 
     server = await asyncio.start_server(serve, '127.0.0.1', 0)
     port = server.sockets[0].getsockname()[1]
-    gate.target.announce('s', '127.0.0.1', port, 6, 'i')
-    gate.admission.slots = 6
+    gate = open_gate(port)
     request = call_request('POST')
     request.deadline = asyncio.get_running_loop().time() + 30
     running = Attempt('a-1', request, 'f')
--- a/packages/node/src/lavendermountd/caller/connection.py
+++ b/packages/node/src/lavendermountd/caller/connection.py
@@ -188,9 +188,15 @@
         if self.reader is not None:
             await asyncio.wait({self.reader}, timeout=LINGER_S)
 
-    def end_if_idle(self) -> None:
-        """Close the connection if no request is under way on it."""
-        if self.is_idle:
+    def end_if_idle(self, idle_s: float) -> None:
+        """Close the connection if nothing came on it for a while.
+
+        A caller that used it just now may be sending the next request, which
+        would cross the close; it is told to close with its next answer.
+
+        :param idle_s: shortest time without use.
+        """
+        if self.is_idle and time.monotonic() - self.used_at >= idle_s:
             self.end()
 
 
--- a/packages/node/src/lavendermountd/caller/server.py
+++ b/packages/node/src/lavendermountd/caller/server.py
@@ -9,7 +9,6 @@
 import contextlib
 import logging
 import socket
-import time
 
 from tornado.iostream import IOStream
 from tornado.netutil import bind_sockets
@@ -49,14 +48,6 @@
         finally:
             self.connections.discard(connection)
 
-    def has_recent_callers(self) -> bool:
-        """Whether a caller is likely to send on an open connection.
-
-        Such a caller is told with its next reply to close the connection.
-        """
-        oldest = time.monotonic() - RECENT_S
-        return any(entry.used_at > oldest for entry in self.connections)
-
     async def run(self, host: str, port: int) -> None:
         """Listen until cancelled."""
         self.listeners = bind_sockets(port, host, backlog=BACKLOG)
@@ -89,10 +80,13 @@
             self.accepted.add(task)
             task.add_done_callback(self.accepted.discard)
 
-    def end_idle(self) -> None:
-        """Close the connections on which nothing is under way."""
+    def end_idle(self, idle_s: float = RECENT_S) -> None:
+        """Close the connections on which nothing came for a while.
+
+        :param idle_s: shortest time without use.
+        """
         for connection in tuple(self.connections):
-            connection.end_if_idle()
+            connection.end_if_idle(idle_s)
 
     def close_all(self) -> None:
         """Close every connection."""
--- a/packages/node/src/lavendermountd/node.py
+++ b/packages/node/src/lavendermountd/node.py
@@ -60,6 +60,7 @@
 STOP_POLL_S = 0.02
 START_BUDGET_BYTES = 20000
 RECENT_WORK_S = 3.0
+LAST_FLUSH_S = 0.3
 RELOADED = ('drain_s', 'listen_s', 'origin')
 
 
@@ -81,6 +82,7 @@
         self.settings = settings
         self.phase = Phase.SERVING
         self.stop_requested = asyncio.Event()
+        self.telling: asyncio.Task[None] | None = None
         self.identity = Identity(settings)
         self.metrics = NodeMetrics()
         self.dialect = open_dialect(settings.dialect)
@@ -380,9 +382,20 @@
         self.peer_server.tell_all(Pong(0, load.to_row()), since)
 
     def tell_suspect(self, told: Suspected) -> None:
-        """Tell a suspicion to every node that a connection is open to."""
+        """Tell a suspicion to all nodes nearby, at once.
+
+        Those that no connection is open to may be the next to get the request.
+        """
         self.peer_server.tell_all(told)
         self.links.tell_all(told)
+        if self.telling is None or self.telling.done():
+            self.telling = asyncio.create_task(self.tell_nearby())
+
+    async def tell_nearby(self) -> None:
+        """Gossip with some nodes of the own region out of turn."""
+        nearby = self.gossip.nearby()
+        told = random.sample(nearby, min(TOLD_AT_ONCE, len(nearby)))
+        await self.gossip.tell(told)
 
     def fence(self) -> None:
         """After a freeze, trust nothing that was held before it."""
@@ -420,16 +433,17 @@
         begun = time.monotonic()
         listen_s = self.settings.listen_s or self.period_s
         self.table.change_own(self.gate.target.service, MemberStatus.LEAVING)
-        nearby = self.gossip.nearby()
-        told = random.sample(nearby, min(TOLD_AT_ONCE, len(nearby)))
-        await self.gossip.tell(told)
+        await self.tell_nearby()
         self.close_gate()
         await self.wait_until(begun + listen_s)
         self.caller_server.stop_listening()
         self.caller_server.end_idle()
+        flushing = asyncio.create_task(self.recorder.flush())
         while self.has_work() and time.monotonic() < begun + self.settings.drain_s:
             await asyncio.sleep(STOP_POLL_S)
             self.caller_server.end_idle()
+        self.caller_server.end_idle(0)
+        flushing.cancel()
         await self.flush()
         log.info('node-stopped', extra={'work_left': self.has_work()})
 
@@ -458,9 +472,12 @@
         return bool(admission.in_flight + admission.queued)
 
     async def flush(self) -> None:
-        """Append the last decisions if the log answers."""
+        """Append the last decisions if the log answers at once.
+
+        The time to stop is up by now.
+        """
         try:
-            async with asyncio.timeout(2):
+            async with asyncio.timeout(LAST_FLUSH_S):
                 await self.recorder.flush()
         except TimeoutError:
             log.warning('decisions-lost', extra={'count': len(self.recorder.waiting)})
