--- a/packages/node/src/lavendermountd/caller/connection.py
+++ b/packages/node/src/lavendermountd/caller/connection.py
@@ -159,13 +159,14 @@
         await self.close_gently()
 
     async def answer(self, exchange: CallExchange) -> None:
-        """Wait for one answer and write it."""
-        try:
-            reply = await exchange.task
-        except asyncio.CancelledError:
-            if not exchange.task.cancelled():
-                raise
+        """Wait for one answer and write it.
+
+        Work that has begun goes on when this task is cancelled.
+        """
+        await asyncio.wait({exchange.task})
+        if exchange.task.cancelled():
             return
+        reply = exchange.task.result()
         is_last = self.is_last(exchange)
         payload = _encode(reply, exchange.request.method, is_last)
         with contextlib.suppress(StreamClosedError):
--- a/packages/node/src/lavendermountd/gate/reports.py
+++ b/packages/node/src/lavendermountd/gate/reports.py
@@ -72,6 +72,9 @@
         return self.instance, self.born_ms
 
 
+NO_START = ('', 0)
+
+
 class StartHistory:
     """Which starts of a target came before which, and which have left.
 
@@ -79,13 +82,31 @@
     never comes back; only a later start takes its place.
     """
 
-    __slots__ = ('current', 'sequence', 'departed')
+    __slots__ = ('current', 'sequence', 'departed', 'unproved')
 
     def __init__(self) -> None:
         """Start with no report."""
-        self.current: tuple[str, int] = ('', 0)
+        self.current: tuple[str, int] = NO_START
         self.sequence = 0
         self.departed: dict[tuple[str, int], None] = {}
+        self.unproved: TargetReport | None = None
+
+    def is_proved(self, report: TargetReport) -> bool:
+        """Whether a report of a target that this process never knew counts.
+
+        A process that was started again knows nothing of what its target said
+        to the one before: the report may be older than the word that the
+        target leaves. A second report, sent later, proves that it does not.
+
+        :param report: says that the target is ready.
+        """
+        if self.current != NO_START:
+            return True
+        before = self.unproved
+        self.unproved = report
+        if before is None or before.start != report.start:
+            return False
+        return report.sequence > before.sequence
 
     def is_late(self, report: TargetReport) -> bool:
         """Whether something newer than a report is known already."""
--- a/packages/node/src/lavendermountd/gate/target.py
+++ b/packages/node/src/lavendermountd/gate/target.py
@@ -82,15 +82,20 @@
         """
         is_new = report.instance != self.instance or self.state != TargetState.UP
         self.history.note(report)
+        self.expect(report)
+        self.state = TargetState.UP
+        if is_new:
+            self.mark_started(is_warm=report.cold_ms == 0)
+        return is_new
+
+    def expect(self, report: TargetReport) -> None:
+        """Know where a target is to be found, without knowing that it is up."""
         self.service = report.service
         self.host = report.host
         self.port = report.port
         self.slots = report.slots
         self.instance = report.instance
-        self.state = TargetState.UP
-        if is_new:
-            self.mark_started(is_warm=report.cold_ms == 0)
-        return is_new
+        self.state = TargetState.DOWN
 
     def depart(self, report: TargetReport) -> None:
         """Remember that a start of the target leaves."""
--- a/packages/node/src/lavendermountd/gate/watch.py
+++ b/packages/node/src/lavendermountd/gate/watch.py
@@ -119,9 +119,12 @@
             return
         if facts.load is not None:
             target.slots = facts.load.slots
+        unproved = target.history.unproved
         born_ms = 0
         if facts.instance == target.history.current[0]:
             born_ms = target.history.current[1]
+        elif unproved is not None and facts.instance == unproved.instance:
+            born_ms = unproved.born_ms
         target.announce(
             TargetReport(
                 target.service,
--- a/packages/node/src/lavendermountd/membership/directory.py
+++ b/packages/node/src/lavendermountd/membership/directory.py
@@ -23,6 +23,7 @@
 RETRY_LIMIT_S = 3.0
 CHECK_S = 2.0
 ALONE_READ_S = 5.0
+INTRODUCTIONS = 4
 
 
 class KeyedJoiner:
@@ -75,6 +76,12 @@
         for body in newest.bodies.values():
             self.take(body)
         log.info('members-read', extra={'members': len(self.table.members)})
+        await self.introduce()
+
+    async def introduce(self) -> None:
+        """Speak to some of those found, who may not know this node yet."""
+        found = self.gossip.nearby() or self.table.living()
+        await self.gossip.tell(random.sample(found, min(INTRODUCTIONS, len(found))))
 
     def take(self, body: bytes) -> None:
         """Take over a record; its writer may be gone by now."""
--- a/packages/node/src/lavendermountd/node.py
+++ b/packages/node/src/lavendermountd/node.py
@@ -234,8 +234,7 @@
                 static.slots,
                 'static',
             )
-            self.gate.target.announce(report)
-            self.gate.target.state = TargetState.DOWN
+            self.gate.target.expect(report)
             self.enlist()
 
     def take_load(self, report: LoadReport) -> None:
@@ -330,7 +329,11 @@
             return
         if report.state != ReportedState.READY:
             self.take_departure(report)
-        elif target.announce(report):
+            return
+        needs_health = self.settings.target.evidence == HEALTH
+        if needs_health and not target.history.is_proved(report):
+            return
+        if target.announce(report):
             self.enlist()
 
     def take_departure(self, report: TargetReport) -> None:
--- a/packages/node/src/lavendermountd/recorder/recorder.py
+++ b/packages/node/src/lavendermountd/recorder/recorder.py
@@ -51,6 +51,7 @@
         self.dropped = 0
         self.dropped_told = 0
         self.unsent: bytes | None = None
+        self.lock = asyncio.Lock()
 
     def add(self, decision: DecisionRecord) -> None:
         """Keep a decision; the oldest is dropped when the buffer is full."""
@@ -71,16 +72,17 @@
 
         :returns: whether nothing is left; ``False`` while the log is down.
         """
-        while self.unsent or self.waiting:
-            if self.unsent is None:
-                self.unsent = await self.next_batch()
-            try:
-                await self.platform_log.append(DECISION_STREAM, self.unsent)
-            except LogUnavailableError as error:
-                log.warning('decisions-unsent', extra={'cause': str(error)})
-                return False
-            self.unsent = None
-        return True
+        async with self.lock:
+            while self.unsent or self.waiting:
+                if self.unsent is None:
+                    self.unsent = await self.next_batch()
+                try:
+                    await self.platform_log.append(DECISION_STREAM, self.unsent)
+                except LogUnavailableError as error:
+                    log.warning('decisions-unsent', extra={'cause': str(error)})
+                    return False
+                self.unsent = None
+            return True
 
     async def next_batch(self) -> bytes:
         """Encode the next batch; it is sent until the log has taken it.
