--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -98,3 +98,6 @@
     Then at most 2 targets died
     And the crashing request is refused as "not-run"
     And every innocent request got through when sent again
+
+  Scenario: A request that nobody takes ends, though targets are left that it may not try
+    Then a request that has tried every near target ends at once
--- a/features/naive.py
+++ b/features/naive.py
@@ -120,7 +120,7 @@
     chooser = random.Random(situation.seed)
     sample = chooser.sample(near, min(tuning.sample, len(near)))
     if far and (situation.is_link_allowed or not near):
-        sample.append(chooser.choice(far))
+        sample += chooser.sample(far, min(max(1, tuning.sample // 3), len(far)))
     everyone = situation.candidates
     known = [seen.service_ms for seen in everyone if seen.service_ms]
     usual_service = median(known) if known else 5.0
@@ -136,6 +136,8 @@
         )
         failures = trust * seen.failure_ratio + (1 - trust) * usual_failures
         service = max(service, 0.1)
+        if seen.slowness < 4:
+            service *= max(1, seen.slowness)
         if seen.oldest_ms > 8 * usual_service:
             service = max(service, seen.oldest_ms)
         fresh = math.exp(-seen.age_ms / (4 * service))
@@ -147,7 +149,11 @@
         if seen.warm_ms < tuning.ramp_ms:
             time_ms *= 1 + 3 * (1 - seen.warm_ms / tuning.ramp_ms)
         path = {0: 0, 1: 0, 2: 2 * tuning.zone_ms, 3: 2 * tuning.region_ms}
-        time_ms += path[seen.distance] + failures * tuning.failure_ms
+        per_kb = {0: 0, 1: 0, 2: tuning.zone_kb_ms, 3: tuning.region_kb_ms}
+        news = math.exp(-seen.age_ms / 500)
+        time_ms += path[seen.distance] + per_kb[seen.distance] * situation.reply_kb
+        time_ms += tuning.slow_ms * (news * (seen.slowness >= 4) + (1 - news) * 0.25)
+        time_ms += failures * tuning.failure_ms
         entry = (round(time_ms, 3), seen.node_id)
         best = entry if best is None else min(best, entry)
     return best[1]
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -30,6 +30,7 @@
 
 AT_ONCE_S = 1.5
 TUNING = Tuning(3, 1000, 5000, 1, 20, 1000)
+WEIGHED = Tuning(7, 1000, 5000, 1, 20, 1000, 400, 3, 12)
 COUNTS = st.integers(0, 12)
 TIMES = st.floats(0, 500, allow_nan=False).map(lambda number: round(number, 2))
 
@@ -50,11 +51,20 @@
             draw(st.integers(0, 900)),
             draw(st.integers(0, 9000)),
             draw(st.integers(0, 9000)),
+            draw(st.sampled_from((1.0, 1.5, 2.0, 4.0, 7.0))),
         )
         for number in range(draw(st.integers(1, 9)))
     ]
     seed = draw(st.integers(0, 2**48))
-    return Situation('expected-time', TUNING, seed, 1, draw(st.booleans()), candidates)
+    return Situation(
+        'expected-time',
+        draw(st.sampled_from((TUNING, WEIGHED))),
+        seed,
+        1,
+        draw(st.booleans()),
+        candidates,
+        draw(TIMES),
+    )
 
 
 @then('the expected-time policy agrees with the naive one on generated situations')
@@ -83,7 +93,7 @@
         'c',
         't',
         policy,
-        TUNING.to_row(),
+        situation.tuning.to_row(),
         situation.seed,
         situation.turn,
         situation.is_link_allowed,
@@ -92,6 +102,7 @@
         taken.scores,
         'whole:200',
         1,
+        situation.reply_kb,
     )
 
 
--- a/features/steps/fault_steps.py
+++ b/features/steps/fault_steps.py
@@ -113,6 +113,35 @@
     return await node.router.route(request, preset)
 
 
+@then('a request that has tried every near target ends at once')
+def no_endless_tries(context: Any) -> None:
+    """Let the near target and the first far one refuse; two far ones are left."""
+    sent = asyncio.run(_route_refused())
+    assert 1 <= len(sent) <= 2, sent
+
+
+async def _route_refused() -> list[str]:
+    node = Node(load_text(NodeSchema, NODE_SETTINGS, 'test'))
+    node.table.merge(member('near', region='r'))
+    for number in range(3):
+        node.table.merge(member(f'far{number}', region='other'))
+    sent = []
+
+    async def send(journey: Any, chosen: Any, *others: Any) -> Any:
+        sent.append(chosen.node_id)
+        return Failure(not_run(Reason.BUSY, 'full'))
+
+    node.router.sender.send = send  # type: ignore[method-assign]
+    body = preset_text()
+    preset = InForcePreset(InForce(1, 2, 'ordinary', short_digest(body.encode()), body))
+    node.router.configure(preset)
+    request = call_request('GET')
+    request.deadline = asyncio.get_running_loop().time() + 30
+    async with asyncio.timeout(5):
+        await node.router.route(request, preset)
+    return sent
+
+
 @then('a gate whose client breaks answers unknown and keeps nothing running')
 def broken_client(context: Any) -> None:
     """Let the client raise something unforeseen after the first byte."""
--- a/packages/core/src/lavendermount_core/routing/policies.py
+++ b/packages/core/src/lavendermount_core/routing/policies.py
@@ -21,6 +21,7 @@
 policies: Registry[str, Policy] = Registry('policy')
 
 SCORE_DIGITS = 3
+FAR_DIVISOR = 3
 
 
 def policy_names() -> list[str]:
@@ -43,7 +44,7 @@
 def choose_expected_time(situation: Situation) -> Decision:
     """Compare a random few by expected time to answer.
 
-    The sample comes from the own region. One target of another region joins
+    The sample comes from the own region. A few targets of other regions join
     it while the link between regions has budget left.
     """
     near, far = _split_by_region(situation.candidates)
@@ -51,7 +52,8 @@
     size = min(situation.tuning.sample, len(near))
     sample = chooser.sample(near, size)
     if far and (situation.is_link_allowed or not near):
-        sample.append(chooser.choice(far))
+        few = max(1, situation.tuning.sample // FAR_DIVISOR)
+        sample.extend(chooser.sample(far, min(few, len(far))))
     fleet = Fleet(situation.candidates)
     scores = [
         (
--- a/packages/core/src/lavendermount_core/structure/calls.py
+++ b/packages/core/src/lavendermount_core/structure/calls.py
@@ -40,7 +40,7 @@
     OTHER_TARGET = 'other-target'
     TARGET_DIED = 'target-died'
     TARGET_REPLY = 'target-reply-broken'
-    STALE_INCARNATION = 'stale-incarnation'
+    OTHER_SERVICE = 'other-service'
     LINK_LOST = 'link-lost'
     NOT_ARRIVED = 'not-arrived'
     CONNECTION_LOST = 'connection-lost'
--- a/packages/node/src/lavendermountd/caller/server.py
+++ b/packages/node/src/lavendermountd/caller/server.py
@@ -80,7 +80,7 @@
             self.accepted.add(task)
             task.add_done_callback(self.accepted.discard)
 
-    def end_idle(self, idle_s: float = RECENT_S) -> None:
+    def end_idle(self, idle_s: float) -> None:
         """Close the connections on which nothing came for a while.
 
         :param idle_s: shortest time without use.
--- a/packages/node/src/lavendermountd/node.py
+++ b/packages/node/src/lavendermountd/node.py
@@ -19,7 +19,7 @@
 from lavendermount_core.structure.loads import LoadReport
 from lavendermount_core.structure.members import Member, MemberStatus
 from lavendermount_core.utils.units import MS_PER_S
-from lavendermountd.caller.server import CallerServer
+from lavendermountd.caller.server import RECENT_S, CallerServer
 from lavendermountd.caller.service import CallService
 from lavendermountd.claims.claims import ClaimService
 from lavendermountd.claims.holders import HolderClient
@@ -61,6 +61,7 @@
 START_BUDGET_BYTES = 20000
 RECENT_WORK_S = 3.0
 LAST_FLUSH_S = 0.3
+CROSSING_SHARE = 0.25
 RELOADED = ('drain_s', 'listen_s', 'origin')
 
 
@@ -427,24 +428,27 @@
     async def stop(self) -> None:
         """Stop without cutting anything off.
 
-        New work goes elsewhere at once; work under way ends first, within
-        the time that the settings allow.
+        Callers go elsewhere first. The gate stays open to other nodes until
+        then, so that the target's slots are missed for as short a time as can
+        be; then it closes, and work under way ends, within the time that the
+        settings allow.
         """
         log.info('node-stopping')
         self.phase = Phase.STOPPING
         self.service.is_stopping = True
         begun = time.monotonic()
         listen_s = self.settings.listen_s or self.period_s
+        await self.wait_until(begun + listen_s - self.period_s)
         self.table.change_own(self.gate.target.service, MemberStatus.LEAVING)
         await self.tell_nearby()
         self.close_gate()
         await self.wait_until(begun + listen_s)
         self.caller_server.stop_listening()
-        self.caller_server.end_idle()
+        crossing_s = (self.settings.drain_s - listen_s) * CROSSING_SHARE
         flushing = asyncio.create_task(self.recorder.flush())
         while self.has_work() and time.monotonic() < begun + self.settings.drain_s:
             await asyncio.sleep(STOP_POLL_S)
-            self.caller_server.end_idle()
+            self.caller_server.end_idle(min(crossing_s, RECENT_S))
         self.caller_server.end_idle(0)
         flushing.cancel()
         await self.flush()
--- a/packages/node/src/lavendermountd/peer/link.py
+++ b/packages/node/src/lavendermountd/peer/link.py
@@ -36,7 +36,7 @@
 
 log = logging.getLogger(__name__)
 
-CONNECT_TIMEOUT_S = 0.5
+CONNECT_TIMEOUT_S = 0.2
 PINGS_PER_SILENCE = 4
 WRITING_FACTOR = 10
 
--- a/packages/node/src/lavendermountd/peer/server.py
+++ b/packages/node/src/lavendermountd/peer/server.py
@@ -90,9 +90,14 @@
             await frame_handlers.find(type(frame))(self, frame)
 
     def dispatch(self, frame: Dispatch) -> None:
-        """Run a request in a task of its own and answer when it ends."""
-        if frame.incarnation != self.gate.identity.incarnation:
-            self.refuse_stale(frame)
+        """Run a request in a task of its own and answer when it ends.
+
+        One that was meant for a former process of this node runs too: no
+        connection outlives a process, so that process never got it. A
+        question about it later is still answered ``unknown``.
+        """
+        if frame.call_class[0] != self.gate.target.service:
+            self.refuse_other_service(frame)
             return
         self.worked_at = time.monotonic()
         work = self.gate.execute(attempt_from(frame))
@@ -146,9 +151,9 @@
         )
         await self.frames.send_body(attempt_id, reply.body)
 
-    def refuse_stale(self, frame: Dispatch) -> None:
-        """Refuse work that was meant for a former process of this node."""
-        refusal = not_run(Reason.STALE_INCARNATION, 'the node was restarted')
+    def refuse_other_service(self, frame: Dispatch) -> None:
+        """Refuse work for a service that the target does not answer for."""
+        refusal = not_run(Reason.OTHER_SERVICE, 'the node serves another service')
         load = self.gate.load().to_row()
         self.frames.send(Refused(frame.attempt_id, refusal.to_row(), load))
 
--- a/packages/node/src/lavendermountd/presets/newest.py
+++ b/packages/node/src/lavendermountd/presets/newest.py
@@ -29,6 +29,8 @@
 RETRY_LIMIT_S = 2.0
 JITTER = 0.5
 UNREAD = -1
+# Changes that come in quick succession are read together.
+COALESCE_S = 0.4
 
 
 class NewestPresetFollower:
@@ -95,6 +97,7 @@
                 newest_body = keyed.body
         if newest_body:
             self.take(newest_body)
+            await asyncio.sleep(COALESCE_S)
 
     def split(self, body: bytes) -> KeyedRecord | None:
         """Take a record apart; one that is malformed is passed over."""
--- a/packages/node/src/lavendermountd/routing/chooser.py
+++ b/packages/node/src/lavendermountd/routing/chooser.py
@@ -21,6 +21,7 @@
 SEED_BITS = 48
 REPLY_WEIGHT = 0.05
 BYTES_PER_KB = 1000
+MAX_FAR_TRIES = 1
 
 
 class Chooser:
@@ -66,13 +67,9 @@
         :param is_same_region: whether to leave out other regions.
         """
         service = journey.request.call_class.service
-        members = self.eligible(service, journey.tried)
+        members = self.eligible(journey, is_same_region)
         now = time.monotonic()
         candidates = [self.view.candidate(member, now) for member in members]
-        if is_same_region:
-            candidates = [
-                seen for seen in candidates if seen.distance != Distance.OTHER_REGION
-            ]
         self.turns[service] += 1
         situation = Situation(
             journey.preset.schema.choosing.policy,
@@ -86,19 +83,22 @@
         decision = decide(situation)
         return Choice(situation, decision, self.table.find(decision.chosen))
 
-    def eligible(self, service: str, tried: set[str]) -> list[Member]:
+    def eligible(self, journey: Journey, is_same_region: bool = False) -> list[Member]:
         """List the targets that may be chosen, ordered by node id.
 
         Those that could not be reached of late are left out while there are
-        others.
+        others. A request crosses to other regions only so often.
 
-        :param service: service of the request.
-        :param tried: targets to leave out.
+        :param journey: the request; targets it tried are left out.
+        :param is_same_region: whether to leave out other regions.
         """
+        is_near_only = is_same_region or journey.far_tries >= MAX_FAR_TRIES
         members = [
             member
-            for member in self.table.members_of(service)
-            if member.node_id not in tried and self.view.is_accepting(member)
+            for member in self.table.members_of(journey.request.call_class.service)
+            if member.node_id not in journey.tried
+            and self.view.is_accepting(member)
+            and not (is_near_only and self.is_far(member))
         ]
         reachable = [
             member
@@ -116,13 +116,22 @@
         weight = REPLY_WEIGHT if known else 1
         self.reply_kb[journey.class_key] += weight * (size / BYTES_PER_KB - known)
 
+    def note_try(self, journey: Journey, member: Member) -> None:
+        """Note that a target is tried for a request."""
+        journey.tried.add(member.node_id)
+        journey.far_tries += self.is_far(member)
+
+    def is_far(self, member: Member) -> bool:
+        """Whether a target is in another region."""
+        return self.view.distance_to(member) == Distance.OTHER_REGION
+
     def charge_link(self, member: Member, size: int) -> None:
         """Count bytes of a request or reply that crossed regions.
 
         :param member: node at the other end.
         :param size: bytes.
         """
-        if self.view.distance_to(member) == Distance.OTHER_REGION:
+        if self.is_far(member):
             self.link_bucket.fill()
             self.link_bucket.tokens -= size
             self.link_bucket.spent += size
--- a/packages/node/src/lavendermountd/routing/journey.py
+++ b/packages/node/src/lavendermountd/routing/journey.py
@@ -48,6 +48,7 @@
         'arrivals',
         'under_way',
         'is_abandoned',
+        'far_tries',
     )
 
     def __init__(self, request: CallRequest, preset: InForcePreset) -> None:
@@ -62,6 +63,7 @@
         self.arrivals = 0
         self.under_way: dict[str, Member] = {}
         self.is_abandoned = False
+        self.far_tries = 0
 
     @property
     def class_key(self) -> str:
--- a/packages/node/src/lavendermountd/routing/router.py
+++ b/packages/node/src/lavendermountd/routing/router.py
@@ -30,7 +30,7 @@
 from lavendermountd.recorder.recorder import Recorder
 from lavendermountd.routing.budgets import TokenBucket
 from lavendermountd.routing.chooser import Chooser
-from lavendermountd.routing.hedging import SlowAlarms, hedge_wait_s
+from lavendermountd.routing.hedging import TYPICAL, SlowAlarms, hedge_wait_s
 from lavendermountd.routing.journey import Cause, Choice, Journey
 from lavendermountd.routing.latency import LatencyWindow
 from lavendermountd.routing.retry_budget import RetryBudget
@@ -41,9 +41,11 @@
 
 NO_TARGET_RETRY_S = 1.0
 CANCELLED = 'cancelled'
-MAX_REDIRECTS = 4
+MAX_REDIRECTS = 3
 ENDLESS_S = 60.0
 PATIENT_FROM = 3
+PATIENCE_SHARE = 0.3
+LEAST_PATIENCE_S = 0.01
 
 
 Task = asyncio.Task[AttemptResult]
@@ -192,7 +194,7 @@
     async def send(self, trial: Trial) -> AttemptResult:
         """Send one attempt and record its decision with the outcome."""
         journey = trial.journey
-        journey.tried.add(trial.node_id)
+        self.chooser.note_try(journey, trial.member)
         journey.under_way[trial.attempt_id] = trial.member
         self.chooser.view.begin(trial.node_id, trial.attempt_id)
         label = CANCELLED
@@ -217,11 +219,17 @@
     def patience_s(self, journey: Journey) -> float:
         """How long an attempt may wait at a gate before others are asked.
 
-        The last one that may be asked is asked to wait until the deadline.
+        The last one that may be asked is asked to wait as long as the answer
+        can be in time. Until then a request spends no more than a part of the
+        time that it has left beyond its service.
         """
-        patience_ms = journey.preset.schema.choosing.patience_ms
+        patience_s = journey.preset.schema.choosing.patience_ms / MS_PER_S
         is_last = journey.attempts >= PATIENT_FROM or not self.has_others(journey)
-        return 0 if is_last else patience_ms / MS_PER_S
+        if is_last or not patience_s or not journey.request.due:
+            return 0 if is_last else patience_s
+        typical_ms = self.latencies[journey.class_key].quantile(TYPICAL) or 0
+        left_s = journey.request.due - time.monotonic() - typical_ms / MS_PER_S
+        return min(patience_s, max(left_s * PATIENCE_SHARE, LEAST_PATIENCE_S))
 
     def conclude(self, trial: Trial, label: str) -> None:
         """Note that an attempt ended, however it did.
@@ -298,9 +306,8 @@
         return journey.arrivals >= limit or journey.attempts >= limit + MAX_REDIRECTS
 
     def has_others(self, journey: Journey) -> bool:
-        """Whether a target is left that was not tried."""
-        service = journey.request.call_class.service
-        return bool(self.chooser.eligible(service, journey.tried))
+        """Whether a target is left that may be tried."""
+        return bool(self.chooser.eligible(journey))
 
 
 def _is_safe(journey: Journey, outcome: AttemptResult) -> bool:
