--- a/Makefile
+++ b/Makefile
@@ -7,27 +7,27 @@
 
 setup: $(STAMP)
 
-$(STAMP): requirements.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+$(STAMP): requirements.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv .venv
 	$(BIN)/pip install -q -r requirements-dev.txt
 	$(BIN)/pip install -q --no-deps --no-build-isolation \
-		-e packages/core -e packages/node -e packages/client -e packages/testbed
+		-e packages/core -e packages/node -e packages/client -e packages/testbed -e platform
 	touch $(STAMP)
 
 test: lint features docs
 
 lint: setup
-	$(BIN)/ruff format --check packages features benches
-	$(BIN)/ruff check packages features benches
-	$(BIN)/flake8 packages features benches
-	$(BIN)/mypy packages/core/src packages/node/src packages/client/src packages/testbed/src
+	$(BIN)/ruff format --check packages platform features benches
+	$(BIN)/ruff check packages platform features benches
+	$(BIN)/flake8 packages platform features benches
+	$(BIN)/mypy packages/core/src packages/node/src packages/client/src packages/testbed/src platform/src
 
 format: setup
-	$(BIN)/ruff check --fix -q packages features benches
-	$(BIN)/ruff format packages features benches
+	$(BIN)/ruff check --fix -q packages platform features benches
+	$(BIN)/ruff format packages platform features benches
 
 features: setup
-	$(BIN)/python -m lavendermount_testbed features
+	$(BIN)/python -m lavendermount_testbed features features platform/features
 
 demo: setup
 	$(BIN)/python -m lavendermount_testbed demo
--- a/packages/core/src/lavendermount_core/config/preset.py
+++ b/packages/core/src/lavendermount_core/config/preset.py
@@ -164,8 +164,7 @@
     )
     probe_ms = opt.Integer(
         0,
-        'Age of what a target told of its VM, after which its node asks; 0 for '
-        'never.',
+        'Age of what a target told of its VM, after which its node asks; 0 for never.',
         'ms',
         high=60000,
     )
--- a/packages/node/src/lavendermountd/gate/silence.py
+++ b/packages/node/src/lavendermountd/gate/silence.py
@@ -13,9 +13,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from lavendermountd.http1.client import HttpConnection
-
 from lavendermount_core.utils.units import MS_PER_S
+from lavendermountd.http1.client import HttpConnection
 
 if TYPE_CHECKING:
     from lavendermountd.gate.target_client import TargetClient
--- a/packages/node/src/lavendermountd/node.py
+++ b/packages/node/src/lavendermountd/node.py
@@ -149,9 +149,7 @@
 
     def build_routing(self) -> None:
         """Build what takes a request to a target."""
-        self.links = LinkPool(
-            self.identity, self.take_load, self.gate.learn_suspect
-        )
+        self.links = LinkPool(self.identity, self.take_load, self.gate.learn_suspect)
         self.link_bucket = TokenBucket(0, 0)
         self.chooser = Chooser(
             self.table,
@@ -350,7 +348,9 @@
         if self.gate.target.state == TargetState.UP:
             self.gate.target.state = TargetState.DOWN
             self.gate.client.close_idle()
-            log.warning('target-replaced', extra={'instance': self.gate.target.instance})
+            log.warning(
+                'target-replaced', extra={'instance': self.gate.target.instance}
+            )
             self.tell_load()
 
     def enlist(self) -> None:
--- a/packages/node/src/lavendermountd/peer/server.py
+++ b/packages/node/src/lavendermountd/peer/server.py
@@ -9,6 +9,7 @@
 import logging
 import time
 from collections.abc import Awaitable, Callable
+
 from returns.result import Result, Success
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpserver import TCPServer
--- a/packages/node/src/lavendermountd/routing/journey.py
+++ b/packages/node/src/lavendermountd/routing/journey.py
@@ -17,7 +17,6 @@
 from lavendermountd.gate.suspects import fingerprint_of
 from lavendermountd.presets.holder import InForcePreset
 
-
 UNBLAMED = frozenset((Reason.NOT_ARRIVED, Reason.CONNECTION_LOST))
 TURNED_AWAY = frozenset((Reason.TARGET_SHED, Reason.OTHER_TARGET))
 
