Node and gate split; the most urgent class is not given up at its due time

The node's stop, the target's reports, the applying of presets and the opening of sources are modules of their own, as is the gate's queue. The part of the shared budget of repeats that a node takes follows the number of nodes it knows; before, it was that of the moment at which the preset came.

--- a/features/mutations.py
+++ b/features/mutations.py
@@ -91,7 +91,7 @@
     Mutation(
         'drain',
         f'{NODE}/gate/gate.py',
-        'if self.is_closed or self.target.state == TargetState.DRAINING:',
+        'if self.queue.is_closed or self.target.state == TargetState.DRAINING:',
         'if False:',
         'leaving',
         'A gate closes before anybody else has heard',
@@ -188,7 +188,7 @@
     ),
     Mutation(
         'deadline',
-        f'{NODE}/gate/gate.py',
+        f'{NODE}/gate/queue.py',
         'if self.is_hopeless(ticket):',
         'if False:',
         'admission',
--- a/features/steps/member_steps.py
+++ b/features/steps/member_steps.py
@@ -205,14 +205,14 @@
             node.table.merge(member(f'n{number}'))
             node.view.take_report(load_report(f'n{number}'))
         near = member('n1', region='r')
-        rich = node.exchange.build(near)
+        rich = node.gossip.exchange.build(near)
         node.budget.local.configure(0, 0)
         node.budget.paid.configure(0, 0)
-        poor = node.exchange.build(near)
+        poor = node.gossip.exchange.build(near)
         far = node.budget.try_spend('gossip-connect', 1, is_paid=True)
-        other = Node(settings).exchange.build(near)
+        other = Node(settings).gossip.exchange.build(near)
         assert len(other.digests) == BUCKETS_PER_ROUND
-        assert not node.exchange.answer(other).members, 'differences were told'
+        assert not node.gossip.exchange.answer(other).members, 'differences were told'
         return rich, poor, far
 
     rich, poor, far = asyncio.run(build())
--- a/packages/core/src/lavendermount_core/routing/expected_time.py
+++ b/packages/core/src/lavendermount_core/routing/expected_time.py
@@ -72,9 +72,8 @@
     waiting = max(0, crowd + 1 / max(candidate.slots, 1) - 1)
     busy = service * (1 + CROWDING_SHARE * crowd + waiting)
     warm = busy * _cold_factor(candidate, tuning)
-    path = path_ms(candidate, tuning, reply_kb)
-    held_up = held_up_ms(candidate, tuning)
-    return path + warm + held_up + failures * tuning.failure_ms
+    beside = path_ms(candidate, tuning, reply_kb) + held_up_ms(candidate, tuning)
+    return beside + warm + failures * tuning.failure_ms
 
 
 def path_ms(candidate: Candidate, tuning: Tuning, reply_kb: float = 0) -> float:
--- a/packages/node/src/lavendermountd/admin/server.py
+++ b/packages/node/src/lavendermountd/admin/server.py
@@ -17,6 +17,7 @@
 from lavendermount_core.config.findings import Finding
 from lavendermount_core.config.node import PORT_LIMIT
 from lavendermountd.gate.reports import TargetReport
+from lavendermountd.gauges import refresh_metrics
 
 if TYPE_CHECKING:
     from lavendermountd.node import Node
@@ -66,7 +67,7 @@
         if findings:
             self.refuse(findings)
             return
-        self.node.take_report(
+        self.node.keeper.take_report(
             TargetReport(
                 announcement.service,
                 announcement.host,
@@ -89,7 +90,7 @@
 
     def get(self) -> None:
         """Collect and write the metrics."""
-        self.node.refresh_metrics()
+        refresh_metrics(self.node)
         accepts = self.request.headers.get_list('Accept')
         body, headers = render(self.node.metrics.registry, accepts)
         for name, text in headers.items():
--- a/packages/node/src/lavendermountd/caller/connection.py
+++ b/packages/node/src/lavendermountd/caller/connection.py
@@ -77,11 +77,15 @@
         try:
             await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
         finally:
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
-            self.abandon_all()
-            self.stream.close()
+            await self.end_tasks(tasks)
+
+    async def end_tasks(self, tasks: set[asyncio.Task[None]]) -> None:
+        """Leave nothing behind when the connection is over."""
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self.abandon_all()
+        self.stream.close()
 
     def leave(self) -> None:
         """Stop work for a caller that has closed its connection."""
--- a/packages/node/src/lavendermountd/caller/exchange.py
+++ b/packages/node/src/lavendermountd/caller/exchange.py
@@ -10,11 +10,13 @@
 import logging
 import time
 from http import HTTPStatus
+from types import MappingProxyType
 from typing import cast
 
 from returns.result import Success
 
 from lavendermount_core.structure.calls import (
+    CallClass,
     CallReply,
     CallRequest,
     Reason,
@@ -33,14 +35,19 @@
 log = logging.getLogger(__name__)
 
 NO_PRESET_RETRY_S = 0.5
-PROBLEM_REASONS = {
-    HTTPStatus.BAD_REQUEST: (Reason.MALFORMED, 'the request is malformed'),
-    HTTPStatus.REQUEST_ENTITY_TOO_LARGE: (Reason.TOO_LARGE, 'the body is too large'),
-    HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE: (
-        Reason.HEAD_TOO_LARGE,
-        'the head is too large',
-    ),
-}
+PROBLEM_REASONS = MappingProxyType(
+    {
+        HTTPStatus.BAD_REQUEST: (Reason.MALFORMED, 'the request is malformed'),
+        HTTPStatus.REQUEST_ENTITY_TOO_LARGE: (
+            Reason.TOO_LARGE,
+            'the body is too large',
+        ),
+        HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE: (
+            Reason.HEAD_TOO_LARGE,
+            'the head is too large',
+        ),
+    },
+)
 
 
 class CallExchange:
@@ -67,7 +74,7 @@
         self.terms = service.dialect.read_terms(request.headers)
         self.request_id = self.terms.request_id or random_identifier()
         self.arrived_at = time.monotonic()
-        self.call_class = None  # type: ignore[var-annotated]
+        self.call_class: CallClass | None = None
         self.task = asyncio.create_task(self.serve())
         service.under_way.add(self.task)
         self.task.add_done_callback(service.under_way.discard)
@@ -112,7 +119,7 @@
             return self.refuse(not_run(Reason.NO_ROUTE, 'no route matches'))
         self.call_class = classified.call_class
         outcome = await self.service.answer(self.to_request(classified), preset)
-        self.conclude(outcome)
+        self.count(classified.call_class, outcome)
         if isinstance(outcome, Success):
             return self.pass_on(cast('CallReply', outcome.unwrap()))
         return self.refuse(outcome.failure())
@@ -147,10 +154,10 @@
             classified.attempts,
         )
 
-    def conclude(self, outcome: AttemptResult) -> None:
-        """Count the answer and log how it came about."""
+    def count(self, call_class: CallClass, outcome: AttemptResult) -> None:
+        """Count the answer and its time."""
         elapsed_s = time.monotonic() - self.arrived_at
-        self.service.metrics.observe_call(self.call_class, elapsed_s, outcome)
+        self.service.metrics.observe_call(call_class, elapsed_s, outcome)
 
     def pass_on(self, reply: CallReply) -> CallReply:
         """Return a target's reply."""
--- a/packages/node/src/lavendermountd/caller/service.py
+++ b/packages/node/src/lavendermountd/caller/service.py
@@ -8,7 +8,7 @@
 import asyncio
 
 from lavendermount_core.config.preset import LimitOptions
-from lavendermount_core.structure.calls import CallRequest
+from lavendermount_core.structure.calls import CallReply, CallRequest
 from lavendermount_core.utils.units import DEFAULT_BODY_BYTES, MS_PER_S
 from lavendermountd.claims.claims import ClaimService
 from lavendermountd.dialects.base import Dialect
@@ -49,7 +49,7 @@
         self.router = router
         self.claims = claims
         self.metrics = metrics
-        self.under_way: set[asyncio.Task[None]] = set()
+        self.under_way: set[asyncio.Task[CallReply]] = set()
         self.dialect = dialect
         self.origin = origin
         self.limits = RequestLimits(DEFAULT_HEADER_BYTES, DEFAULT_BODY_BYTES)
--- a/packages/node/src/lavendermountd/caller/splitting.py
+++ b/packages/node/src/lavendermountd/caller/splitting.py
@@ -20,12 +20,15 @@
     :param route: the route.
     :param turns: what each part is behind, by route; changed here.
     """
-    parts = [part for part in route.split if part.weight > 0]
+    parts = [each for each in route.split if each.weight > 0]
     if not parts:
         return route.service
-    behind = turns.setdefault(id(route), {part.service: 0 for part in parts})
+    behind = turns.setdefault(
+        id(route),
+        dict.fromkeys((each.service for each in parts), 0),
+    )
     for part in parts:
         behind[part.service] += part.weight
-    chosen = max(parts, key=lambda part: behind[part.service]).service
-    behind[chosen] -= sum(part.weight for part in parts)
+    chosen = max((each.service for each in parts), key=behind.__getitem__)
+    behind[chosen] -= sum(each.weight for each in parts)
     return chosen
--- a/packages/node/src/lavendermountd/control/server.py
+++ b/packages/node/src/lavendermountd/control/server.py
@@ -45,7 +45,7 @@
     ) -> control_pb2.GossipRound:
         """Merge a round and answer with one."""
         self.node.guard.check()
-        answer = self.node.exchange.answer(request)
+        answer = self.node.gossip.exchange.answer(request)
         is_paid = request.sender.region != self.node.identity.member.region
         size = answer.ByteSize() + RPC_OVERHEAD_BYTES
         self.node.budget.charge('gossip', size, is_paid)
@@ -58,7 +58,7 @@
     ) -> control_pb2.ProbeReply:
         """Probe another node on the caller's behalf."""
         stub = await self.node.channels.stub(request.address)
-        message = self.node.exchange.least_round(None)
+        message = self.node.gossip.exchange.least_round(None)
         try:
             await stub.Gossip(message, timeout=request.timeout_ms / MS_PER_S)
         except grpc.aio.AioRpcError:
@@ -122,7 +122,7 @@
         context: object,
     ) -> control_pb2.DrainReply:
         """Start a planned stop of the target, or of the whole node."""
-        self.node.drain_target()
+        self.node.keeper.drain_target()
         if request.stop:
             self.node.stop_requested.set()
         admission = self.node.gate.admission
--- a/packages/node/src/lavendermountd/gate/gate.py
+++ b/packages/node/src/lavendermountd/gate/gate.py
@@ -10,14 +10,12 @@
 
 import asyncio
 import logging
-import random
 import time
 from collections.abc import Callable
 from typing import Final
 
 from returns.result import Failure, Success
 
-from lavendermount_core.routing.expected_time import SLOW
 from lavendermount_core.structure.calls import (
     Reason,
     Refusal,
@@ -32,6 +30,7 @@
 from lavendermountd.gate.attempts import Attempt, AttemptResult, outcome_label
 from lavendermountd.gate.fill import FillLimit
 from lavendermountd.gate.ledger import HORIZON_S, Ledger, refuse_buried
+from lavendermountd.gate.queue import SlotQueue
 from lavendermountd.gate.suspects import SuspectTable, Verdict
 from lavendermountd.gate.target import Target, TargetState
 from lavendermountd.gate.target_client import TargetClient, TargetError
@@ -40,8 +39,6 @@
 
 log = logging.getLogger(__name__)
 
-SHORTEST_RETRY_S = 0.05
-JITTER = 0.5
 TARGET_DOWN_RETRY_S = 1.0
 NO_ADVICE: Final = 0
 FULL_AGE_MS = HORIZON_S * MS_PER_S / 2
@@ -59,17 +56,21 @@
         self.identity = identity
         self.target = Target()
         self.client = TargetClient(self.target, dialect)
-        self.admission = Admission(0)
+        self.queue = SlotQueue(self.target)
         self.ledger = Ledger()
         self.fill = FillLimit()
         self.suspects = SuspectTable()
         self.sequence = 0
-        self.is_closed = False
         self.on_suspect: Callable[[Suspected], None] = _ignore_suspect
         self.on_load_change: Callable[[], None] = _ignore_change
         self.on_slowness_change: Callable[[], None] = _ignore_change
         self.on_other_target: Callable[[], None] = _ignore_change
 
+    @property
+    def admission(self) -> Admission:
+        """The slots and who holds them."""
+        return self.queue.admission
+
     def load(self) -> LoadReport:
         """Report the target's load as it is now."""
         self.sequence += 1
@@ -85,7 +86,7 @@
             round(target.current_service_ms(now), 2),
             round(target.current_failure_ratio(now), 3),
             target.warm_ms(now),
-            target.is_accepting and not self.is_closed,
+            target.is_accepting and not self.queue.is_closed,
             round(target.current_slowness(now), 2),
         )
 
@@ -142,22 +143,22 @@
         verdict = self.suspects.verdict(attempt.fingerprint)
         ticket = Ticket(
             request.call_class.name,
-            request.due or request.deadline,
+            self.queue.latest_for(request),
             verdict == Verdict.ALONE,
             attempt.patience_s,
         )
-        refusal = await self.enter(ticket)
+        refusal = await self.queue.enter(ticket)
         if refusal is not None:
             return Failure(refusal)
         try:
             return await self.run(attempt)
         finally:
-            self.leave(ticket)
+            self.queue.leave(ticket)
 
     def refusal_before_queue(self, attempt: Attempt) -> Refusal | None:
         """Refuse at once what can't run here."""
-        if self.is_closed or self.target.state == TargetState.DRAINING:
-            return self.refuse_leaving()
+        if self.queue.is_closed or self.target.state == TargetState.DRAINING:
+            return self.queue.refuse_leaving()
         if not self.target.is_accepting:
             return not_run(
                 Reason.TARGET_DOWN,
@@ -172,103 +173,18 @@
             self.suspects.remaining_s(attempt.fingerprint),
         )
 
-    async def enter(self, ticket: Ticket) -> Refusal | None:
-        """Take a slot, now or after a wait.
-
-        :returns: why the request will not run, or ``None`` with a slot taken.
-        """
-        if self.admission.try_start(ticket):
-            return None
-        if ticket.patience_s and self.is_too_busy(ticket):
-            return self.refuse(Reason.BUSY, 'others may be quicker')
-        if self.is_hopeless(ticket):
-            return self.refuse(Reason.DEADLINE, 'the queue is too long to be in time')
-        if not self.admission.wait(ticket):
-            return self.refuse(Reason.QUEUE_FULL, 'the queue of the class is full')
-        ticket.started = asyncio.get_running_loop().create_future()
-        latest = ticket.deadline - self.target.service_ms / MS_PER_S
-        if ticket.patience_s:
-            latest = min(latest, time.monotonic() + ticket.patience_s)
-        try:
-            async with asyncio.timeout_at(latest):
-                has_slot = await ticket.started
-        except TimeoutError:
-            self.abandon(ticket)
-            reason = Reason.BUSY if ticket.patience_s else Reason.DEADLINE
-            return self.refuse(reason, 'no slot became free in time')
-        except asyncio.CancelledError:
-            self.abandon(ticket)
-            raise
-        return None if has_slot else self.refuse_dismissed()
-
-    def is_too_busy(self, ticket: Ticket) -> bool:
-        """Whether a request is likely to wait longer than it may."""
-        turns = self.admission.queued_before(ticket.call_class) + 1
-        return self.is_slow or self.time_for_s(turns) > ticket.patience_s
-
-    @property
-    def is_slow(self) -> bool:
-        """Whether the target's VM is slow at the moment."""
-        return self.target.current_slowness(time.monotonic()) >= SLOW
-
-    def refuse_dismissed(self) -> Refusal:
-        """Refuse work that waited until the target left or became slow."""
-        if self.target.is_accepting and not self.is_closed:
-            return self.refuse(Reason.BUSY, 'the target became slow')
-        return self.refuse_leaving()
-
     def note_load(self, load: TargetLoad) -> None:
         """Keep what the target says of its load.
 
         When it becomes slow, those who wait try elsewhere.
         """
-        was_slow = self.is_slow
+        was_slow = self.target.is_slow
         self.target.note_slowness(load.slowness, time.monotonic())
-        if self.is_slow == was_slow:
+        if self.target.is_slow == was_slow:
             return
         self.on_slowness_change()
-        if self.is_slow:
-            self.dismiss_waiting(is_impatient_only=True)
-
-    def refuse_leaving(self) -> Refusal:
-        """Refuse work for a target that takes none any more."""
-        detail = 'the target is leaving'
-        return not_run(Reason.DRAINING, detail, TARGET_DOWN_RETRY_S)
-
-    def dismiss_waiting(self, is_impatient_only: bool = False) -> None:
-        """Refuse what waits, so that it goes to another target in time."""
-        for ticket in self.admission.dismiss(is_impatient_only):
-            if ticket.started is not None and not ticket.started.done():
-                ticket.started.set_result(False)
-
-    def is_hopeless(self, ticket: Ticket) -> bool:
-        """Whether a request that has to wait can't finish in time.
-
-        A slot is expected to become free at each share of the service time.
-        """
-        turns = self.admission.queued_before(ticket.call_class) + 1
-        needed_s = self.time_for_s(turns) + self.target.service_ms / MS_PER_S
-        return time.monotonic() + needed_s > ticket.deadline
-
-    def abandon(self, ticket: Ticket) -> None:
-        """Leave the queue, or give back a slot got in the same moment."""
-        if ticket.started is not None and _is_granted(ticket.started):
-            self.leave(ticket)
-            return
-        self.admission.leave(ticket)
-        self.wake(self.admission.start_waiting())
-
-    def leave(self, ticket: Ticket) -> None:
-        """Give a slot back and start who waits for it."""
-        self.wake(self.admission.release(ticket))
-
-    def wake(self, tickets: list[Ticket]) -> None:
-        """Let requests run that were given a slot."""
-        for ticket in tickets:
-            if ticket.started is None or ticket.started.done():
-                self.leave(ticket)
-                continue
-            ticket.started.set_result(True)
+        if self.target.is_slow:
+            self.queue.dismiss_waiting(is_impatient_only=True)
 
     async def run(self, attempt: Attempt) -> AttemptResult:
         """Dispatch an attempt that holds a slot."""
@@ -288,7 +204,9 @@
             self.observe_abandoned(begun)
             raise
         finally:
-            self.target.end(attempt.attempt_id, time.monotonic())
+            now = time.monotonic()
+            self.target.end(attempt.attempt_id, now)
+            self.queue.work.add(attempt.request.call_class.name, now - begun, now)
         self.suspects.clear(attempt.fingerprint)
         refusal = self.refusal_in(answer.facts)
         is_bad = refusal is not None or is_failure(answer.reply)
@@ -301,7 +219,7 @@
 
     def learn_fill(self, attempt: Attempt, begun: float, busy: int) -> None:
         """Learn whether the target is slower when it is nearly full."""
-        if self.is_slow or self.target.slow_until > begun:
+        if self.target.is_slow or self.target.slow_until > begun:
             return
         ran_ms = (time.monotonic() - begun) * MS_PER_S
         name = attempt.request.call_class.name
@@ -317,7 +235,7 @@
             detail = 'another target answers at the address'
             return not_run(Reason.OTHER_TARGET, detail, TARGET_DOWN_RETRY_S)
         if facts.is_not_run:
-            return self.refuse(Reason.TARGET_SHED, 'the target took no more work')
+            return self.queue.refuse(Reason.TARGET_SHED, 'the target took no more work')
         if not facts.is_genuine:
             return unknown(Reason.TARGET_REPLY, 'the target did not say what it did')
         return None
@@ -339,7 +257,7 @@
     async def refusal_for(self, attempt: Attempt, error: TargetError) -> Refusal:
         """Say what a failed exchange means for the caller."""
         if error.reason == Reason.OVERLOADED:
-            return self.refuse(Reason.OVERLOADED, str(error))
+            return self.queue.refuse(Reason.OVERLOADED, str(error))
         if error.reason == Reason.TARGET_DOWN:
             self.mark_down()
         if not attempt.has_left:
@@ -389,21 +307,6 @@
         log.warning('target-down', extra={'service': self.target.service})
         self.on_load_change()
 
-    def refuse(self, reason: Reason, detail: str) -> Refusal:
-        """Refuse work that never left, with the time the queue takes."""
-        work = self.admission.in_flight + self.admission.queued
-        drain_s = max(self.time_for_s(work), SHORTEST_RETRY_S)
-        jitter = 1 + random.random() * JITTER
-        return not_run(reason, detail, drain_s * jitter)
-
-    def time_for_s(self, work: int) -> float:
-        """Estimate the time that the target takes for some requests.
-
-        :param work: number of requests.
-        """
-        slots = max(self.target.slots, 1)
-        return work * self.target.service_ms / slots / MS_PER_S
-
     def cancel(self, attempt_id: str, is_waiting_only: bool = False) -> None:
         """Call an attempt off.
 
@@ -450,10 +353,6 @@
     return not_run(reason, 'the request had not left the gate')
 
 
-def _is_granted(started: asyncio.Future[bool]) -> bool:
-    return started.done() and not started.cancelled() and started.result()
-
-
 def _ignore_suspect(told: Suspected) -> None:
     """Tell nobody; replaced when the node is wired."""
 
--- a/packages/node/src/lavendermountd/gate/target.py
+++ b/packages/node/src/lavendermountd/gate/target.py
@@ -8,6 +8,7 @@
 import time
 from enum import StrEnum
 
+from lavendermount_core.routing.expected_time import SLOW
 from lavendermount_core.utils.units import MS_PER_S
 from lavendermountd.gate.reports import StartHistory, TargetReport
 
@@ -125,6 +126,11 @@
         """How slow the target's VM is; 1 if nothing recent is known."""
         return self.slowness if now - self.slowness_at < SLOWNESS_AGE_S else 1
 
+    @property
+    def is_slow(self) -> bool:
+        """Whether the target's VM is slow at the moment."""
+        return self.current_slowness(time.monotonic()) >= SLOW
+
     def begin(self, attempt_id: str, now: float) -> None:
         """Note that a request went to the target."""
         self.started_at[attempt_id] = now
--- a/packages/node/src/lavendermountd/gate/target_client.py
+++ b/packages/node/src/lavendermountd/gate/target_client.py
@@ -113,16 +113,15 @@
         attempt: Attempt,
     ) -> TargetAnswer:
         """Exchange on one connection; it is reused only if all went well."""
-        is_clean = False
         self.in_exchange += 1
         try:
             answer = await self.send_and_read(connection, attempt)
-            is_clean = True
+        except BaseException:
+            self.discard(connection)
+            raise
         finally:
             self.in_exchange -= 1
-            if not is_clean:
-                connection.is_spoiled = True
-            self.put_back(connection)
+        self.put_back(connection)
         return answer
 
     async def send_and_read(
--- /dev/null
+++ b/packages/node/src/lavendermountd/gauges.py
@@ -0,0 +1,36 @@
+"""Gauges that are read off the node's parts when metrics are asked for."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from lavendermountd.node import Node
+
+
+def refresh_metrics(node: Node) -> None:
+    """Set the gauges to what the node holds now."""
+    for (kind, is_paid), size in node.budget.by_kind.items():
+        link = 'paid' if is_paid else 'local'
+        node.metrics.measuring.set({'kind': kind, 'link': link}, size)
+    node.metrics.budget.set({'link': 'local'}, node.budget.local.rate)
+    node.metrics.budget.set({'link': 'paid'}, node.budget.paid.rate)
+    for name, amount in state_gauges(node).items():
+        node.metrics.state.set({'name': name}, amount)
+
+
+def state_gauges(node: Node) -> dict[str, float]:
+    """List what the node holds, by name."""
+    return {
+        'in_flight': node.gate.admission.in_flight,
+        'queued': node.gate.admission.queued,
+        'revision': node.holder.revision,
+        'members': len(node.table.members),
+        'decisions': node.recorder.recorded,
+        'decisions_dropped': node.recorder.dropped,
+        'log_reachable': int(node.follower.is_reachable),
+        'retries': node.router.retries.spent,
+        'hedges': node.router.hedges.spent,
+        'freezes': node.guard.freezes,
+        'suspects': len(node.gate.suspects.suspects),
+    }
--- a/packages/node/src/lavendermountd/http1/client.py
+++ b/packages/node/src/lavendermountd/http1/client.py
@@ -102,9 +102,13 @@
         except StreamClosedError as error:
             raise ExchangeError('the connection was closed', False) from error
         finally:
-            self.waiter = None
-            self.used_at = time.monotonic()
-            self.is_spoiled = self.is_spoiled or self.stream.writing()
+            self.settle()
+
+    def settle(self) -> None:
+        """End an exchange; a request that is not yet sent whole spoils the rest."""
+        self.waiter = None
+        self.used_at = time.monotonic()
+        self.is_spoiled = self.is_spoiled or self.stream.writing()
 
     async def read(self) -> None:
         """Read until the connection closes."""
--- /dev/null
+++ b/packages/node/src/lavendermountd/presets/applying.py
@@ -0,0 +1,77 @@
+"""Handing the numbers of a preset to the parts of the node that use them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lavendermount_core.config.preset import ALONE, LimitOptions, PresetSchema
+from lavendermount_core.utils.units import MS_PER_S
+from lavendermountd.gate.admission import ClassRule
+from lavendermountd.presets.holder import InForcePreset
+
+if TYPE_CHECKING:
+    from lavendermountd.node import Node
+
+
+class PresetApplier:
+    """Applies each preset that comes into force.
+
+    :param node: whose parts take the numbers.
+    """
+
+    __slots__ = ('node',)
+
+    def __init__(self, node: Node) -> None:
+        """Keep the node."""
+        self.node = node
+
+    def apply(self, preset: InForcePreset) -> None:
+        """Hand the numbers of a new preset to the parts that use them."""
+        self.apply_to_gate(preset)
+        self.apply_to_links(preset.schema.limits)
+        self.node.router.configure(preset)
+        self.apply_budgets(preset.schema)
+
+    def apply_to_gate(self, preset: InForcePreset) -> None:
+        """Tell the gate of classes, limits and the target's service."""
+        node = self.node
+        gate = node.gate
+        schema = preset.schema
+        rules = [ClassRule.from_options(entry) for entry in schema.class_]
+        gate.admission.take_rules(rules)
+        gate.client.limit = schema.limits.connections
+        service = preset.services.get(node.settings.origin)
+        if service is not None:
+            gate.client.limit = service.connections or schema.limits.connections
+            node.target_watch.health_path = service.health_path
+        node.target_watch.probe_s = schema.choosing.probe_ms / MS_PER_S
+        gate.suspects.configure(
+            schema.suspects.victims,
+            schema.suspects.isolation == ALONE,
+        )
+
+    def apply_to_links(self, limits: LimitOptions) -> None:
+        """Tell every connection what it may carry and how long be silent."""
+        node = self.node
+        silent_s = limits.silent_ms / MS_PER_S
+        node.gate.client.silent_s = silent_s
+        node.links.silent_s = silent_s
+        for part in (node.gate.client, node.links, node.peer_server):
+            part.max_body = limits.body_bytes
+        node.service.take_limits(limits)
+
+    def apply_budgets(self, schema: PresetSchema) -> None:
+        """Tell the budgets of measuring and of the link between regions."""
+        node = self.node
+        budget = schema.budget
+        node.budget.local.configure(
+            budget.local_bytes_s,
+            budget.local_bytes_s * budget.burst_s,
+        )
+        node.budget.paid.configure(
+            budget.paid_bytes_s,
+            budget.paid_bytes_s * budget.burst_s,
+        )
+        link_rate = schema.choosing.link_bytes_s
+        node.link_bucket.configure(link_rate, link_rate)
+        node.link_bucket.earn(link_rate)
--- a/packages/node/src/lavendermountd/presets/newest.py
+++ b/packages/node/src/lavendermountd/presets/newest.py
@@ -83,8 +83,9 @@
         """Read the newest record, or wait for the next ones."""
         if self.offset == UNREAD or not self.is_caught_up.is_set():
             newest = await self.keyed_log.newest(self.stream)
-            if self.key in newest.bodies:
-                self.take(newest.bodies[self.key])
+            body = newest.bodies.get(self.key)
+            if body is not None:
+                self.take(body)
             self.offset = newest.end
             self.is_caught_up.set()
             return
--- a/packages/node/src/lavendermountd/process.py
+++ b/packages/node/src/lavendermountd/process.py
@@ -14,6 +14,7 @@
 from lavendermount_core.config.node import NodeSchema
 from lavendermount_core.exceptions import ConfigurationError
 from lavendermountd.node import Node
+from lavendermountd.stopping import PlannedStop
 from lavendermountd.tree import NodeTree
 
 log = logging.getLogger(__name__)
@@ -44,7 +45,7 @@
     await asyncio.wait({tree, stop}, return_when=asyncio.FIRST_COMPLETED)
     if tree.done():
         tree.result()
-    await node.stop()
+    await PlannedStop(node).run()
     tree.cancel()
     await asyncio.gather(tree, return_exceptions=True)
     node.links.close_all()
--- a/packages/node/src/lavendermountd/routing/retry_budget.py
+++ b/packages/node/src/lavendermountd/routing/retry_budget.py
@@ -13,29 +13,53 @@
 from lavendermount_core.config.preset import RetryOptions
 from lavendermountd.routing.budgets import TokenBucket
 
+# Room to save up what requests earn, even where there is no constant part.
+LEAST_BURST = 1
+
 
 class RetryBudget:
     """Repeats that this node may cause, by service."""
 
-    __slots__ = ('buckets', 'rate', 'burst', 'share', 'spent')
+    __slots__ = ('options', 'nodes', 'buckets', 'rate', 'burst', 'share', 'spent')
 
     def __init__(self) -> None:
         """Start without a preset; nothing may be repeated."""
+        self.options: RetryOptions | None = None
+        self.nodes = 1
         self.buckets: dict[str, TokenBucket] = {}
         self.rate: float = 0
         self.burst: float = 0
         self.share: float = 0
         self.spent = 0
 
-    def configure(self, options: RetryOptions, nodes: int) -> None:
-        """Take over a preset, or another number of nodes.
+    def configure(self, options: RetryOptions) -> None:
+        """Take over a preset."""
+        self.options = options
+        self.divide()
+
+    def share_among(self, nodes: int) -> None:
+        """Take over another number of nodes.
+
+        :param nodes: nodes that share the constant part, this one included;
+            those that cannot be reached may still spend theirs and count.
+        """
+        if nodes != self.nodes:
+            self.nodes = nodes
+            self.divide()
+
+    def divide(self) -> None:
+        """Work out this node's part.
 
-        :param nodes: nodes that share the constant part; those that cannot be
-            reached may still spend theirs and count.
+        A node that knows no other can't tell how many share the constant
+        part, and takes none of it.
         """
+        options = self.options
+        if options is None:
+            return
+        part = 1 / self.nodes if self.nodes > 1 else 0
         self.share = options.share
-        self.rate = options.shared_per_s / nodes
-        self.burst = options.burst + options.shared_burst / nodes
+        self.rate = options.shared_per_s * part
+        self.burst = options.burst + LEAST_BURST + options.shared_burst * part
         for bucket in self.buckets.values():
             bucket.configure(self.rate, self.burst)
 
@@ -44,6 +68,7 @@
         found = self.buckets.get(service)
         if found is None:
             found = TokenBucket(self.rate, self.burst)
+            found.tokens = self.burst - LEAST_BURST
             self.buckets[service] = found
         return found
 
--- a/packages/node/src/lavendermountd/routing/router.py
+++ b/packages/node/src/lavendermountd/routing/router.py
@@ -83,7 +83,7 @@
         """Take over the budgets of a preset."""
         retry = preset.schema.retry
         hedge = preset.schema.hedge
-        self.retries.configure(retry, max(1, len(self.chooser.table.members)))
+        self.retries.configure(retry)
         if self.hedges.burst != hedge.burst:
             self.hedges = TokenBucket(0, hedge.burst)
 
@@ -110,6 +110,7 @@
         preset = journey.preset
         if self.suspects.verdict(journey.fingerprint) == Verdict.REFUSED:
             return Failure(self.refuse_suspect(journey))
+        self.retries.share_among(len(self.chooser.table.members))
         self.retries.earn(journey.request.call_class.service)
         self.hedges.earn(preset.schema.hedge.share)
         cause = Cause.FIRST
@@ -326,7 +327,7 @@
 async def _wait_for_any(
     tasks: Tasks,
     timeout_s: float | None,
-    alarm: asyncio.Future[bool] | None = None,
+    alarm: asyncio.Future[Any] | None = None,
 ) -> tuple[Tasks, Tasks]:
     awaited: set[asyncio.Future[Any]] = set(tasks)
     if alarm is not None:
@@ -341,7 +342,7 @@
         for task in tasks:
             task.cancel()
         raise
-    done = {task for task in tasks if task.done()}
+    done = set(filter(asyncio.Task.done, tasks))
     return done, tasks - done
 
 
--- /dev/null
+++ b/packages/node/src/lavendermountd/sources.py
@@ -0,0 +1,55 @@
+"""The parts that learn from the platform's log, as the settings choose them.
+
+:errors: ``ConfigurationError`` if the log can't do what the settings ask for.
+"""
+
+from __future__ import annotations
+
+from lavendermount_core.config.findings import Finding
+from lavendermount_core.config.node import KEYED, STREAM, NodeSchema
+from lavendermount_core.exceptions import ConfigurationError
+from lavendermount_core.log.adapter import KeyedLog, LogAdapter
+from lavendermountd.membership.directory import KeyedJoiner
+from lavendermountd.membership.gossip import Gossip
+from lavendermountd.membership.joining import Joiner
+from lavendermountd.presets.decoders import preset_decoders
+from lavendermountd.presets.follower import PresetFollower
+from lavendermountd.presets.holder import PresetHolder
+from lavendermountd.presets.newest import NewestPresetFollower
+
+
+def open_joiner(
+    settings: NodeSchema,
+    gossip: Gossip,
+    platform_log: LogAdapter,
+) -> Joiner | KeyedJoiner:
+    """Build what finds the first peers."""
+    membership = settings.membership
+    if membership.directory == KEYED:
+        return KeyedJoiner(gossip, _keyed(platform_log))
+    return Joiner(gossip, platform_log, membership.seeds, settings.log.retention_s)
+
+
+def open_follower(
+    settings: NodeSchema,
+    platform_log: LogAdapter,
+    holder: PresetHolder,
+) -> PresetFollower | NewestPresetFollower:
+    """Build what follows the preset in force."""
+    options = settings.presets
+    if options.source == STREAM:
+        return PresetFollower(platform_log, holder)
+    return NewestPresetFollower(
+        _keyed(platform_log),
+        holder,
+        options.stream,
+        options.key,
+        preset_decoders.find(options.decoder),
+    )
+
+
+def _keyed(platform_log: LogAdapter) -> KeyedLog:
+    if isinstance(platform_log, KeyedLog):
+        return platform_log
+    finding = Finding('log.adapter', 'keeps no newest record of each key')
+    raise ConfigurationError([finding])
--- /dev/null
+++ b/packages/node/src/lavendermountd/stopping.py
@@ -0,0 +1,114 @@
+"""A planned stop that cuts nothing off.
+
+:units: seconds on the node's monotonic clock.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from typing import TYPE_CHECKING
+
+from lavendermount_core.structure.members import MemberStatus
+from lavendermountd.caller.server import RECENT_S
+from lavendermountd.phases import Phase
+
+if TYPE_CHECKING:
+    from lavendermountd.node import Node
+
+log = logging.getLogger(__name__)
+
+STOP_POLL_S = 0.02
+LAST_FLUSH_S = 0.3
+CROSSING_SHARE = 0.25
+
+
+class PlannedStop:
+    """Takes a node out of service.
+
+    :param node: the node that stops.
+    """
+
+    __slots__ = ('node',)
+
+    def __init__(self, node: Node) -> None:
+        """Keep the node."""
+        self.node = node
+
+    async def run(self) -> None:
+        """Stop without cutting anything off.
+
+        Callers go elsewhere first. The gate stays open to other nodes until
+        then, so that the target's slots are missed for as short a time as can
+        be; then it closes, and work under way ends, within the time that the
+        settings allow.
+        """
+        log.info('node-stopping')
+        self.node.phase = Phase.STOPPING
+        self.node.service.is_stopping = True
+        begun = time.monotonic()
+        listen_s = self.node.settings.listen_s or self.node.period_s
+        await self.wait_until(begun + listen_s - self.node.period_s)
+        await self.leave()
+        await self.wait_until(begun + listen_s)
+        flushing = asyncio.create_task(self.node.recorder.flush())
+        await self.finish_work(begun + self.node.settings.drain_s)
+        flushing.cancel()
+        await self.flush()
+        log.info('node-stopped', extra={'work_left': self.has_work()})
+
+    async def leave(self) -> None:
+        """Tell the others, then let no new work through to the target."""
+        node = self.node
+        node.table.change_own(node.gate.target.service, MemberStatus.LEAVING)
+        await node.tell_nearby()
+        self.close_gate()
+
+    async def finish_work(self, latest: float) -> None:
+        """Take no new caller, and wait for the work under way.
+
+        A connection is closed once nothing came on it for a while, so that no
+        request crosses the close.
+
+        :param latest: when the work must have ended.
+        """
+        server = self.node.caller_server
+        server.stop_listening()
+        idle_s = min(RECENT_S, (latest - time.monotonic()) * CROSSING_SHARE)
+        while self.has_work() and time.monotonic() < latest:
+            await asyncio.sleep(STOP_POLL_S)
+            server.end_idle(idle_s)
+        server.end_idle(0)
+
+    def close_gate(self) -> None:
+        """Let no new work through to the target; what waits goes elsewhere."""
+        self.node.gate.queue.is_closed = True
+        self.node.gate.queue.dismiss_waiting()
+        self.node.tell_load()
+
+    async def wait_until(self, moment: float) -> None:
+        """Wait until a time on the node's monotonic clock."""
+        await asyncio.sleep(max(0, moment - time.monotonic()))
+
+    def has_work(self) -> bool:
+        """Whether anything is under way that a stop would cut off."""
+        admission = self.node.gate.admission
+        answers = any(session.tasks for session in self.node.peer_server.sessions)
+        callers = bool(self.node.service.under_way)
+        if callers or answers or self.node.caller_server.connections:
+            return True
+        return bool(admission.in_flight + admission.queued)
+
+    async def flush(self) -> None:
+        """Append the last decisions if the log answers at once.
+
+        The time to stop is up by now.
+        """
+        try:
+            async with asyncio.timeout(LAST_FLUSH_S):
+                await self.node.recorder.flush()
+        except TimeoutError:
+            log.warning(
+                'decisions-lost', extra={'count': len(self.node.recorder.waiting)}
+            )
