A dying target is told from one that lost an answer; forgotten failures stay forgotten

Three findings of the features, each seen red. After averages were forgotten, the first success brought the old share of failures back (recovery 19.9 s of at most 20). A try over a link that was lost counted against the one far try, so an order was refused that could have been sent again.

--- a/packages/node/src/lavendermountd/gate/gate.py
+++ b/packages/node/src/lavendermountd/gate/gate.py
@@ -41,6 +41,8 @@
 
 TARGET_DOWN_RETRY_S = 1.0
 NO_ADVICE: Final = 0
+# Time in which a process that is ending closes what it has accepted.
+ENDING_S = 0.03
 FULL_AGE_MS = HORIZON_S * MS_PER_S / 2
 
 
@@ -271,12 +273,20 @@
         return unknown(Reason.TARGET_DIED, str(error), TARGET_DOWN_RETRY_S)
 
     async def is_dead(self) -> bool:
-        """Whether the target refuses connections now."""
-        try:
-            connection = await self.client.connect()
-        except TargetError as error:
-            return error.reason == Reason.TARGET_DOWN
-        self.client.put_back(connection)
+        """Whether the target refuses connections now.
+
+        A process that is about to end may still accept one and reset it at
+        once; then a second one tells.
+        """
+        for _ in range(2):
+            try:
+                connection = await self.client.connect()
+            except TargetError as error:
+                return error.reason == Reason.TARGET_DOWN
+            await asyncio.wait({connection.reader}, timeout=ENDING_S)
+            self.client.put_back(connection)
+            if not connection.reader.done():
+                return False
         return False
 
     def blame(self, attempt: Attempt) -> None:
--- a/packages/node/src/lavendermountd/gate/target.py
+++ b/packages/node/src/lavendermountd/gate/target.py
@@ -142,10 +142,17 @@
     def observe(self, elapsed_ms: float, is_failure: bool) -> None:
         """Add one completed request to the averages.
 
+        Averages that are forgotten begin anew: an old failure must not weigh
+        again because a first try has shown that it is over.
+
         :param elapsed_ms: from the write to the end of the reply.
         :param is_failure: whether the reply was a failure of the target.
         """
-        self.observed_at = time.monotonic()
+        now = time.monotonic()
+        if self.is_forgotten(now):
+            self.service_ms = 0
+            self.failure_ratio = 0
+        self.observed_at = now
         self.failure_ratio += FAILURE_WEIGHT * (is_failure - self.failure_ratio)
         if is_failure:
             return
--- a/packages/node/src/lavendermountd/presets/newest.py
+++ b/packages/node/src/lavendermountd/presets/newest.py
@@ -24,7 +24,7 @@
 
 log = logging.getLogger(__name__)
 
-POLL_S = 20.0
+POLL_S = 28.0
 FIRST_RETRY_S = 0.2
 RETRY_LIMIT_S = 2.0
 JITTER = 0.5
--- a/packages/node/src/lavendermountd/routing/chooser.py
+++ b/packages/node/src/lavendermountd/routing/chooser.py
@@ -92,7 +92,7 @@
         :param journey: the request; targets it tried are left out.
         :param is_same_region: whether to leave out other regions.
         """
-        is_near_only = is_same_region or journey.far_tries >= MAX_FAR_TRIES
+        is_near_only = is_same_region or len(journey.far_tried) >= MAX_FAR_TRIES
         members = [
             member
             for member in self.table.members_of(journey.request.call_class.service)
@@ -119,7 +119,8 @@
     def note_try(self, journey: Journey, member: Member) -> None:
         """Note that a target is tried for a request."""
         journey.tried.add(member.node_id)
-        journey.far_tries += self.is_far(member)
+        if self.is_far(member):
+            journey.far_tried.add(member.node_id)
 
     def is_far(self, member: Member) -> bool:
         """Whether a target is in another region."""
--- a/packages/node/src/lavendermountd/routing/journey.py
+++ b/packages/node/src/lavendermountd/routing/journey.py
@@ -47,7 +47,7 @@
         'arrivals',
         'under_way',
         'is_abandoned',
-        'far_tries',
+        'far_tried',
     )
 
     def __init__(self, request: CallRequest, preset: InForcePreset) -> None:
@@ -62,7 +62,7 @@
         self.arrivals = 0
         self.under_way: dict[str, Member] = {}
         self.is_abandoned = False
-        self.far_tries = 0
+        self.far_tried: set[str] = set()
 
     @property
     def class_key(self) -> str:
@@ -94,6 +94,7 @@
             self.may_have_run = True
         if refusal.reason in UNBLAMED:
             self.tried.discard(node_id)
+            self.far_tried.discard(node_id)
 
     def final(self, outcome: AttemptResult) -> AttemptResult:
         """Say what the last outcome means for the whole request.
