--- a/packages/core/src/lavendermount_core/config/node.py
+++ b/packages/core/src/lavendermount_core/config/node.py
@@ -88,6 +88,7 @@
         'Where join records stand: in a stream, or one for each key.',
         _ways,
     )
+    stream = opt.Text('members', 'Keyed stream that holds the join records.')
     seeds = opt.TextList([], 'Control addresses to try while the log is down.')
     period_ms = opt.Integer(
         1000, 'Time between gossip rounds.', 'ms', low=20, high=60000
--- a/packages/core/src/lavendermount_core/utils/logs.py
+++ b/packages/core/src/lavendermount_core/utils/logs.py
@@ -8,10 +8,13 @@
 import json
 import logging
 import string
+import sys
 from typing import Any, TextIO
 
 from pythonjsonlogger.core import BaseJsonFormatter
 
+from lavendermount_core.utils.bounded import BoundedHandler
+
 _UNQUOTED = frozenset(f'{string.ascii_letters}{string.digits}._:/@+-')
 _FORMAT = '%(asctime)s %(levelname)s %(name)s %(message)s'
 
@@ -46,8 +49,8 @@
     :param level: name of a standard logging level.
     :param stream: where the lines go; ``None`` for standard error.
     """
-    stream_handler = logging.StreamHandler(stream)
-    stream_handler.setFormatter(
+    handler = BoundedHandler((stream or sys.stderr).fileno())
+    handler.setFormatter(
         KeyValueFormatter(
             _FORMAT,
             rename_fields={
@@ -57,4 +60,4 @@
             },
         ),
     )
-    logging.basicConfig(level=level.upper(), handlers=[stream_handler], force=True)
+    logging.basicConfig(level=level.upper(), handlers=[handler], force=True)
--- a/packages/node/src/lavendermountd/membership/directory.py
+++ b/packages/node/src/lavendermountd/membership/directory.py
@@ -18,7 +18,6 @@
 
 log = logging.getLogger(__name__)
 
-MEMBER_STREAM = 'keyed.members'
 FIRST_RETRY_S = 0.3
 RETRY_LIMIT_S = 3.0
 CHECK_S = 2.0
@@ -34,10 +33,12 @@
 
     :param gossip: speaks to the peers found.
     :param keyed_log: where the records are.
+    :param stream: name of their stream.
     """
 
-    def __init__(self, gossip: Gossip, keyed_log: KeyedLog) -> None:
+    def __init__(self, gossip: Gossip, keyed_log: KeyedLog, stream: str) -> None:
         """Start with nothing read or written."""
+        self.stream = stream
         self.gossip = gossip
         self.table = gossip.table
         self.keyed_log = keyed_log
@@ -65,13 +66,13 @@
             written = own.incarnation
             body = pack(own.to_row())
             keyed = KeyedRecord(own.node_id, body)
-            await self.keyed_log.append_keyed(MEMBER_STREAM, keyed)
+            await self.keyed_log.append_keyed(self.stream, keyed)
             self.written = written
         now = asyncio.get_running_loop().time()
         is_due = not self.table.living() and now - self.read_at > ALONE_READ_S
         if self.read_at and not is_due:
             return
-        newest = await self.keyed_log.newest(MEMBER_STREAM)
+        newest = await self.keyed_log.newest(self.stream)
         self.read_at = now
         for body in newest.bodies.values():
             self.take(body)
--- a/packages/node/src/lavendermountd/sources.py
+++ b/packages/node/src/lavendermountd/sources.py
@@ -26,7 +26,7 @@
     """Build what finds the first peers."""
     membership = settings.membership
     if membership.directory == KEYED:
-        return KeyedJoiner(gossip, _keyed(platform_log))
+        return KeyedJoiner(gossip, _keyed(platform_log), membership.stream)
     return Joiner(gossip, platform_log, membership.seeds, settings.log.retention_s)
 
 
--- a/packages/testbed/src/lavendermount_testbed/__main__.py
+++ b/packages/testbed/src/lavendermount_testbed/__main__.py
@@ -71,6 +71,20 @@
     sys.exit(run_demo())
 
 
+@cli.command()
+@click.option('--seed', type=int, help='First seed; drawn anew if left out.')
+@click.option('--count', type=int, default=1, help='Seeds to run, one by one.')
+@click.option('--seconds', type=float, default=10, help='Time in which faults come.')
+def soak(seed: int | None, count: int, seconds: float) -> None:
+    """Run real processes under load and random faults, and check the promises."""
+    import random
+
+    from lavendermount_testbed.soak import run_soak
+
+    first = random.randrange(10**6) if seed is None else seed
+    sys.exit(run_soak(list(range(first, first + count)), seconds))
+
+
 @cli.command()
 @click.option('--check', is_flag=True, help='Compare only; change no file.')
 def reference(check: bool) -> None:
