A target is asked for its load right before an order is sent

Cause: orders can't be hedged, and news of a slow VM were up to 100 ms old, so one order in six was sent to a VM that had become slow.

--- a/packages/node/src/lavendermountd/gate/gate.py
+++ b/packages/node/src/lavendermountd/gate/gate.py
@@ -11,7 +11,7 @@
 import asyncio
 import logging
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Final
 
 from returns.result import Failure, Success
@@ -66,6 +66,7 @@
         self.on_suspect: Callable[[Suspected], None] = _ignore_suspect
         self.on_load_change: Callable[[], None] = _ignore_change
         self.on_slowness_change: Callable[[], None] = _ignore_change
+        self.refresh_load: Callable[[], Awaitable[None]] = _refresh_nothing
         self.on_other_target: Callable[[], None] = _ignore_change
 
     @property
@@ -153,10 +154,22 @@
         if refusal is not None:
             return Failure(refusal)
         try:
-            return await self.run(attempt)
+            return await self.look_and_run(attempt)
         finally:
             self.queue.leave(ticket)
 
+    async def look_and_run(self, attempt: Attempt) -> AttemptResult:
+        """Run an attempt that holds a slot, unless the target became slow.
+
+        No second copy can help out work that may not be repeated, so the
+        target is asked once more right before such work is sent.
+        """
+        if attempt.patience_s and not attempt.request.call_class.is_repeatable:
+            await self.refresh_load()
+            if self.target.is_slow:
+                return Failure(self.queue.refuse(Reason.BUSY, 'the VM is slow'))
+        return await self.run(attempt)
+
     def refusal_before_queue(self, attempt: Attempt) -> Refusal | None:
         """Refuse at once what can't run here."""
         if self.queue.is_closed or self.target.state == TargetState.DRAINING:
@@ -367,5 +380,9 @@
     """Tell nobody; replaced when the node is wired."""
 
 
+async def _refresh_nothing() -> None:
+    """Ask nobody; replaced when the node is wired."""
+
+
 def _ignore_change() -> None:
     """Tell nobody; replaced when the node is wired."""
--- a/packages/node/src/lavendermountd/gate/watch.py
+++ b/packages/node/src/lavendermountd/gate/watch.py
@@ -21,6 +21,7 @@
 DOWN_CHECK_S = 0.2
 UP_CHECK_S = 1.0
 HEALTH_TIMEOUT_S = 1.0
+REFRESH_TIMEOUT_S = 0.03
 OK = 200
 
 
@@ -50,16 +51,29 @@
                 await self.check()
                 await asyncio.sleep(DOWN_CHECK_S)
             elif self.probe_s and self.health_path:
-                await self.probe_if_due()
+                await self.probe_if_due(self.probe_s)
                 await asyncio.sleep(self.probe_s / 2)
             else:
                 await asyncio.sleep(UP_CHECK_S)
 
-    async def probe_if_due(self) -> None:
-        """Ask a target that is up for its load if it told none lately."""
+    async def refresh(self) -> None:
+        """Ask a target right before work that needs to know its load now."""
+        if not self.probe_s or not self.health_path:
+            return
+        try:
+            async with asyncio.timeout(REFRESH_TIMEOUT_S):
+                await self.probe_if_due(self.probe_s / 4)
+        except TimeoutError:
+            log.debug('load-unrefreshed')
+
+    async def probe_if_due(self, max_age_s: float) -> None:
+        """Ask a target that is up for its load if it told none lately.
+
+        :param max_age_s: age that news may have.
+        """
         target = self.gate.target
         age_s = time.monotonic() - target.slowness_at
-        if target.state != TargetState.UP or age_s < self.probe_s:
+        if target.state != TargetState.UP or age_s < max_age_s:
             return
         connection = self.gate.client.take_idle(is_repeatable=True)
         if connection is not None:
@@ -99,6 +113,9 @@
             log.debug('health-unanswered', extra={'cause': str(error)})
             self.gate.client.discard(connection)
             return
+        except asyncio.CancelledError:
+            self.gate.client.discard(connection)
+            raise
         self.gate.client.put_back(connection)
         self.take(reply)
 
--- a/packages/node/src/lavendermountd/node.py
+++ b/packages/node/src/lavendermountd/node.py
@@ -175,6 +175,7 @@
         self.gate.on_suspect = self.tell_suspect
         self.gate.on_other_target = self.keeper.lose_target
         self.gate.on_slowness_change = self.tell_slowness
+        self.gate.refresh_load = self.target_watch.refresh
         self.guard.on_freeze.append(self.fence)
         self.links.count_ping = self.count_ping
         self.table.listeners.append(self.forget_if_dead)
