--- a/packages/node/src/lavendermountd/gate/gate.py
+++ b/packages/node/src/lavendermountd/gate/gate.py
@@ -161,10 +161,10 @@
     async def look_and_run(self, attempt: Attempt) -> AttemptResult:
         """Run an attempt that holds a slot, unless the target became slow.
 
-        No second copy can help out work that may not be repeated, so the
-        target is asked once more right before such work is sent.
+        What the target told last may be older than the state of its VM, so it
+        is asked once more right before work is sent, while others may take it.
         """
-        if attempt.patience_s and not attempt.request.call_class.is_repeatable:
+        if attempt.patience_s:
             await self.refresh_load()
             if self.target.is_slow:
                 return Failure(self.queue.refuse(Reason.BUSY, 'the VM is slow'))
