--- a/packages/core/src/lavendermount_core/utils/logs.py
+++ b/packages/core/src/lavendermount_core/utils/logs.py
@@ -49,8 +49,8 @@
     :param level: name of a standard logging level.
     :param stream: where the lines go; ``None`` for standard error.
     """
-    handler = BoundedHandler((stream or sys.stderr).fileno())
-    handler.setFormatter(
+    bounded = BoundedHandler((stream or sys.stderr).fileno())
+    bounded.setFormatter(
         KeyValueFormatter(
             _FORMAT,
             rename_fields={
@@ -60,4 +60,4 @@
             },
         ),
     )
-    logging.basicConfig(level=level.upper(), handlers=[handler], force=True)
+    logging.basicConfig(level=level.upper(), handlers=[bounded], force=True)
--- a/packages/node/src/lavendermountd/gate/gate.py
+++ b/packages/node/src/lavendermountd/gate/gate.py
@@ -219,9 +219,7 @@
             self.observe_abandoned(begun)
             raise
         finally:
-            now = time.monotonic()
-            self.target.end(attempt.attempt_id, now)
-            self.queue.work.add(attempt.request.call_class.name, now - begun, now)
+            self.note_end(attempt, begun)
         self.suspects.clear(attempt.fingerprint)
         refusal = self.refusal_in(answer.facts)
         is_bad = refusal is not None or is_failure(answer.reply)
@@ -232,6 +230,12 @@
             self.learn_fill(attempt, begun, busy)
         return Success(answer.reply)
 
+    def note_end(self, attempt: Attempt, begun: float) -> None:
+        """Note that a request is no longer at the target."""
+        now = time.monotonic()
+        self.target.end(attempt.attempt_id, now)
+        self.queue.work.add(attempt.request.call_class.name, now - begun, now)
+
     def learn_fill(self, attempt: Attempt, begun: float, busy: int) -> None:
         """Learn whether the target is slower when it is nearly full."""
         if self.target.is_slow or self.target.slow_until > begun:
--- a/packages/node/src/lavendermountd/node.py
+++ b/packages/node/src/lavendermountd/node.py
@@ -233,6 +233,10 @@
     def tell_slowness(self) -> None:
         """Tell the nodes that sent work lately how slow the target is."""
         load = self.gate.load()
+        log.info(
+            'target-slowness',
+            extra={'slowness': load.slowness, 'in_flight': load.in_flight},
+        )
         self.router.take_load(load)
         since = time.monotonic() - RECENT_WORK_S
         self.peer_server.tell_all(Pong(0, load.to_row()), since)
--- a/packages/node/src/lavendermountd/routing/router.py
+++ b/packages/node/src/lavendermountd/routing/router.py
@@ -289,7 +289,7 @@
             return False
         if journey.is_abandoned or not _is_safe(journey, outcome):
             return False
-        if not self.has_others(journey) or self.is_used_up(journey):
+        if not self.has_others(journey) or self.is_used_up(journey, outcome):
             return False
         if time.monotonic() >= journey.request.deadline:
             return False
@@ -297,12 +297,14 @@
             return True
         return self.retries.try_spend(journey.request.call_class.service)
 
-    def is_used_up(self, journey: Journey) -> bool:
+    def is_used_up(self, journey: Journey, outcome: AttemptResult) -> bool:
         """Whether no further target may be tried for a request.
 
         What a gate refuses has reached no target; such refusals are bounded
         by a limit of their own.
         """
+        if _has_waited_out(journey, outcome):
+            return True
         limit = journey.request.max_targets or journey.preset.schema.retry.attempts
         return journey.arrivals >= limit or journey.attempts >= limit + MAX_REDIRECTS
 
@@ -311,6 +313,13 @@
         return bool(self.chooser.eligible(journey))
 
 
+def _has_waited_out(journey: Journey, outcome: AttemptResult) -> bool:
+    """Whether a request has waited at a gate until it could not be in time."""
+    if isinstance(outcome, Success) or journey.attempts < PATIENT_FROM:
+        return False
+    return bool(outcome.failure().reason == Reason.DEADLINE)
+
+
 def _is_safe(journey: Journey, outcome: AttemptResult) -> bool:
     if isinstance(outcome, Success):
         return journey.request.call_class.is_repeatable
--- a/packages/testbed/src/lavendermount_testbed/feature_runner.py
+++ b/packages/testbed/src/lavendermount_testbed/feature_runner.py
@@ -11,11 +11,13 @@
 import sys
 import tempfile
 from pathlib import Path
+from typing import Any
 
 import click
 
 KNOWN_RED = Path('KNOWN-RED.txt')
 ENTRY = 'test: '
+ERROR_CHARS = 2000
 PASSED = 'passed'
 RED = frozenset(('failed', 'error', 'undefined', 'untested'))
 
@@ -91,3 +93,13 @@
         tally.take(str(feature['name']), str(feature['status']))
     for scenario in elements:  # type: ignore[attr-defined]
         tally.take(scenario['name'], scenario['status'])
+        _show_errors(scenario)
+
+
+def _show_errors(scenario: dict[str, Any]) -> None:
+    """Print what failed steps found, with their figures."""
+    for step in scenario.get('steps', ()):
+        outcome = step.get('result', {})
+        if outcome.get('status') in RED and outcome.get('error_message'):
+            told = '\n'.join(outcome['error_message'])[:ERROR_CHARS]
+            click.echo(f'{scenario["name"]}: {step["name"]}\n{told}')
--- a/packages/testbed/src/lavendermount_testbed/soak.py
+++ b/packages/testbed/src/lavendermount_testbed/soak.py
@@ -13,7 +13,9 @@
 import time
 from collections import Counter
 from collections.abc import Callable
+from http import HTTPStatus
 from pathlib import Path
+from typing import Any, cast
 
 import click
 
@@ -40,6 +42,7 @@
 RATE = 25
 QUIET_S = 2.0
 SETTLE_S = 6.0
+SHORTEST_FAULT_S = 0.2
 LONGEST_FAULT_S = 3.0
 MEAN_PAUSE_S = 0.8
 LOAD_LIMIT_S = 90
@@ -75,16 +78,23 @@
         :returns: what broke a promise; empty if all were kept.
         """
         try:
-            self.start()
-            load = self.start_load()
-            self.play(time.monotonic())
-            load.popen.wait(LOAD_LIMIT_S)
-            for instance in self.deployment.instances.values():
-                self.keep_runs(instance)
-            return self.findings([json.loads(row) for row in load.text().splitlines()])
+            return self.findings(self.rows())
         finally:
             self.deployment.close()
 
+    def rows(self) -> list[list[Any]]:
+        """Play the faults under load.
+
+        :returns: what callers saw, a row for each request.
+        """
+        self.start()
+        load = self.start_load()
+        self.play(time.monotonic())
+        load.popen.wait(LOAD_LIMIT_S)
+        for instance in self.deployment.instances.values():
+            self.keep_runs(instance)
+        return [json.loads(row) for row in load.text().splitlines()]
+
     def start(self) -> None:
         """Start everything and put a preset in force."""
         self.deployment.start_all()
@@ -130,7 +140,7 @@
         """Draw a fault and a place for it; one fault a place at a time."""
         name = self.chooser.choice(faults.names())
         instance = self.chooser.choice(list(self.deployment.instances.values()))
-        lasts_s = self.chooser.uniform(0.2, LONGEST_FAULT_S)
+        lasts_s = self.chooser.uniform(SHORTEST_FAULT_S, LONGEST_FAULT_S)
         if instance.name in self.under_fault:
             return
         self.under_fault.add(instance.name)
@@ -140,7 +150,8 @@
 
     def take_off(self, undos: list[tuple[float, str, Undo]], until: float) -> None:
         """Take off the faults whose time is over."""
-        for entry in [each for each in undos if each[0] <= until]:
+        over = [entry for entry in undos if entry[0] <= until]
+        for entry in over:
             undos.remove(entry)
             entry[2]()
             self.under_fault.discard(entry[1])
@@ -148,14 +159,14 @@
     def keep_runs(self, instance: Instance) -> None:
         """Add what a target ran to the counts before it loses them."""
         told = instance.control_target()
-        self.runs.update(told['ran'])  # type: ignore[arg-type]
+        self.runs.update(cast('dict[str, int]', told['ran']))
         instance.control_target(ran={}, ran_posts={})
 
-    def findings(self, rows: list[list[object]]) -> list[str]:
+    def findings(self, rows: list[list[Any]]) -> list[str]:
         """Compare what callers were told with what targets ran."""
         found = []
         for stream, _, _, _, outcome, is_own, run_id in rows:
-            ran = self.runs[str(run_id)]
+            ran = self.runs[run_id]
             if not is_own:
                 found.append(f'{run_id}: the answer is of another request')
             if stream == 'orders' and ran > 1:
@@ -163,7 +174,7 @@
             if outcome == 'not-run' and ran:
                 found.append(f'{run_id}: told not-run, ran {ran} times')
         calm_at = QUIET_S + self.seconds + SETTLE_S / 2
-        late = [row for row in rows if float(str(row[1])) >= calm_at]
+        late = [row for row in rows if row[1] >= calm_at]
         served = sum(1 for row in late if row[4] == 'whole')
         if served < SERVED_AT_END * len(late):
             found.append(f'after all faults {served} of {len(late)} were served')
@@ -183,6 +194,12 @@
     announce(instance)
 
 
+def start_again_after_stop(instance: Instance) -> None:
+    """Wait for a planned stop to end, then start the node."""
+    instance.node.wait()
+    start_again(instance)
+
+
 @faults.register('kill-node')
 def kill_node(soak: Soak, instance: Instance) -> Undo:
     """Kill a node; its target goes on."""
@@ -194,12 +211,7 @@
 def stop_node(soak: Soak, instance: Instance) -> Undo:
     """Tell a node to stop; callers go on using their connections."""
     instance.node.popen.terminate()
-
-    def undo() -> None:
-        instance.node.wait()
-        start_again(instance)
-
-    return undo
+    return lambda: start_again_after_stop(instance)
 
 
 @faults.register('pause-node')
@@ -227,7 +239,7 @@
 @faults.register('failing-target')
 def failing_target(soak: Soak, instance: Instance) -> Undo:
     """Let a target fail every request at once."""
-    instance.control_target(fail_status=500)
+    instance.control_target(fail_status=HTTPStatus.INTERNAL_SERVER_ERROR)
     return lambda: instance.control_target(fail_status=0)
 
 
