--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -101,3 +101,6 @@
 
   Scenario: A request that nobody takes ends, though targets are left that it may not try
     Then a request that has tried every near target ends at once
+
+  Scenario: A request that many callers send is not refused because targets died
+    Then a request that others have had answered is not suspected
--- a/features/steps/fault_steps.py
+++ b/features/steps/fault_steps.py
@@ -26,8 +26,10 @@
 from lavendermountd.claims.records import Claim, Release, encode_claims
 from lavendermountd.claims.stream import ClaimFold
 from lavendermountd.gate.attempts import Attempt, Progress
+from lavendermountd.gate.suspects import SuspectTable, Verdict
 from lavendermountd.gate.target import TargetState
 from lavendermountd.node import Node
+from lavendermountd.peer.frames import Suspected
 from lavendermountd.presets.holder import InForcePreset
 
 RECOVERY_LIMIT_S = 20
@@ -142,6 +144,19 @@
     return sent
 
 
+@then('a request that others have had answered is not suspected')
+def common_request(context: Any) -> None:
+    """Let a common request be in flight at two deaths, then a rare one."""
+    table = SuspectTable()
+    table.clear('common')
+    assert table.blame('common', 'a:1') is None
+    assert not table.merge(Suspected('common', ['b:1', 'c:1'], 60000))
+    assert table.verdict('common') == Verdict.FREE
+    table.blame('rare', 'a:1')
+    table.blame('rare', 'b:1')
+    assert table.verdict('rare') == Verdict.REFUSED
+
+
 @then('a gate whose client breaks answers unknown and keeps nothing running')
 def broken_client(context: Any) -> None:
     """Let the client raise something unforeseen after the first byte."""
--- a/packages/node/src/lavendermountd/gate/gate.py
+++ b/packages/node/src/lavendermountd/gate/gate.py
@@ -310,6 +310,8 @@
         """Suspect a request that was in flight when the target died."""
         victim = f'{self.identity.node_id}:{attempt.target_start}'
         told = self.suspects.blame(attempt.fingerprint, victim)
+        if told is None:
+            return
         log.warning(
             'crash-suspect',
             extra={
--- a/packages/node/src/lavendermountd/gate/suspects.py
+++ b/packages/node/src/lavendermountd/gate/suspects.py
@@ -3,7 +3,9 @@
 :units: seconds on the node's monotonic clock.
 
 A request suspected once runs alone; suspected of two targets' deaths it is
-refused everywhere until the suspicion expires. One that completes is cleared.
+refused everywhere until the suspicion expires. One that completes is cleared,
+and so is every other that looks the same: many callers may send the same
+request, and one that others have had answered does not crash its targets.
 """
 
 from __future__ import annotations
@@ -49,11 +51,12 @@
 class SuspectTable:
     """Suspected requests by fingerprint, merged with what others saw."""
 
-    __slots__ = ('suspects', 'max_victims', 'is_isolating')
+    __slots__ = ('suspects', 'completed_at', 'max_victims', 'is_isolating')
 
     def __init__(self) -> None:
         """Start with no suspicion."""
         self.suspects: dict[str, Suspect] = {}
+        self.completed_at: dict[str, float] = {}
         self.max_victims = MAX_VICTIMS
         self.is_isolating = True
 
@@ -91,21 +94,24 @@
         suspect = self.find(fingerprint)
         return suspect.expires_at - time.monotonic() if suspect else 0
 
-    def blame(self, fingerprint: str, victim: str) -> Suspected:
+    def blame(self, fingerprint: str, victim: str) -> Suspected | None:
         """Note that a target died while a request was in flight.
 
         :param victim: the target, as ``node:start``.
-        :returns: the frame that tells other nodes.
+        :returns: the frame that tells other nodes; ``None`` if the request is
+            known to be harmless.
         """
         told = Suspected(fingerprint, [victim], int(EXPIRY_S * MS_PER_S))
         self.merge(told)
-        return self.describe(fingerprint)
+        return self.describe(fingerprint) if fingerprint in self.suspects else None
 
     def merge(self, told: Suspected) -> bool:
         """Take over what another node saw.
 
         :returns: whether it was news.
         """
+        if self.is_harmless(told.fingerprint):
+            return False
         expires_at = time.monotonic() + min(told.remaining_ms / MS_PER_S, EXPIRY_S)
         suspect = self.find(told.fingerprint)
         if suspect is None:
@@ -124,6 +130,15 @@
     def clear(self, fingerprint: str) -> None:
         """Forget a suspicion: the request completed."""
         self.suspects.pop(fingerprint, None)
+        self.completed_at.pop(fingerprint, None)
+        self.completed_at[fingerprint] = time.monotonic()
+        if len(self.completed_at) > MAX_SUSPECTS:
+            self.completed_at.pop(next(iter(self.completed_at)))
+
+    def is_harmless(self, fingerprint: str) -> bool:
+        """Whether a request that looks the same has completed of late."""
+        at = self.completed_at.get(fingerprint)
+        return at is not None and time.monotonic() - at < EXPIRY_S
 
     def describe(self, fingerprint: str) -> Suspected:
         """Build the frame that tells other nodes of a suspicion."""
--- a/packages/node/src/lavendermountd/routing/router.py
+++ b/packages/node/src/lavendermountd/routing/router.py
@@ -213,6 +213,8 @@
         if isinstance(outcome, Success):
             size = len(outcome.unwrap().body)
             self.chooser.learn_reply(journey, size)
+            if not is_failure(outcome.unwrap()):
+                self.suspects.clear(journey.fingerprint)
             self.chooser.charge_link(trial.member, size)
             self.latencies[journey.class_key].add(trial.elapsed_ms())
         return outcome
