--- /dev/null
+++ b/features/steps/property_steps.py
@@ -0,0 +1,272 @@
+"""Steps that check properties of single decisions on generated inputs."""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from itertools import chain, pairwise
+from typing import Any
+from unittest.mock import patch
+
+from behave import then
+from builders import preset_text
+from hypothesis import given as generated
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from lavendermount_core.config.preset import RetryOptions, parse_preset
+from lavendermountd.caller.splitting import choose_service
+from lavendermountd.gate.fill import FillLimit
+from lavendermountd.gate.reports import ReportedState, StartHistory, TargetReport
+from lavendermountd.http1.request_parser import RequestLimits, RequestParser
+from lavendermountd.presets.route_index import RouteIndex
+from lavendermountd.routing.retry_budget import RetryBudget
+
+WINDOW_S = 10
+RATIO = 0.2
+SLACK = 58
+LIMITS = RequestLimits(16384, 65536)
+
+
+class Clock:
+    """A monotonic clock that tests move."""
+
+    def __init__(self) -> None:
+        """Start at an arbitrary time."""
+        self.now = 1000.0
+
+    def monotonic(self) -> float:
+        """Tell the time."""
+        return self.now
+
+
+def shared_options() -> RetryOptions:
+    """Build the share and the constant part of a budget."""
+    options, findings = RetryOptions.load(
+        {
+            'share': RATIO,
+            'burst': 0,
+            'shared_burst': SLACK / 2,
+            'shared_per_s': SLACK / 2 / WINDOW_S,
+        },
+        'test',
+    )
+    assert not findings
+    return options
+
+
+@then('{nodes:d} nodes under skewed load keep the shared budget in every window')
+def shared_budget(context: Any, nodes: int) -> None:
+    """Let every node repeat as much as it may; half of the load is at one."""
+    clock = Clock()
+    with patch('lavendermountd.routing.budgets.time', clock):
+        budgets = [RetryBudget() for _ in range(nodes)]
+        for budget in budgets:
+            budget.configure(shared_options())
+            budget.share_among(nodes)
+        sent: deque[int] = deque(maxlen=WINDOW_S)
+        spent: deque[int] = deque(maxlen=WINDOW_S)
+        for second in range(60):
+            requests = [20] + [20 // nodes + (second + n) % 2 for n in range(1, nodes)]
+            sent.append(sum(requests))
+            spent.append(sum(map(spend_all, budgets, requests)))
+            if len(sent) == WINDOW_S:
+                allowed = RATIO * sum(sent) + SLACK + nodes
+                assert sum(spent) <= allowed, (second, sum(spent), allowed)
+            clock.now += 1
+
+
+def spend_all(budget: RetryBudget, requests: int) -> int:
+    """Count requests, then spend until nothing is left."""
+    for _ in range(requests):
+        budget.earn('s')
+    spent = 0
+    while budget.try_spend('s'):
+        spent += 1
+    return spent
+
+
+@then('a node alone repeats no more than its requests earn')
+def alone(context: Any) -> None:
+    """Spend all, with no other node known."""
+    budget = RetryBudget()
+    budget.configure(shared_options())
+    assert spend_all(budget, 0) == 0
+    spent = sum(spend_all(budget, 10) for _ in range(10))
+    assert spent <= RATIO * 100, spent
+
+
+@then('the parts of generated splits get their share of requests')
+def splits(context: Any) -> None:
+    """Compare counts with weights after each sequence."""
+    weights = st.lists(st.integers(1, 99), min_size=2, max_size=4)
+
+    @generated(weights, st.integers(1, 300))
+    def check(drawn: list[int], count: int) -> None:
+        parts = ''.join(
+            f'[[route.split]]\nservice = "s{number}"\nweight = {weight}\n'
+            for number, weight in enumerate(drawn)
+        )
+        text = preset_text() + f'\n[[route]]\npath = "/x"\nclass = "dealer"\n{parts}'
+        route = parse_preset(text, 'test').route[-1]
+        turns: dict[int, dict[str, float]] = {}
+        chosen = Counter(choose_service(route, turns) for _ in range(count))
+        for number, weight in enumerate(drawn):
+            share = count * weight / sum(drawn)
+            assert abs(chosen[f's{number}'] - share) <= len(drawn), chosen
+
+    check()
+
+
+REQUESTS = st.lists(
+    st.tuples(
+        st.sampled_from(('GET', 'POST', 'DELETE', 'PUT')),
+        st.text('abc/?=&%', max_size=8),
+        st.binary(max_size=40),
+        st.booleans(),
+    ),
+    min_size=1,
+    max_size=4,
+)
+
+
+@then('generated requests parse the same in any pieces')
+def any_pieces(context: Any) -> None:
+    """Cut the bytes of some requests at drawn places."""
+
+    @generated(REQUESTS, st.lists(st.integers(0, 600), max_size=8))
+    @settings(max_examples=200)
+    def check(drawn: list[tuple[str, str, bytes, bool]], cuts: list[int]) -> None:
+        payload = b''.join(map(encode_request, drawn))
+        parser = RequestParser(LIMITS)
+        places = sorted({0, len(payload), *(cut % (len(payload) + 1) for cut in cuts)})
+        whole = list(
+            chain.from_iterable(
+                parser.feed(payload[start:end]) for start, end in pairwise(places)
+            )
+        )
+        told = [(each.method, each.target, each.body, each.problem) for each in whole]
+        assert told == [
+            (method, f'/{path}', body, 0) for method, path, body, _ in drawn
+        ], told
+
+    check()
+
+
+def encode_request(drawn: tuple[str, str, bytes, bool]) -> bytes:
+    """Write a request with a length or in chunks."""
+    method, path, body, is_chunked = drawn
+    head = f'{method} /{path} HTTP/1.1\r\nHost: h\r\n'
+    if not is_chunked:
+        return f'{head}Content-Length: {len(body)}\r\n\r\n'.encode() + body
+    chunk = f'{len(body):x}\r\n'.encode() + body + b'\r\n' if body else b''
+    return f'{head}Transfer-Encoding: chunked\r\n\r\n'.encode() + chunk + b'0\r\n\r\n'
+
+
+@then('malformed heads are refused and what follows them is dropped')
+def malformed_heads(context: Any) -> None:
+    """Send what could hide one request inside another."""
+    following = b'GET /hidden HTTP/1.1\r\nHost: h\r\n\r\n'
+    both = b'Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n'
+    for head, status in (
+        (b'POST / HTTP/1.1\r\nHost: h\r\n' + both, 400),
+        (b'POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nx', 400),
+        (b'GET / HTTP/1.1\r\nBad Header: x\r\n\r\n', 400),
+        (b'\x00\x01\x02\r\n\r\n', 400),
+        (b'GET / HTTP/1.1\r\nX: ' + b'y' * 20000 + b'\r\n\r\n', 431),
+        (b'POST / HTTP/1.1\r\nContent-Length: 70000\r\n\r\n' + b'z' * 70000, 413),
+    ):
+        parser = RequestParser(LIMITS)
+        whole = parser.feed(head + following)
+        assert whole[0].problem == status, (head[:40], whole[0].problem)
+        if status != 413:
+            assert len(whole) == 1, head[:40]
+            assert not parser.feed(following), head[:40]
+
+
+REPORTS = st.lists(
+    st.tuples(
+        st.sampled_from(('i-1', 'i-2')),
+        st.integers(1, 3),
+        st.integers(1, 5),
+        st.sampled_from(tuple(ReportedState)),
+    ),
+    max_size=12,
+)
+
+
+@then('generated reports of a target agree with a naive history')
+def reports(context: Any) -> None:
+    """Compare with a list of everything that was taken."""
+
+    @generated(REPORTS)
+    @settings(max_examples=300)
+    def check(drawn: list[tuple[str, int, int, ReportedState]]) -> None:
+        history = StartHistory()
+        taken: list[tuple[str, int, int, ReportedState]] = []
+        for row in drawn:
+            name, born_ms, sequence, state = row
+            report = TargetReport('s', 'h', 1, 6, name, state, born_ms, sequence)
+            is_late = history.is_late(report)
+            assert is_late == naive_is_late(taken, row), (taken, row)
+            if is_late:
+                continue
+            taken.append(row)
+            history.note(report)
+            if state != ReportedState.READY:
+                history.note_departure(report.start)
+
+    check()
+
+
+def naive_is_late(taken: list[Any], row: Any) -> bool:
+    """Look through everything that was taken."""
+    name, born_ms, sequence, state = row
+    left = {entry[:2] for entry in taken if entry[3] != ReportedState.READY}
+    if (name, born_ms) in left:
+        return bool(state == ReportedState.READY)
+    if not taken:
+        return False
+    if taken[-1][:2] == (name, born_ms):
+        run = []
+        for entry in reversed(taken):
+            if entry[:2] != (name, born_ms):
+                break
+            run.append(entry[2])
+        return sequence <= max(run)
+    return bool(born_ms < taken[-1][1])
+
+
+@then('generated routes are found as a naive search finds them')
+def longest_prefix(context: Any) -> None:
+    """Compare the index with a search through all routes."""
+    paths = st.lists(st.sampled_from(('a', 'b', 'c')), max_size=3).map(
+        lambda parts: ''.join(f'/{part}' for part in parts) + '/'
+    )
+    routes = st.lists(st.tuples(st.sampled_from(('h1', 'h2')), paths), min_size=1)
+
+    @generated(routes, st.sampled_from(('h1', 'h2', 'h3')), paths)
+    def check(drawn: list[tuple[str, str]], host: str, path: str) -> None:
+        text = preset_text() + ''.join(
+            f'\n[[route]]\nservice = "s"\nclass = "dealer"\n'
+            f'host = "{name}"\npath = "{prefix}"\n'
+            for name, prefix in drawn
+        )
+        schema = parse_preset(text, 'test')
+        schema.checked['route'] = schema.route[-len(drawn) :]
+        found = RouteIndex(schema).find(host, 'GET', f'{path}x?q=/a/')
+        fitting = [p for name, p in drawn if name == host and path.startswith(p)]
+        longest = max(fitting, key=len, default=None)
+        assert getattr(found, 'path', None) == longest
+
+    check()
+
+
+@then('the fill of a target follows what was measured')
+def fill(context: Any) -> None:
+    """Feed targets with and without a knee."""
+    for full_ms, expected in ((100, 9), (110, 9), (170, 7)):
+        limit = FillLimit()
+        for _ in range(30):
+            limit.observe('c', 3, 9, 100)
+            limit.observe('c', 9, 9, full_ms)
+        assert limit.slots_to_use(9) == expected, (full_ms, limit.ratio)
