--- a/features/mutations.py
+++ b/features/mutations.py
@@ -58,9 +58,9 @@
     ),
     Mutation(
         'whole',
-        f'{NODE}/gate/target_client.py',
-        'if not self.is_whole or not self.is_delimited:',
-        'if False:',
+        f'{NODE}/http1/reply_parser.py',
+        'if self.ends_with_connection:',
+        'if not self.is_between:',
         'whole_path',
         'A truncated answer is never passed on',
     ),
@@ -98,8 +98,9 @@
     ),
     Mutation(
         'drain-told',
-        f'{NODE}/node.py',
+        f'{NODE}/gate/keeper.py',
         """        self.gate.target.state = TargetState.DRAINING
+        self.gate.queue.dismiss_waiting()
         self.table.change_own(self.gate.target.service, MemberStatus.LEAVING)
 """,
         '',
@@ -108,7 +109,7 @@
     ),
     Mutation(
         'stop',
-        f'{NODE}/node.py',
+        f'{NODE}/stopping.py',
         'while self.has_work() and',
         'while False and',
         'leaving',
@@ -205,7 +206,7 @@
     Mutation(
         'retry-budget',
         f'{NODE}/routing/router.py',
-        'return self.retries.try_spend(1)',
+        'return self.retries.try_spend(journey.request.call_class.service)',
         'return True',
         'admission',
         'Retries stay within their budget',
