--- a/packages/node/src/lavendermountd/gate/watch.py
+++ b/packages/node/src/lavendermountd/gate/watch.py
@@ -108,7 +108,7 @@
         """Ask for health; a healthy target is up under the name it gives."""
         try:
             async with asyncio.timeout(HEALTH_TIMEOUT_S):
-                reply = await connection.exchange(self.request(), _is_any)
+                reply = await connection.exchange(self.request())
         except (ExchangeError, TimeoutError) as error:
             log.debug('health-unanswered', extra={'cause': str(error)})
             self.gate.client.discard(connection)
@@ -167,7 +167,3 @@
         )
         self.gate.admission.slots = target.slots
         self.gate.on_load_change()
-
-
-def _is_any(reply: WireReply) -> bool:
-    return True
--- a/packages/node/src/lavendermountd/http1/client.py
+++ b/packages/node/src/lavendermountd/http1/client.py
@@ -81,19 +81,20 @@
     async def exchange(
         self,
         payload: bytes,
-        is_answer: IsAnswer,
+        is_answer: IsAnswer | None = None,
         is_head_request: bool = False,
     ) -> WireReply:
         """Send a request and wait for its whole reply.
 
         :param payload: the request as it stands on the wire.
-        :param is_answer: tells the reply from one to an earlier request.
+        :param is_answer: tells the reply from one to an earlier request;
+            ``None`` takes any.
         :param is_head_request: whether the reply has no body.
         :raises ExchangeError: if no whole reply came.
         :returns: the reply.
         """
         self.waiter = asyncio.get_running_loop().create_future()
-        self.is_answer = is_answer
+        self.is_answer = is_answer or _is_any
         self.parser.is_head_request = is_head_request
         self.exchanges += 1
         try:
