State machines search the gate's life of an attempt and the fold of presets

Moves: frames that are late, twice or lost, links cut, questions about what became of an attempt, calls off, answers, work turned away, dead connections, crashes, starts under the same and another name, leaving, late reports, kills of the node, waits and freezes; for presets a log that is away, evicts and holds malformed and older records. Invariants: unrepeatable work begins at most once, not-run is true for good, answers are their own, no work at a start that has left, slots are kept; no preset gives way to an older one.

--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,9 @@
 mutations: setup
 	$(BIN)/python features/mutations.py
 
+search: setup
+	cd features && ../$(BIN)/python machines.py
+
 report: setup
 	$(BIN)/python benches/report.py
 
--- a/features/builders.py
+++ b/features/builders.py
@@ -4,6 +4,7 @@
 
 from lavendermount_core.config.loader import load_text
 from lavendermount_core.config.node import NodeSchema
+from lavendermount_core.presets.records import InForce
 from lavendermount_core.structure.calls import CallClass, CallRequest
 from lavendermount_core.structure.loads import LoadReport
 from lavendermount_core.structure.members import Member, MemberStatus
@@ -15,8 +16,10 @@
 )
 from lavendermountd.dialects.native import NativeDialect
 from lavendermountd.gate.gate import Gate
+from lavendermountd.gate.keeper import TargetKeeper
 from lavendermountd.gate.reports import TargetReport
 from lavendermountd.identity import Identity
+from lavendermountd.membership.table import MemberTable
 
 DEALER = 'dealer-desk'
 DOCS = 'field-docs'
@@ -141,6 +144,31 @@
     return built
 
 
+def machine_gate(incarnation: int) -> tuple[Gate, TargetKeeper]:
+    """Build the gate of a process that knows no target yet, and its keeper.
+
+    :param incarnation: of the process.
+    """
+    settings = load_text(NodeSchema, NODE_SETTINGS, 'test')
+    identity = Identity(settings)
+    identity.member.incarnation = incarnation
+    gate = Gate(identity, NativeDialect())
+    table = MemberTable(identity.member)
+    return gate, TargetKeeper(gate, table, _tell_nobody, needs_health=True)
+
+
+def _tell_nobody() -> None:
+    """Stand in for gossip."""
+
+
+def stated_preset(revision: int) -> InForce:
+    """Build the statement that puts the ordinary preset in force.
+
+    :param revision: of the statement.
+    """
+    return InForce(revision, revision + 1, 'ordinary', str(revision), preset_text())
+
+
 def open_gate(port: int) -> Gate:
     """Build a gate whose target is up.
 
--- a/features/properties.feature
+++ b/features/properties.feature
@@ -3,6 +3,7 @@
   Scenario: However the load is spread, all nodes together keep the budget of repeats
     Then 10 nodes under skewed load keep the shared budget in every window
     And 100 nodes under skewed load keep the shared budget in every window
+    And 1000 nodes under skewed load keep the shared budget in every window
 
   Scenario: A node that knows no other takes no constant part of the budget
     Then a node alone repeats no more than its requests earn
@@ -24,3 +25,9 @@
 
   Scenario: The last slots stay empty only where they slow a target down
     Then the fill of a target follows what was measured
+
+  Scenario: Whatever is lost, repeated, late or started again, an attempt keeps its promises
+    Then 300 histories of attempts break no promise
+
+  Scenario: Whatever the log does, no preset gives way to an older one
+    Then 300 histories of presets break no promise
--- a/features/steps/property_steps.py
+++ b/features/steps/property_steps.py
@@ -4,6 +4,7 @@
 
 from collections import Counter, deque
 from itertools import chain, pairwise
+from statistics import fmean
 from typing import Any
 from unittest.mock import patch
 
@@ -12,6 +13,7 @@
 from hypothesis import given as generated
 from hypothesis import settings
 from hypothesis import strategies as st
+from machines import AttemptMachine, PresetMachine, search
 
 from lavendermount_core.config.preset import RetryOptions, parse_preset
 from lavendermountd.caller.splitting import choose_service
@@ -65,6 +67,7 @@
             budget.share_among(nodes)
         sent: deque[int] = deque(maxlen=WINDOW_S)
         spent: deque[int] = deque(maxlen=WINDOW_S)
+        used: list[float] = []
         for second in range(60):
             requests = [20] + [20 // nodes + (second + n) % 2 for n in range(1, nodes)]
             sent.append(sum(requests))
@@ -72,7 +75,9 @@
             if len(sent) == WINDOW_S:
                 allowed = RATIO * sum(sent) + SLACK + nodes
                 assert sum(spent) <= allowed, (second, sum(spent), allowed)
+                used.append(sum(spent) / allowed)
             clock.now += 1
+    print(f'nodes={nodes} used={fmean(used):.2f}')  # noqa: WPS421
 
 
 def spend_all(budget: RetryBudget, requests: int) -> int:
@@ -85,6 +90,18 @@
     return spent
 
 
+@then('{histories:d} histories of attempts break no promise')
+def attempt_histories(context: Any, histories: int) -> None:
+    """Search the life of attempts, the same way each time."""
+    search(AttemptMachine, histories, seeded=True)
+
+
+@then('{histories:d} histories of presets break no promise')
+def preset_histories(context: Any, histories: int) -> None:
+    """Search the fold of presets, the same way each time."""
+    search(PresetMachine, histories, seeded=True)
+
+
 @then('a node alone repeats no more than its requests earn')
 def alone(context: Any) -> None:
     """Spend all, with no other node known."""
