A suspended VM is noticed: the guard reads the clock that counts suspended time

Cause: the monotonic clock stands still while a VM is suspended, so the guard saw no gap and the node went on with links and beliefs from before. Seen red: with only the suspended time passing, check() said that nothing was held up.

--- a/features/properties.feature
+++ b/features/properties.feature
@@ -31,3 +31,6 @@
 
   Scenario: Whatever the log does, no preset gives way to an older one
     Then 300 histories of presets break no promise
+
+  Scenario: A suspended VM is noticed although the monotonic clock stood still
+    Then a guard whose VM was suspended for 5 s trusts nothing that it held
--- a/features/steps/property_steps.py
+++ b/features/steps/property_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections import Counter, deque
 from itertools import chain, pairwise
 from statistics import fmean
@@ -22,6 +23,7 @@
 from lavendermountd.http1.request_parser import RequestLimits, RequestParser
 from lavendermountd.presets.route_index import RouteIndex
 from lavendermountd.routing.retry_budget import RetryBudget
+from lavendermountd.supervision.freeze import FreezeGuard
 
 WINDOW_S = 10
 RATIO = 0.2
@@ -287,3 +289,17 @@
             limit.observe('c', 3, 9, 100)
             limit.observe('c', 9, 9, full_ms)
         assert limit.slots_to_use(9) == expected, (full_ms, limit.ratio)
+
+
+@then('a guard whose VM was suspended for {seconds:g} s trusts nothing that it held')
+def suspended(context: Any, seconds: float) -> None:
+    """Let only the clock go on that also counts the time of a suspended VM."""
+    guard = FreezeGuard()
+    noticed: list[bool] = []
+    guard.on_freeze.append(lambda: noticed.append(True))
+    assert not guard.check()
+    resumed_at = time.clock_gettime(time.CLOCK_BOOTTIME) + seconds
+    with patch('time.clock_gettime', lambda clock: resumed_at):
+        assert guard.check()
+        assert not guard.check()
+    assert len(noticed) == 1, noticed
--- a/packages/node/src/lavendermountd/supervision/freeze.py
+++ b/packages/node/src/lavendermountd/supervision/freeze.py
@@ -1,6 +1,7 @@
-"""Noticing that the process was frozen and resumed.
+"""Noticing that the process was frozen, or its VM suspended, and resumed.
 
-:units: seconds on the node's monotonic clock.
+:units: seconds on the clock that also counts the time of a suspended VM; the
+    monotonic clock does not.
 """
 
 from __future__ import annotations
@@ -16,6 +17,11 @@
 FREEZE_S = 2.0
 
 
+def clock_s() -> float:
+    """Tell the time since the VM started, in seconds, suspended or not."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class FreezeGuard:
     """Compares the clock with a regular tick.
 
@@ -27,7 +33,7 @@
 
     def __init__(self) -> None:
         """Start at the present."""
-        self.last_tick = time.monotonic()
+        self.last_tick = clock_s()
         self.freezes = 0
         self.on_freeze: list[Callable[[], None]] = []
 
@@ -39,7 +45,7 @@
 
         :returns: whether the process was frozen since the last look.
         """
-        now = time.monotonic()
+        now = clock_s()
         gap = now - self.last_tick
         self.last_tick = max(self.last_tick, now - TICK_S)
         if gap < FREEZE_S:
@@ -55,5 +61,5 @@
         """Tick until cancelled."""
         while True:
             self.check()
-            self.last_tick = time.monotonic()
+            self.last_tick = clock_s()
             await asyncio.sleep(TICK_S)
