An emulator of targets and load drives the product's own decisions

Scenarios are TOML, checked as settings are.

Found while making a run repeat itself: those who wait for a slow target were woken in no particular order, so chance decided who got one of the few hedges; now the one that has waited longest is first. Admission looks only at classes that hold slots back.

--- a/packages/client/src/lavendermount/__main__.py
+++ b/packages/client/src/lavendermount/__main__.py
@@ -162,6 +162,27 @@
     replay_decisions(operator, is_json)
 
 
+@cli.command()
+@click.argument('scenario', type=PRESET_FILE)
+@click.option('--policy', 'policies', multiple=True, default=('expected-time',))
+@click.option('--nodes', 'sizes', multiple=True, type=int, help='Number of nodes.')
+@click.option('--seed', type=int, default=1, show_default=True)
+@click.option('--plot', type=PRESET_FILE, help='File for a plot.')
+@click.option('--json', 'is_json', is_flag=True, help='Print JSON.')
+def simulate(
+    scenario: Path,
+    policies: tuple[str, ...],
+    sizes: tuple[int, ...],
+    seed: int,
+    plot: Path | None,
+    is_json: bool,
+) -> None:
+    """Play a scenario on simulated time and compare policies."""
+    from lavendermount.commands.simulate import simulate_scenario
+
+    simulate_scenario(scenario, policies, sizes, seed, plot, is_json)
+
+
 @cli.command()
 @click.argument('shell', type=click.Choice(['bash', 'zsh', 'fish']))
 def completion(shell: str) -> None:
--- /dev/null
+++ b/packages/client/src/lavendermount/commands/simulate.py
@@ -0,0 +1,58 @@
+"""Playing a scenario on simulated time with several policies."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+import click
+
+from lavendermount.context import UsageError
+
+COLUMNS = ('worth', 'worst_seconds', 'in_time', 'served', 'refused', 'failed')
+
+
+def simulate_scenario(
+    path: Path,
+    policies: tuple[str, ...],
+    sizes: tuple[int, ...],
+    seed: int,
+    plot: Path | None,
+    is_json: bool,
+) -> None:
+    """Play a scenario with each policy at each size.
+
+    :param sizes: numbers of nodes; none takes the scenario's own.
+    :param plot: file for a plot of the runs at the last size.
+    :raises UsageError: if the emulator is not installed.
+    :raises ConfigurationError: with every finding in the scenario.
+    """
+    try:
+        from lavendermount_testbed.emulator.experiment import Experiment
+        from lavendermount_testbed.emulator.plots import plot_seconds
+        from lavendermount_testbed.emulator.scenario import load_scenario
+    except ImportError as error:
+        raise UsageError(f'install lavendermount-testbed first: {error}') from error
+    scenario = load_scenario(path)
+    runs: list[dict[str, Any]] = []
+    for nodes in sizes or (scenario.nodes,):
+        same_size = [
+            Experiment(scenario, policy, nodes, seed).run() for policy in policies
+        ]
+        runs.extend(same_size)
+    if plot is not None:
+        plot_seconds(same_size, plot)
+    if is_json:
+        click.echo(json.dumps(runs))
+        return
+    for run in runs:
+        _show(run)
+
+
+def _show(run: dict[str, Any]) -> None:
+    figures = ' '.join(f'{name}={run[name]:.3f}' for name in COLUMNS)
+    click.echo(
+        f'nodes={run["nodes"]} policy={run["policy"]} {figures} '
+        f'retries={run["retries"]} region_mb={run["region_mb"]}',
+    )
--- a/packages/core/src/lavendermount_core/config/options.py
+++ b/packages/core/src/lavendermount_core/config/options.py
@@ -183,6 +183,25 @@
         return raw, [Finding(place, f'must be a list of strings, not {raw!r}')]
 
 
+class OpenTable(Option[dict[str, Any]]):
+    """A table that somebody else checks.
+
+    :param about: what the table is for.
+    """
+
+    kind = 'table'
+
+    def __init__(self, about: str = '') -> None:
+        """Take an absent table as an empty one."""
+        super().__init__({}, about)
+
+    def check_present(self, raw: Any, place: str) -> tuple[Any, list[Finding]]:
+        """Check that it is a table."""
+        if isinstance(raw, Mapping):
+            return raw, []
+        return {}, [Finding(place, f'must be a table, not {raw!r}')]
+
+
 class Table(Option[Inner]):
     """A table of its own schema.
 
--- a/packages/node/src/lavendermountd/gate/admission.py
+++ b/packages/node/src/lavendermountd/gate/admission.py
@@ -100,12 +100,21 @@
     :param slots: requests the target works on at once.
     """
 
-    __slots__ = ('slots', 'rules', 'running', 'waiting', 'exclusive', 'ties')
+    __slots__ = (
+        'slots',
+        'rules',
+        'reserving',
+        'running',
+        'waiting',
+        'exclusive',
+        'ties',
+    )
 
     def __init__(self, slots: int) -> None:
         """Start with no classes and nothing running."""
         self.slots = slots
         self.rules: dict[str, ClassRule] = {}
+        self.reserving: list[ClassRule] = []
         self.running: dict[str, int] = defaultdict(int)
         self.waiting: dict[str, list[Place]] = {}
         self.exclusive: Ticket | None = None
@@ -138,6 +147,7 @@
     def take_rules(self, rules: list[ClassRule]) -> None:
         """Take over the classes of a preset; waiting requests stay."""
         self.rules = {rule.name: rule for rule in rules}
+        self.reserving = [rule for rule in rules if rule.reserved]
 
     def rule_of(self, call_class: str) -> ClassRule:
         """Find the rule of a class; an unknown class goes last."""
@@ -165,7 +175,7 @@
         """Slots that one class must leave free for the others."""
         return sum(
             max(0, rule.reserved - self.running[rule.name])
-            for rule in self.rules.values()
+            for rule in self.reserving
             if rule.name != call_class
         )
 
--- a/packages/node/src/lavendermountd/routing/hedging.py
+++ b/packages/node/src/lavendermountd/routing/hedging.py
@@ -61,13 +61,16 @@
 
 
 class SlowAlarms:
-    """Wakes those who wait for a target when it becomes slow."""
+    """Wakes those who wait for a target when it becomes slow.
+
+    Those who have waited longest are woken first: hedges are few.
+    """
 
     __slots__ = ('waiting',)
 
     def __init__(self) -> None:
         """Start with nobody waiting."""
-        self.waiting: dict[str, set[asyncio.Event]] = defaultdict(set)
+        self.waiting: dict[str, dict[asyncio.Event, None]] = defaultdict(dict)
 
     @contextmanager
     def watch(self, node_id: str) -> Iterator[asyncio.Event]:
@@ -77,13 +80,13 @@
         :returns: set when the target becomes slow.
         """
         alarm = asyncio.Event()
-        self.waiting[node_id].add(alarm)
+        self.waiting[node_id][alarm] = None
         try:
             yield alarm
         finally:
-            self.waiting[node_id].discard(alarm)
+            self.waiting[node_id].pop(alarm, None)
 
     def ring(self, node_id: str) -> None:
         """Wake all who wait for a target."""
-        for alarm in self.waiting.get(node_id, ()):
+        for alarm in tuple(self.waiting.get(node_id, ())):
             alarm.set()
--- /dev/null
+++ b/packages/testbed/src/lavendermount_testbed/emulator/node.py
@@ -0,0 +1,344 @@
+"""An emulated node: the product's gate and router over the emulated network.
+
+:units: seconds on the simulated clock.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from typing import cast
+
+from returns.result import Failure
+
+from lavendermount_core.config.loader import load_text
+from lavendermount_core.config.node import NodeSchema
+from lavendermount_core.replay.records import DecisionRecord
+from lavendermount_core.structure.calls import (
+    CallClass,
+    CallReply,
+    CallRequest,
+    Reason,
+    unknown,
+)
+from lavendermount_core.structure.loads import LoadReport
+from lavendermount_core.structure.members import Member, MemberStatus
+from lavendermount_core.utils.units import MS_PER_S
+from lavendermount_testbed.emulator.network import Network
+from lavendermount_testbed.emulator.scenario import (
+    CallOptions,
+    ScenarioSchema,
+    ServiceOptions,
+    service_name,
+)
+from lavendermount_testbed.emulator.target import EmulatedTarget, Noise
+from lavendermountd.dialects.native import NativeDialect
+from lavendermountd.gate.admission import ClassRule
+from lavendermountd.gate.attempts import Attempt, AttemptResult
+from lavendermountd.gate.gate import Gate
+from lavendermountd.gate.reports import TargetReport
+from lavendermountd.gate.target_client import TargetClient
+from lavendermountd.identity import Identity
+from lavendermountd.membership.table import MemberTable
+from lavendermountd.peer.avoidance import Avoidance
+from lavendermountd.presets.holder import InForcePreset
+from lavendermountd.recorder.recorder import Recorder
+from lavendermountd.routing.budgets import TokenBucket
+from lavendermountd.routing.chooser import Chooser
+from lavendermountd.routing.journey import Journey
+from lavendermountd.routing.router import Router
+from lavendermountd.routing.sender import Sender
+from lavendermountd.routing.view import LoadView
+
+RETURN_MARGIN_S = 0.02
+RECENT_WORK_S = 3.0
+TOLD_EACH_ROUND = 8
+JITTER = 0.1
+SETTINGS = (
+    'node_id = "n"\nregion = "r"\nzone = "z"\n[listen]\ncaller_port = 1\n'
+    'admin_port = 2\npeer_port = 3\ncontrol_port = 4\n[log]\nurl = "http://x"\n'
+)
+
+
+class CountingRecorder:
+    """Takes decisions in the place of the recorder, and counts them."""
+
+    __slots__ = ('recorded',)
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self.recorded = 0
+
+    def add(self, decision: DecisionRecord) -> None:
+        """Count a decision."""
+        self.recorded += 1
+
+
+class Fleet:
+    """What all emulated nodes share.
+
+    :param scenario: what is played.
+    :param preset: in force on every node.
+    :param network: between them.
+    """
+
+    __slots__ = (
+        'scenario',
+        'preset',
+        'network',
+        'nodes',
+        'table',
+        'calls',
+        'services',
+        'requests',
+    )
+
+    def __init__(
+        self,
+        scenario: ScenarioSchema,
+        preset: InForcePreset,
+        network: Network,
+    ) -> None:
+        """Start without nodes."""
+        self.scenario = scenario
+        self.preset = preset
+        self.network = network
+        self.nodes: dict[str, EmulatedNode] = {}
+        self.calls = {entry.name: entry for entry in scenario.call}
+        self.services = {entry.name: entry for entry in scenario.service}
+        outside = Member('outside', 0, 0, MemberStatus.DEAD, '', '', '', '', 0, 0)
+        self.table = MemberTable(outside)
+        self.requests = 0
+
+    def service_of(self, kind: CallOptions, draw: random.Random) -> str:
+        """Draw one of the services that a kind of request may go to."""
+        entry = self.services[kind.service]
+        return service_name(entry, draw.randrange(entry.copies))
+
+    def next_id(self) -> str:
+        """Name the next request."""
+        self.requests += 1
+        return f'r{self.requests}'
+
+
+class EmulatedSender:
+    """Sends attempts over the emulated network, as ``Sender`` does over links.
+
+    :param node: whose attempts they are.
+    """
+
+    __slots__ = ('node',)
+
+    def __init__(self, node: EmulatedNode) -> None:
+        """Keep the node."""
+        self.node = node
+
+    async def send(
+        self,
+        journey: Journey,
+        member: Member,
+        attempt_id: str,
+        patience_s: float = 0,
+    ) -> AttemptResult:
+        """Run one attempt at a target."""
+        attempt = Attempt(attempt_id, journey.request, journey.fingerprint)
+        attempt.patience_s = patience_s
+        own = self.node
+        if member.node_id == own.member.node_id:
+            outcome = await own.gate.execute(attempt)
+            own.router.take_load(own.gate.load())
+            return outcome
+        try:
+            async with asyncio.timeout_at(journey.request.deadline - RETURN_MARGIN_S):
+                return await self.send_far(attempt, member)
+        except TimeoutError:
+            self.cancel(member, attempt_id)
+            return Failure(unknown(Reason.DEADLINE, 'the gate did not answer in time'))
+        except asyncio.CancelledError:
+            self.cancel(member, attempt_id)
+            raise
+
+    async def send_far(self, attempt: Attempt, member: Member) -> AttemptResult:
+        """Run one attempt at another node's gate."""
+        own = self.node
+        other = own.fleet.nodes[member.node_id]
+        network = own.fleet.network
+        await network.carry(own.member, member, len(attempt.request.body))
+        other.senders[own.member.node_id] = time.monotonic()
+        attempt.is_remote = True
+        outcome = await asyncio.shield(asyncio.create_task(other.gate.execute(attempt)))
+        load = other.gate.load()
+        size = len(outcome.map(_body_of).value_or(b''))
+        await network.carry(member, own.member, size)
+        own.router.take_load(load)
+        return outcome
+
+    def cancel(
+        self,
+        member: Member,
+        attempt_id: str,
+        is_waiting_only: bool = False,
+    ) -> None:
+        """Tell the gate that nobody waits any more."""
+        other = self.node.fleet.nodes[member.node_id]
+        other.gate.cancel(attempt_id, is_waiting_only)
+
+
+def _body_of(reply: CallReply) -> bytes:
+    return reply.body
+
+
+class EmulatedNode:
+    """One node with the target beside it.
+
+    :param fleet: what it shares with the others.
+    :param member: its own entry.
+    :param service: of its target.
+    :param seed: of its randomness.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        member: Member,
+        service: ServiceOptions,
+        seed: int,
+    ) -> None:
+        """Wire the product's parts."""
+        self.fleet = fleet
+        self.member = member
+        self.draw = random.Random(seed)
+        self.senders: dict[str, float] = {}
+        identity = Identity(load_text(NodeSchema, SETTINGS, 'emulator'))
+        identity.member = member
+        self.gate = Gate(identity, NativeDialect())
+        self.target = EmulatedTarget(
+            self.gate.target,
+            service,
+            fleet.calls,
+            Noise(fleet.scenario.noise, self.draw),
+        )
+        self.target.call_inner = self.call_inner
+        self.gate.client = cast(TargetClient, self.target)
+        self.view = LoadView(identity)
+        self.link_bucket = TokenBucket(0, 0)
+        self.build_router()
+        self.apply(fleet.preset)
+        self.announce(service)
+
+    def build_router(self) -> None:
+        """Build what takes a request to a target."""
+        chooser = Chooser(self.fleet.table, self.view, self.link_bucket, Avoidance())
+        chooser.seeds = self.draw
+        self.recorder = CountingRecorder()
+        self.router = Router(
+            chooser,
+            cast(Sender, EmulatedSender(self)),
+            cast(Recorder, self.recorder),
+            self.gate.suspects,
+        )
+        self.gate.refresh_load = self.refresh_load
+        self.gate.on_slowness_change = self.tell_slowness
+
+    def apply(self, preset: InForcePreset) -> None:
+        """Hand the numbers of the preset to the parts that use them."""
+        rules = [ClassRule.from_options(entry) for entry in preset.schema.class_]
+        self.gate.admission.take_rules(rules)
+        self.router.configure(preset)
+        link_rate = preset.schema.choosing.link_bytes_s
+        self.link_bucket.configure(link_rate, link_rate)
+        self.link_bucket.earn(link_rate)
+
+    def announce(self, service: ServiceOptions) -> None:
+        """Let the target say that it is ready, and warm."""
+        report = TargetReport(
+            self.member.service,
+            '',
+            0,
+            service.slots,
+            self.member.node_id,
+            cold_ms=0,
+        )
+        self.gate.target.announce(report)
+        self.gate.admission.slots = service.slots
+
+    async def refresh_load(self) -> None:
+        """Ask the target for its load right before work is sent."""
+        await asyncio.sleep(0)
+        self.gate.note_load(self.target.load())
+
+    def tell_slowness(self) -> None:
+        """Tell the nodes that sent work lately how slow the target is."""
+        load = self.gate.load()
+        self.router.take_load(load)
+        since = time.monotonic() - RECENT_WORK_S
+        for node_id, sent_at in self.senders.items():
+            if sent_at >= since:
+                self.tell(self.fleet.nodes[node_id], load)
+
+    def tell(self, other: EmulatedNode, load: LoadReport) -> None:
+        """Let a report arrive at another node after the network's delay."""
+        delay_s = self.fleet.network.delay_s(self.member, other.member, 0)
+        asyncio.get_running_loop().call_later(delay_s, other.router.take_load, load)
+
+    async def watch(self) -> None:
+        """Ask the target for its load again and again."""
+        probe_s = self.fleet.scenario.probe_ms / MS_PER_S
+        while probe_s:
+            await asyncio.sleep(probe_s)
+            if self.target.is_up:
+                self.gate.note_load(self.target.load())
+
+    async def gossip(self) -> None:
+        """Exchange loads with one other node of the region each period."""
+        period_s = self.fleet.scenario.gossip_ms / MS_PER_S
+        nearby = [
+            other
+            for other in self.fleet.nodes.values()
+            if other.member.region == self.member.region and other is not self
+        ]
+        while nearby:
+            await asyncio.sleep(period_s * self.draw.uniform(1 - JITTER, 1 + JITTER))
+            other = self.draw.choice(nearby)
+            self.tell_some(other)
+            other.tell_some(self)
+
+    def tell_some(self, other: EmulatedNode) -> None:
+        """Tell the own load and some others that are known."""
+        self.tell(other, self.gate.load())
+        known = list(self.view.loads)
+        now = time.monotonic()
+        for node_id in self.draw.sample(known, min(TOLD_EACH_ROUND, len(known))):
+            seen = self.view.loads[node_id]
+            other.view.take_report(seen.report, (now - seen.seen_at) * MS_PER_S)
+
+    def request_of(self, kind: CallOptions, begun: float) -> CallRequest:
+        """Build a request that a caller began at a moment."""
+        call_class = CallClass(
+            self.fleet.service_of(kind, self.draw),
+            'default',
+            kind.name,
+            bool(kind.is_repeatable),
+        )
+        return CallRequest(
+            self.fleet.next_id(),
+            'GET' if kind.is_repeatable else 'POST',
+            f'/{kind.name}/',
+            [],
+            b'',
+            call_class,
+            begun + kind.timeout_ms / MS_PER_S,
+            begun + kind.target_ms / MS_PER_S,
+        )
+
+    async def call(self, request: CallRequest) -> AttemptResult:
+        """Take a request to its final answer, as the caller's server does."""
+        return await self.router.route(request, self.fleet.preset)
+
+    async def call_inner(self, name: str, outer: Attempt) -> AttemptResult:
+        """Call on for work of the own target; no longer than it may take."""
+        kind = self.fleet.calls[name]
+        request = self.request_of(kind, time.monotonic())
+        request.deadline = min(request.deadline, outer.request.deadline)
+        return await self.call(request)
