--- a/features/machines.py
+++ b/features/machines.py
@@ -35,6 +35,8 @@
 from lavendermountd.gate.reports import ReportedState, TargetReport
 from lavendermountd.gate.target import TargetState
 from lavendermountd.gate.target_client import TargetAnswer, TargetError
+from lavendermountd.gate.watch import TargetWatch
+from lavendermountd.http1.messages import WireReply
 from lavendermountd.presets.holder import PresetHolder
 from lavendermountd.presets.newest import NewestPresetFollower
 
@@ -79,7 +81,6 @@
         self.attempts: Counter[str] = Counter()
         self.reports: list[TargetReport] = []
         self.late_since_start = 0
-        self.start = ('i-1', 1)
         self.sequence = 0
         self.incarnation = 0
         self.time.run(self.open_gate())
@@ -112,9 +113,9 @@
             '127.0.0.1',
             1,
             2,
-            self.start[0],
+            self.target.start[0],
             state,
-            self.start[1],
+            self.target.start[1],
             self.sequence,
         )
         self.reports.append(report)
@@ -127,6 +128,10 @@
         """Hand a report to the keeper, in the loop."""
         self.keeper.take_report(report)
 
+    async def take_health(self, reply: WireReply) -> None:
+        """Hand an answer about health to the watch, in the loop."""
+        TargetWatch(self.gate, needs_health=True).take(reply)
+
     def open_frames(self) -> list[Frame]:
         """List the attempts whose sender still waits for an outcome."""
         return [frame for frame in self.frames if frame.outcome is None]
@@ -304,8 +309,8 @@
     def start_target(self, keeps_name: bool) -> None:
         """Start the target again, under its former name or another one."""
         self.crash_target()
-        name, born = self.start
-        self.start = (name if keeps_name else f'i-{born + 1}', born + 1)
+        name, born = self.target.start
+        self.target.start = (name if keeps_name else f'i-{born + 1}', born + 1)
         self.sequence = 0
         self.target.is_listening = True
         self.say(ReportedState.READY)
@@ -313,7 +318,7 @@
     @rule()
     def report_ready(self) -> None:
         """Let the target say that it is ready, unless it has left."""
-        if self.start not in self.target.left and self.target.is_listening:
+        if self.target.start not in self.target.left and self.target.is_listening:
             self.say(ReportedState.READY)
 
     @rule(state=st.sampled_from((ReportedState.DRAINING, ReportedState.STOPPED)))
@@ -329,6 +334,19 @@
         self.time.run(self.take(self.reports[pick % len(self.reports)]))
         self.settle()
 
+    @rule()
+    def ask_health(self) -> None:
+        """Let the node ask a target that it does not know to be up for health.
+
+        A target that has left says that it is not healthy.
+        """
+        if not self.target.is_listening:
+            return
+        status = FAILED if self.target.start in self.target.left else OK
+        reply = WireReply(status, 'OK', [('instance', self.target.start[0])], b'', True)
+        self.time.run(self.take_health(reply))
+        self.settle()
+
     @rule()
     def restart_node(self) -> None:
         """Kill the node's process and start it again; its memory is gone."""
--- a/features/played.py
+++ b/features/played.py
@@ -21,11 +21,14 @@
     LogRecord,
     NewestRecords,
 )
-from lavendermount_core.structure.calls import CallRequest, Reason
+from lavendermount_core.structure.calls import CallReply, CallRequest, Reason
+from lavendermountd.dialects.base import ReplyFacts
 from lavendermountd.gate.attempts import Attempt, AttemptResult, Progress
 from lavendermountd.gate.gate import Gate
 from lavendermountd.gate.target_client import TargetAnswer, TargetError
 
+OTHER_TARGET = CallReply(421, 'Misdirected Request', [], b'')
+
 
 class Work:
     """One attempt as the target sees it."""
@@ -44,6 +47,7 @@
 
     def __init__(self) -> None:
         """Listen, with nothing run yet."""
+        self.start = ('i-1', 1)
         self.is_listening = True
         self.loses_next = False
         self.begun: Counter[str] = Counter()
@@ -52,6 +56,14 @@
         self.begun_after_leaving: list[str] = []
 
 
+class PlayedDialect:
+    """Reads the name of the target's start from a reply, and nothing else."""
+
+    def read_reply(self, status: int, headers: list[tuple[str, str]]) -> ReplyFacts:
+        """Read the only header."""
+        return ReplyFacts(instance=dict(headers).get('instance', ''))
+
+
 class PlayedClient:
     """Stands in for the gate's HTTP client.
 
@@ -63,6 +75,7 @@
         """Keep the parts."""
         self.target = target
         self.gate = gate
+        self.dialect = PlayedDialect()
 
     async def exchange(self, attempt: Attempt) -> TargetAnswer:
         """Begin work at the target and wait for what becomes of it."""
@@ -74,7 +87,9 @@
         if self.target.loses_next:
             self.target.loses_next = False
             raise TargetError(Reason.CONNECTION_LOST, 'the connection was idle')
-        start = self.gate.target.history.current
+        start = self.target.start
+        if self.gate.target.instance != start[0]:
+            return TargetAnswer(OTHER_TARGET, ReplyFacts(is_other_target=True))
         work = Work(attempt.attempt_id, start)
         if start in self.target.left:
             self.target.begun_after_leaving.append(attempt.attempt_id)
