An instance that leaves without saying when it began is not brought back

A word to leave that names no beginning was filed under beginning 0, so the late report, which names one, counted as another start; and since something was known by then, one report was enough. Now a start that left without naming its beginning is any that began before then, and after a departure a single report proves nothing.

--- a/features/machines.py
+++ b/features/machines.py
@@ -105,8 +105,11 @@
             if frame.outcome is None and frame.task is not None and frame.task.done():
                 frame.outcome = frame.task.result()
 
-    def say(self, state: ReportedState) -> None:
-        """Let the target report, and note what the answer promises."""
+    def say(self, state: ReportedState, says_born: bool = True) -> None:
+        """Let the target report, and note what the answer promises.
+
+        :param says_born: whether it says when its start began.
+        """
         self.sequence += 1
         report = TargetReport(
             'dealer-desk',
@@ -115,13 +118,13 @@
             2,
             self.target.start[0],
             state,
-            self.target.start[1],
+            self.target.start[1] if says_born else 0,
             self.sequence,
         )
         self.reports.append(report)
         self.time.run(self.take(report))
         if state != ReportedState.READY:
-            self.target.left.add(report.start)
+            self.target.left.add(self.target.start)
         self.settle()
 
     async def take(self, report: TargetReport) -> None:
@@ -321,10 +324,13 @@
         if self.target.start not in self.target.left and self.target.is_listening:
             self.say(ReportedState.READY)
 
-    @rule(state=st.sampled_from((ReportedState.DRAINING, ReportedState.STOPPED)))
-    def leave(self, state: ReportedState) -> None:
+    @rule(
+        state=st.sampled_from((ReportedState.DRAINING, ReportedState.STOPPED)),
+        says_born=st.booleans(),
+    )
+    def leave(self, state: ReportedState, says_born: bool) -> None:
         """Let the target say that it leaves; the answer promises no new work."""
-        self.say(state)
+        self.say(state, says_born)
 
     @precondition(_is_none_late)
     @rule(pick=PICK)
--- a/features/properties.feature
+++ b/features/properties.feature
@@ -32,5 +32,8 @@
   Scenario: Whatever the log does, no preset gives way to an older one
     Then 300 histories of presets break no promise
 
+  Scenario: What a node tells after its restart counts before gossip names the restart
+    Then a view asks no node that said after its restart that it takes no work
+
   Scenario: A suspended VM is noticed although the monotonic clock stood still
     Then a guard whose VM was suspended for 5 s trusts nothing that it held
--- a/features/steps/property_steps.py
+++ b/features/steps/property_steps.py
@@ -10,7 +10,7 @@
 from unittest.mock import patch
 
 from behave import then
-from builders import preset_text
+from builders import load_report, machine_gate, member, preset_text
 from hypothesis import given as generated
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -23,6 +23,7 @@
 from lavendermountd.http1.request_parser import RequestLimits, RequestParser
 from lavendermountd.presets.route_index import RouteIndex
 from lavendermountd.routing.retry_budget import RetryBudget
+from lavendermountd.routing.view import LoadView
 from lavendermountd.supervision.freeze import FreezeGuard
 
 WINDOW_S = 10
@@ -303,3 +304,15 @@
         assert guard.check()
         assert not guard.check()
     assert len(noticed) == 1, noticed
+
+
+@then('a view asks no node that said after its restart that it takes no work')
+def restarted_load(context: Any) -> None:
+    """Take a report of the next incarnation, while the member is of the former."""
+    gate, _ = machine_gate(1)
+    view = LoadView(gate.identity)
+    known = member('other')
+    assert view.is_accepting(known)
+    view.take_report(load_report('other', incarnation=2, is_accepting=False))
+    assert not view.is_accepting(known)
+    assert view.is_accepting(member('other', incarnation=3))
--- a/packages/node/src/lavendermountd/gate/reports.py
+++ b/packages/node/src/lavendermountd/gate/reports.py
@@ -5,7 +5,11 @@
 
 from __future__ import annotations
 
+import time
 from enum import StrEnum
+from typing import Any
+
+from lavendermount_core.utils.units import NS_PER_MS
 
 
 class ReportedState(StrEnum):
@@ -73,6 +77,7 @@
 
 
 NO_START = ('', 0)
+NEVER = -1
 
 
 class StartHistory:
@@ -82,13 +87,14 @@
     never comes back; only a later start takes its place.
     """
 
-    __slots__ = ('current', 'sequence', 'departed', 'unproved')
+    __slots__ = ('current', 'sequence', 'departed', 'departed_at', 'unproved')
 
     def __init__(self) -> None:
         """Start with no report."""
         self.current: tuple[str, int] = NO_START
         self.sequence = 0
         self.departed: dict[tuple[str, int], None] = {}
+        self.departed_at: dict[str, int] = {}
         self.unproved: TargetReport | None = None
 
     def is_proved(self, report: TargetReport) -> bool:
@@ -100,7 +106,7 @@
 
         :param report: says that the target is ready.
         """
-        if self.current != NO_START:
+        if self.current != NO_START and self.current not in self.departed:
             return True
         before = self.unproved
         self.unproved = report
@@ -109,9 +115,16 @@
         return report.sequence > before.sequence
 
     def is_late(self, report: TargetReport) -> bool:
-        """Whether something newer than a report is known already."""
+        """Whether something newer than a report is known already.
+
+        A start that left without saying when it began is the one that began
+        before then.
+        """
+        is_ready = report.state == ReportedState.READY
         if report.start in self.departed:
-            return report.state == ReportedState.READY
+            return is_ready
+        if is_ready and report.born_ms <= self.departed_at.get(report.instance, NEVER):
+            return True
         if report.start == self.current:
             return bool(report.sequence) and report.sequence <= self.sequence
         return bool(report.born_ms) and report.born_ms < self.current[1]
@@ -124,10 +137,16 @@
         self.sequence = max(self.sequence, report.sequence)
 
     def note_departure(self, start: tuple[str, int]) -> None:
-        """Remember that a start has left."""
+        """Remember that a start has left.
+
+        :param start: its name and beginning; 0 if that is not known.
+        """
         self.departed[start] = None
-        if len(self.departed) > MAX_DEPARTED:
-            self.departed.pop(next(iter(self.departed)))
+        name, born_ms = start
+        if not born_ms:
+            self.departed_at[name] = time.time_ns() // NS_PER_MS
+        _bound(self.departed)
+        _bound(self.departed_at)
 
     def has_left(self, instance: str) -> bool:
         """Whether the present start is this one and has left.
@@ -138,3 +157,9 @@
 
 
 MAX_DEPARTED = 64
+
+
+def _bound(memory: dict[Any, Any]) -> None:
+    """Forget the oldest of too many."""
+    if len(memory) > MAX_DEPARTED:
+        memory.pop(next(iter(memory)))
--- a/packages/node/src/lavendermountd/routing/view.py
+++ b/packages/node/src/lavendermountd/routing/view.py
@@ -82,9 +82,13 @@
         return seen is None or seen.report.is_accepting
 
     def current_load(self, member: Member) -> SeenLoad | None:
-        """Find the newest report of this very incarnation of a node."""
+        """Find the newest report of this incarnation of a node, or a later one.
+
+        A node that started again tells its load before gossip names its new
+        incarnation.
+        """
         seen = self.loads.get(member.node_id)
-        if seen is None or seen.report.incarnation != member.incarnation:
+        if seen is None or seen.report.incarnation < member.incarnation:
             return None
         return seen
 
