Only a departure without a beginning asks for a second report

The rule before asked for two reports of the next start after any departure; with an ordinary one its first report is news by its beginning, and the second one would have cost 1.5 s of its time.

--- a/packages/node/src/lavendermountd/gate/reports.py
+++ b/packages/node/src/lavendermountd/gate/reports.py
@@ -104,9 +104,13 @@
         to the one before: the report may be older than the word that the
         target leaves. A second report, sent later, proves that it does not.
 
+        A departure that named no beginning proves nothing either: it can't be
+        told which reports are older.
+
         :param report: says that the target is ready.
         """
-        if self.current != NO_START and self.current not in self.departed:
+        is_undated = not self.current[1] and self.current in self.departed
+        if self.current != NO_START and not is_undated:
             return True
         before = self.unproved
         self.unproved = report
