--- a/packages/testbed/src/lavendermount_testbed/soak.py
+++ b/packages/testbed/src/lavendermount_testbed/soak.py
@@ -28,7 +28,7 @@
     TargetShape,
     fetch_json,
 )
-from lavendermount_testbed.processes import Process, wait_until
+from lavendermount_testbed.processes import Process, wait_for_port, wait_until
 
 PLACES = (
     ('desk-1', Place('dealer-desk', 'north', 'hn-a')),
@@ -200,6 +200,12 @@
     start_again(instance)
 
 
+def start_target_again(instance: Instance) -> None:
+    """Start a target that was killed, and wait until faults can be put on it."""
+    instance.target.restart()
+    wait_for_port(instance.target_port)
+
+
 @faults.register('kill-node')
 def kill_node(soak: Soak, instance: Instance) -> Undo:
     """Kill a node; its target goes on."""
@@ -226,7 +232,7 @@
     """Kill a target; what it ran is counted first."""
     soak.keep_runs(instance)
     instance.target.kill()
-    return instance.target.restart
+    return lambda: start_target_again(instance)
 
 
 @faults.register('slow-target')
