--- a/packages/testbed/src/lavendermount_testbed/feature_runner.py
+++ b/packages/testbed/src/lavendermount_testbed/feature_runner.py
@@ -101,5 +101,10 @@
     for step in scenario.get('steps', ()):
         outcome = step.get('result', {})
         if outcome.get('status') in RED and outcome.get('error_message'):
-            told = '\n'.join(outcome['error_message'])[:ERROR_CHARS]
+            told = _text_of(outcome['error_message'])[:ERROR_CHARS]
             click.echo(f'{scenario["name"]}: {step["name"]}\n{told}')
+
+
+def _text_of(message: str | list[str]) -> str:
+    """Join what behave gives as lines or as one text."""
+    return message if isinstance(message, str) else '\n'.join(message)
