One piece where the same thing stood twice; less work for each request

An unused attribute of the emulated target is gone. Behaviour and checks as before: formatter, linters, types; emulator, membership, properties, admission, decisions and all of platform/features pass.

--- a/packages/core/src/lavendermount_core/routing/candidates.py
+++ b/packages/core/src/lavendermount_core/routing/candidates.py
@@ -8,6 +8,7 @@
 
 from enum import IntEnum
 
+from lavendermount_core.structure.members import Member
 from lavendermount_core.structure.records import Record
 
 
@@ -20,6 +21,17 @@
     OTHER_REGION = 3
 
 
+def distance_between(one: Member, other: Member) -> Distance:
+    """Tell how far two VMs are from each other."""
+    if one.node_id == other.node_id:
+        return Distance.SAME_VM
+    if one.region != other.region:
+        return Distance.OTHER_REGION
+    if one.zone != other.zone:
+        return Distance.SAME_REGION
+    return Distance.SAME_ZONE
+
+
 class Candidate(Record):
     """One target as the choosing node sees it.
 
--- a/packages/node/src/lavendermountd/gate/admission.py
+++ b/packages/node/src/lavendermountd/gate/admission.py
@@ -104,6 +104,7 @@
         'slots',
         'rules',
         'reserving',
+        'priorities',
         'running',
         'waiting',
         'exclusive',
@@ -115,6 +116,7 @@
         self.slots = slots
         self.rules: dict[str, ClassRule] = {}
         self.reserving: list[ClassRule] = []
+        self.priorities: dict[str, int] = {}
         self.running: dict[str, int] = defaultdict(int)
         self.waiting: dict[str, list[Place]] = {}
         self.exclusive: Ticket | None = None
@@ -148,6 +150,7 @@
         """Take over the classes of a preset; waiting requests stay."""
         self.rules = {rule.name: rule for rule in rules}
         self.reserving = [rule for rule in rules if rule.reserved]
+        self.priorities = {rule.name: rule.priority for rule in rules}
 
     def rule_of(self, call_class: str) -> ClassRule:
         """Find the rule of a class; an unknown class goes last."""
--- a/packages/node/src/lavendermountd/gate/queue.py
+++ b/packages/node/src/lavendermountd/gate/queue.py
@@ -42,9 +42,10 @@
 
     def latest_for(self, request: CallRequest) -> float:
         """Until when a request must be answered to be worth its slot."""
-        rules = self.admission.rules
-        priorities = {name: rule.priority for name, rule in rules.items()}
-        is_urgent = self.work.is_most_urgent(request.call_class.name, priorities)
+        is_urgent = self.work.is_most_urgent(
+            request.call_class.name,
+            self.admission.priorities,
+        )
         if is_urgent or not request.due:
             return request.deadline
         return request.due
--- a/packages/node/src/lavendermountd/gate/reports.py
+++ b/packages/node/src/lavendermountd/gate/reports.py
@@ -7,7 +7,6 @@
 
 import time
 from enum import StrEnum
-from typing import Any
 
 from lavendermount_core.utils.units import NS_PER_MS
 
@@ -87,14 +86,13 @@
     never comes back; only a later start takes its place.
     """
 
-    __slots__ = ('current', 'sequence', 'departed', 'departed_at', 'unproved')
+    __slots__ = ('current', 'sequence', 'departed', 'unproved')
 
     def __init__(self) -> None:
         """Start with no report."""
         self.current: tuple[str, int] = NO_START
         self.sequence = 0
-        self.departed: dict[tuple[str, int], None] = {}
-        self.departed_at: dict[str, int] = {}
+        self.departed: dict[tuple[str, int], int] = {}
         self.unproved: TargetReport | None = None
 
     def is_proved(self, report: TargetReport) -> bool:
@@ -127,7 +125,8 @@
         is_ready = report.state == ReportedState.READY
         if report.start in self.departed:
             return is_ready
-        if is_ready and report.born_ms <= self.departed_at.get(report.instance, NEVER):
+        undated_at = self.departed.get((report.instance, 0), NEVER)
+        if is_ready and report.born_ms <= undated_at:
             return True
         if report.start == self.current:
             return bool(report.sequence) and report.sequence <= self.sequence
@@ -145,12 +144,9 @@
 
         :param start: its name and beginning; 0 if that is not known.
         """
-        self.departed[start] = None
-        name, born_ms = start
-        if not born_ms:
-            self.departed_at[name] = time.time_ns() // NS_PER_MS
-        _bound(self.departed)
-        _bound(self.departed_at)
+        self.departed[start] = time.time_ns() // NS_PER_MS
+        if len(self.departed) > MAX_DEPARTED:
+            self.departed.pop(next(iter(self.departed)))
 
     def has_left(self, instance: str) -> bool:
         """Whether the present start is this one and has left.
@@ -161,9 +157,3 @@
 
 
 MAX_DEPARTED = 64
-
-
-def _bound(memory: dict[Any, Any]) -> None:
-    """Forget the oldest of too many."""
-    if len(memory) > MAX_DEPARTED:
-        memory.pop(next(iter(memory)))
--- a/packages/node/src/lavendermountd/membership/directory.py
+++ b/packages/node/src/lavendermountd/membership/directory.py
@@ -10,11 +10,11 @@
 import logging
 import random
 
-from lavendermount_core.exceptions import LogUnavailableError, RecordError
+from lavendermount_core.exceptions import LogUnavailableError
 from lavendermount_core.log.adapter import KeyedLog, KeyedRecord
-from lavendermount_core.structure.members import Member
-from lavendermount_core.structure.records import pack, unpack
+from lavendermount_core.structure.records import pack
 from lavendermountd.membership.gossip import Gossip
+from lavendermountd.membership.joining import take_join_record
 
 log = logging.getLogger(__name__)
 
@@ -75,7 +75,7 @@
         newest = await self.keyed_log.newest(self.stream)
         self.read_at = now
         for body in newest.bodies.values():
-            self.take(body)
+            take_join_record(self.table, body)
         log.info('members-read', extra={'members': len(self.table.members)})
         await self.introduce()
 
@@ -83,12 +83,3 @@
         """Speak to some of those found, who may not know this node yet."""
         found = self.gossip.nearby() or self.table.living()
         await self.gossip.tell(random.sample(found, min(INTRODUCTIONS, len(found))))
-
-    def take(self, body: bytes) -> None:
-        """Take over a record; its writer may be gone by now."""
-        try:
-            member = Member.checked_from_row(unpack(body))
-        except RecordError as error:
-            log.warning('join-record-malformed', extra={'cause': str(error)})
-            return
-        self.table.merge(member)
--- a/packages/node/src/lavendermountd/membership/joining.py
+++ b/packages/node/src/lavendermountd/membership/joining.py
@@ -20,6 +20,7 @@
 from lavendermount_core.structure.records import pack, unpack
 from lavendermountd.membership.gossip import Gossip
 from lavendermountd.membership.relays import is_relay
+from lavendermountd.membership.table import MemberTable
 
 log = logging.getLogger(__name__)
 
@@ -91,7 +92,7 @@
             if batch is None:
                 continue
             for record in batch.records:
-                self.take(record.body)
+                take_join_record(self.table, record.body)
             self.offset = batch.next_offset
             if self.offset >= batch.end:
                 return
@@ -104,15 +105,6 @@
             self.offset = error.oldest
             return None
 
-    def take(self, body: bytes) -> None:
-        """Take over a join record; its writer may be gone by now."""
-        try:
-            member = Member.checked_from_row(unpack(body))
-        except RecordError as error:
-            log.warning('join-record-malformed', extra={'cause': str(error)})
-            return
-        self.table.merge(member)
-
     async def write_if_due(self) -> None:
         """Write the own record once, and again while this node is a relay."""
         now = asyncio.get_running_loop().time()
@@ -134,6 +126,16 @@
                 await self.gossip.speak(_seed_member(seed, identity.member.region), 1)
 
 
+def take_join_record(table: MemberTable, body: bytes) -> None:
+    """Take over a join record; its writer may be gone by now."""
+    try:
+        member = Member.checked_from_row(unpack(body))
+    except RecordError as error:
+        log.warning('join-record-malformed', extra={'cause': str(error)})
+        return
+    table.merge(member)
+
+
 def _seed_member(address: str, region: str) -> Member:
     host, _, port = address.rpartition(':')
     return Member('', 0, 0, MemberStatus.ALIVE, '', region, '', host, 0, int(port))
--- a/packages/node/src/lavendermountd/routing/view.py
+++ b/packages/node/src/lavendermountd/routing/view.py
@@ -7,7 +7,7 @@
 
 import time
 
-from lavendermount_core.routing.candidates import Candidate, Distance
+from lavendermount_core.routing.candidates import Candidate, Distance, distance_between
 from lavendermount_core.structure.loads import LoadReport
 from lavendermount_core.structure.members import Member
 from lavendermount_core.utils.units import MS_PER_S
@@ -122,14 +122,7 @@
 
     def distance_to(self, member: Member) -> Distance:
         """How far a member is from this node."""
-        mine = self.identity.member
-        if member.node_id == mine.node_id:
-            return Distance.SAME_VM
-        if member.region != mine.region:
-            return Distance.OTHER_REGION
-        if member.zone != mine.zone:
-            return Distance.SAME_REGION
-        return Distance.SAME_ZONE
+        return distance_between(self.identity.member, member)
 
 
 def _unknown_candidate(
--- a/packages/testbed/src/lavendermount_testbed/emulator/network.py
+++ b/packages/testbed/src/lavendermount_testbed/emulator/network.py
@@ -9,7 +9,7 @@
 import time
 from collections import Counter
 
-from lavendermount_core.routing.candidates import Distance
+from lavendermount_core.routing.candidates import Distance, distance_between
 from lavendermount_core.structure.members import Member
 from lavendermount_core.utils.units import MS_PER_S
 from lavendermount_testbed.emulator.scenario import NetworkOptions
@@ -61,14 +61,3 @@
         free_at = max(self.free_at.get((origin, to), 0), now) + size / rate
         self.free_at[origin, to] = free_at
         return free_at - now
-
-
-def distance_between(one: Member, other: Member) -> Distance:
-    """Tell how far two VMs are from each other."""
-    if one.node_id == other.node_id:
-        return Distance.SAME_VM
-    if one.region != other.region:
-        return Distance.OTHER_REGION
-    if one.zone != other.zone:
-        return Distance.SAME_REGION
-    return Distance.SAME_ZONE
--- a/packages/testbed/src/lavendermount_testbed/emulator/node.py
+++ b/packages/testbed/src/lavendermount_testbed/emulator/node.py
@@ -48,10 +48,9 @@
 from lavendermountd.routing.chooser import Chooser
 from lavendermountd.routing.journey import Journey
 from lavendermountd.routing.router import Router
-from lavendermountd.routing.sender import Sender
+from lavendermountd.routing.sender import RETURN_MARGIN_S, Sender
 from lavendermountd.routing.view import LoadView
 
-RETURN_MARGIN_S = 0.02
 RECENT_WORK_S = 3.0
 TOLD_EACH_ROUND = 8
 JITTER = 0.1
--- a/packages/testbed/src/lavendermount_testbed/emulator/target.py
+++ b/packages/testbed/src/lavendermount_testbed/emulator/target.py
@@ -96,7 +96,6 @@
         self.calls = calls
         self.noise = noise
         self.draw = noise.draw
-        self.limit = 0
         self.factor: float = 1
         self.is_up = True
         self.warm_at: float = 0
