Control calls: a failed call no longer cancels others on its channel

Cause: callers share one gRPC channel for each node, and whoever saw a call fail closed it. Closing cancels the calls of other tasks, which then see CancelledError without having been cancelled: a claim query or a gossip round ended without a trace. Ruled out: a deadline of the query (it had 5 s, the round 0.1 s). Change: the pool makes the calls, drops the channel of a failed one and closes it after its last call; a call that is cancelled from below becomes ControlCallError. Causes are logged.

--- a/packages/node/src/lavendermountd/claims/holders.py
+++ b/packages/node/src/lavendermountd/claims/holders.py
@@ -6,15 +6,16 @@
 from __future__ import annotations
 
 import asyncio
-
-import grpc
+import logging
 
 from lavendermount_core.models.calls import CallReply
 from lavendermountd.claims.records import Claim
-from lavendermountd.control.channels import ChannelPool
+from lavendermountd.control.channels import ChannelPool, ControlCallError
 from lavendermountd.control.generated import control_pb2
 from lavendermountd.membership.table import MemberTable
 
+log = logging.getLogger(__name__)
+
 FORGOTTEN = 'forgotten'
 COMPLETE = 'whole'
 
@@ -58,12 +59,16 @@
         if member is None or member.incarnation != claim.incarnation:
             return HolderResponse(FORGOTTEN, None)
         timeout_s = deadline - asyncio.get_running_loop().time()
-        stub = await self.channels.stub_of(member)
         request = control_pb2.ClaimRequest(claim_id=claim.claim_id)
         try:
-            reply = await stub.Claim(request, timeout=max(timeout_s, 0))
-        except grpc.aio.AioRpcError:
-            await self.channels.drop_of(member)
+            reply = await self.channels.call_member(
+                member, 'Claim', request, max(timeout_s, 0)
+            )
+        except ControlCallError as error:
+            log.info(
+                'claim-holder-unreachable',
+                extra={'peer': member.node_id, 'cause': str(error)},
+            )
             return HolderResponse(FORGOTTEN, None)
         return HolderResponse(reply.state, _reply_from(reply))
 
--- a/packages/node/src/lavendermountd/control/channels.py
+++ b/packages/node/src/lavendermountd/control/channels.py
@@ -1,12 +1,18 @@
-"""gRPC channels to the control servers of other nodes.
+"""Control calls to other nodes over a pool of gRPC channels.
 
-:errors: ``grpc.aio.AioRpcError`` from the calls made on a stub.
+:units: seconds.
+:errors: ``ControlCallError`` from a call that failed or timed out.
 """
 
 from __future__ import annotations
 
+import asyncio
+from collections.abc import Awaitable
+from typing import Any
+
 import grpc
 
+from lavendermount_core.exceptions import LavendermountError
 from lavendermount_core.models.members import Member
 from lavendermountd.control.generated.control_pb2_grpc import ControlStub
 from lavendermountd.identity import Identity
@@ -24,10 +30,58 @@
 )
 
 
+class ControlCallError(LavendermountError):
+    """A control call failed; the other node may have handled it nevertheless."""
+
+
+class PooledChannel:
+    """A gRPC channel and the number of calls that use it.
+
+    :param address: IP address and port of the control server.
+    """
+
+    __slots__ = ('channel', 'stub', 'active_calls', 'is_dropped')
+
+    def __init__(self, address: str) -> None:
+        """Open the channel; it connects with the first call."""
+        self.channel = grpc.aio.insecure_channel(address, CHANNEL_OPTIONS)
+        self.stub = ControlStub(self.channel)  # type: ignore[no-untyped-call]
+        self.active_calls = 0
+        self.is_dropped = False
+
+    async def call(self, method: str, request: Any, timeout_s: float) -> Any:
+        """Make one call, and close a dropped channel after its last call.
+
+        :raises ControlCallError: if there is no reply in time.
+        """
+        self.active_calls += 1
+        try:
+            return await _await_reply(
+                getattr(self.stub, method)(request, timeout=timeout_s)
+            )
+        finally:
+            self.active_calls -= 1
+            await self.close_if_unused()
+
+    async def drop(self) -> None:
+        """Close the channel, once no call uses it.
+
+        Closing a channel cancels its calls, and those of other tasks may still
+        get their replies.
+        """
+        self.is_dropped = True
+        await self.close_if_unused()
+
+    async def close_if_unused(self) -> None:
+        """Close a dropped channel that no call uses."""
+        if self.is_dropped and not self.active_calls:
+            await self.channel.close()
+
+
 class ChannelPool:
     """A bounded pool of open channels by address.
 
-    A channel whose call failed is closed, and the next call opens a new one: the
+    A channel whose call failed is dropped, and the next call opens a new one: the
     old connection may never answer again.
 
     :param identity: resolves the control addresses of members.
@@ -38,41 +92,81 @@
     def __init__(self, identity: Identity) -> None:
         """Start without open channels."""
         self.identity = identity
-        self.channels: dict[str, grpc.aio.Channel] = {}
-
-    async def stub_of(self, member: Member) -> ControlStub:
-        """Return a stub for a member; open the channel if necessary."""
-        return await self.stub(self.identity.control_address_of(member))
-
-    async def drop_of(self, member: Member) -> None:
-        """Close the channel to a member."""
-        await self.drop(self.identity.control_address_of(member))
+        self.channels: dict[str, PooledChannel] = {}
+
+    async def call_member(
+        self, member: Member, method: str, request: Any, timeout_s: float
+    ) -> Any:
+        """Call a member.
+
+        :param member: member to call.
+        :param method: name of the control call.
+        :param request: message of that call.
+        :param timeout_s: time within which the reply must arrive.
+        :raises ControlCallError: if it does not.
+        :returns: the reply.
+        """
+        address = self.identity.control_address_of(member)
+        return await self.call(address, method, request, timeout_s)
 
-    async def stub(self, address: str) -> ControlStub:
-        """Return a stub for an address; open the channel if necessary.
+    async def call(
+        self, address: str, method: str, request: Any, timeout_s: float
+    ) -> Any:
+        """Call an address; open the channel if necessary.
 
         :param address: IP address and port.
-        :returns: stub that calls this address.
+        :param method: name of the control call.
+        :param request: message of that call.
+        :param timeout_s: time within which the reply must arrive.
+        :raises ControlCallError: if it does not.
+        :returns: the reply.
         """
-        channel = self.channels.pop(address, None)
-        if channel is None:
+        pooled = self.channels.pop(address, None)
+        if pooled is None:
             await self.evict_if_full()
-            channel = grpc.aio.insecure_channel(address, CHANNEL_OPTIONS)
-        self.channels[address] = channel
-        return ControlStub(channel)  # type: ignore[no-untyped-call]
+            pooled = PooledChannel(address)
+        self.channels[address] = pooled
+        try:
+            return await pooled.call(method, request, timeout_s)
+        except ControlCallError:
+            await self.drop(address, pooled)
+            raise
 
     async def evict_if_full(self) -> None:
-        """Close the least recently used channel if the pool is full."""
+        """Drop the least recently used channel if the pool is full."""
         if len(self.channels) >= MAX_CHANNELS:
-            await self.drop(next(iter(self.channels)))
+            address, pooled = next(iter(self.channels.items()))
+            await self.drop(address, pooled)
 
-    async def drop(self, address: str) -> None:
-        """Close the channel to an address."""
-        channel = self.channels.pop(address, None)
-        if channel is not None:
-            await channel.close()
+    async def drop(self, address: str, pooled: PooledChannel) -> None:
+        """Drop a channel, unless another one replaced it in the meantime."""
+        if self.channels.get(address) is pooled:
+            self.channels.pop(address)
+        await pooled.drop()
 
     async def close(self) -> None:
-        """Close all channels."""
-        for address in tuple(self.channels):
-            await self.drop(address)
+        """Close all channels and cancel their calls."""
+        closing = list(self.channels.values())
+        self.channels.clear()
+        for pooled in closing:
+            await pooled.channel.close()
+
+
+async def _await_reply(reply: Awaitable[Any]) -> Any:
+    """Wait for the reply of a call.
+
+    A call whose channel is closed raises ``CancelledError``, although the task
+    that waits for it was not cancelled; it would end that task without a trace.
+
+    :raises ControlCallError: if the call failed or its channel was closed.
+    """
+    try:
+        return await reply
+    except grpc.aio.AioRpcError as error:
+        cause = error.details() or ''
+        raise ControlCallError(f'{error.code().name}: {cause}') from error
+    except asyncio.CancelledError:
+        task = asyncio.current_task()
+        if task is None or task.cancelling():
+            raise
+        raise ControlCallError('the channel was closed') from None
--- a/packages/node/src/lavendermountd/control/server.py
+++ b/packages/node/src/lavendermountd/control/server.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import time
 from typing import TYPE_CHECKING
 
@@ -14,6 +15,7 @@
 from lavendermount_core.utils.units import MS_PER_S
 from lavendermountd.claims.claims import ClaimState, LocalClaim
 from lavendermountd.claims.holders import FORGOTTEN
+from lavendermountd.control.channels import ControlCallError
 from lavendermountd.control.generated import control_pb2, control_pb2_grpc
 from lavendermountd.control.messages import (
     load_message,
@@ -25,6 +27,8 @@
 if TYPE_CHECKING:
     from lavendermountd.node import Node
 
+log = logging.getLogger(__name__)
+
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 
 
@@ -57,12 +61,12 @@
         context: object,
     ) -> control_pb2.ProbeReply:
         """Probe another node on the caller's behalf."""
-        stub = await self.node.channels.stub(request.address)
         message = self.node.gossip.exchange.minimal_round(None)
+        timeout_s = request.timeout_ms / MS_PER_S
         try:
-            await stub.Gossip(message, timeout=request.timeout_ms / MS_PER_S)
-        except grpc.aio.AioRpcError:
-            await self.node.channels.drop(request.address)
+            await self.node.channels.call(request.address, 'Gossip', message, timeout_s)
+        except ControlCallError as error:
+            log.debug('probe-failed', extra={'cause': str(error)})
             return control_pb2.ProbeReply(is_alive=False)
         return control_pb2.ProbeReply(is_alive=True)
 
--- a/packages/node/src/lavendermountd/membership/gossip.py
+++ b/packages/node/src/lavendermountd/membership/gossip.py
@@ -15,11 +15,9 @@
 import random
 import time
 
-import grpc
-
 from lavendermount_core.models.members import Member, MemberStatus
 from lavendermount_core.utils.units import MS_PER_S
-from lavendermountd.control.channels import ChannelPool
+from lavendermountd.control.channels import ChannelPool, ControlCallError
 from lavendermountd.control.generated import control_pb2
 from lavendermountd.membership.exchange import GossipExchange
 from lavendermountd.membership.relays import is_relay, relays_of
@@ -138,14 +136,14 @@
         message = self.exchange.build(member)
         self.charge(member, message.ByteSize())
         try:
-            stub = await self.channels.stub_of(member)
-            answer = await stub.Gossip(message, timeout=timeout_s)
-        except grpc.aio.AioRpcError as error:
+            answer = await self.channels.call_member(
+                member, 'Gossip', message, timeout_s
+            )
+        except ControlCallError as error:
             log.debug(
                 'gossip-unanswered',
-                extra={'peer': member.node_id, 'cause': str(error.code())},
+                extra={'peer': member.node_id, 'cause': str(error)},
             )
-            await self.channels.drop_of(member)
             return False
         self.exchange.merge(answer)
         return True
@@ -180,9 +178,14 @@
         )
         self.charge(intermediary, request.ByteSize())
         try:
-            stub = await self.channels.stub_of(intermediary)
-            answer = await stub.Probe(request, timeout=2 * timeout_s)
-        except grpc.aio.AioRpcError:
+            answer = await self.channels.call_member(
+                intermediary, 'Probe', request, 2 * timeout_s
+            )
+        except ControlCallError as error:
+            log.debug(
+                'probe-unanswered',
+                extra={'peer': intermediary.node_id, 'cause': str(error)},
+            )
             return False
         return bool(answer.is_alive)
 
--- a/packages/node/src/lavendermountd/presets/catchup.py
+++ b/packages/node/src/lavendermountd/presets/catchup.py
@@ -9,10 +9,8 @@
 import asyncio
 import logging
 
-import grpc
-
 from lavendermount_core.models.members import Member
-from lavendermountd.control.channels import ChannelPool
+from lavendermountd.control.channels import ChannelPool, ControlCallError
 from lavendermountd.control.generated import control_pb2
 from lavendermountd.control.messages import preset_record
 from lavendermountd.presets.holder import PresetHolder
@@ -55,14 +53,11 @@
     async def fetch(self, member: Member) -> None:
         """Request the preset in force from a peer, and adopt it."""
         try:
-            stub = await self.channels.stub_of(member)
-            answer = await stub.Preset(
-                control_pb2.PresetRequest(),
-                timeout=FETCH_TIMEOUT_S,
+            answer = await self.channels.call_member(
+                member, 'Preset', control_pb2.PresetRequest(), FETCH_TIMEOUT_S
             )
-        except grpc.aio.AioRpcError as error:
-            log.info('preset-fetch-failed', extra={'cause': str(error.code())})
-            await self.channels.drop_of(member)
+        except ControlCallError as error:
+            log.info('preset-fetch-failed', extra={'cause': str(error)})
             return
         if answer.is_settled:
             self.holder.adopt(preset_record(answer))
