Readiness: a node is ready only once it knows the members

Change: the joiners note that they have read the members; readiness waits for that. While the log is unavailable, members learned from gossip are enough.

--- a/packages/node/src/lavendermountd/membership/joining.py
+++ b/packages/node/src/lavendermountd/membership/joining.py
@@ -63,6 +63,8 @@
         self.written_at: float = 0
         self.read_at: float = 0
         self.was_relay = False
+        self.has_read_members = False
+        self.is_log_unavailable = False
 
     async def run(self) -> None:
         """Join, and stay discoverable, until cancelled."""
@@ -80,6 +82,9 @@
             await self.write_if_due()
         except LogUnavailableError as error:
             log.info('join-delayed', extra={'cause': str(error)})
+            self.is_log_unavailable = True
+        else:
+            self.is_log_unavailable = False
         if not self.table.living():
             await self.try_seeds()
 
@@ -93,6 +98,7 @@
             return
         await self.read_all()
         self.read_at = now
+        self.has_read_members = True
 
     async def read_all(self) -> None:
         """Read from the last offset to the end of the stream."""
--- a/packages/node/src/lavendermountd/membership/keyed_joining.py
+++ b/packages/node/src/lavendermountd/membership/keyed_joining.py
@@ -46,6 +46,8 @@
         self.written_incarnation = 0
         self.read_at: float = 0
         self.retry_s = INITIAL_RETRY_S
+        self.has_read_members = False
+        self.is_log_unavailable = False
 
     async def run(self) -> None:
         """Join, and read again while no peer is known, until cancelled."""
@@ -54,9 +56,11 @@
                 await self.step()
             except LogUnavailableError as error:
                 log.info('join-delayed', extra={'cause': str(error)})
+                self.is_log_unavailable = True
                 await asyncio.sleep(self.retry_s * (0.5 + random.random()))
                 self.retry_s = min(self.retry_s * 2, MAX_RETRY_S)
             else:
+                self.is_log_unavailable = False
                 self.retry_s = INITIAL_RETRY_S
                 await asyncio.sleep(CHECK_INTERVAL_S)
 
@@ -83,6 +87,7 @@
         self.read_at = now
         for body in newest.bodies.values():
             merge_join_record(self.table, body)
+        self.has_read_members = True
         log.info('members-read', extra={'members': len(self.table.members)})
         await self.announce()
 
--- a/packages/node/src/lavendermountd/node.py
+++ b/packages/node/src/lavendermountd/node.py
@@ -276,8 +276,20 @@
             return str(self.phase)
         if self.holder.current is None:
             return 'no preset is in force'
+        if not self.knows_members():
+            return 'the members have not been read'
         return ''
 
+    def knows_members(self) -> bool:
+        """Return whether the members are known well enough to route requests.
+
+        They are once the joiner has read their records. While the log is
+        unavailable, those that gossip has told of are enough.
+        """
+        if self.joiner.has_read_members:
+            return True
+        return self.joiner.is_log_unavailable and bool(self.table.living())
+
     async def resume_after_freeze(self) -> None:
         """Let the requests of callers proceed once the log is read after a freeze."""
         while True:
