Testbed: each test process reserves a block of ports

Cause: ports were probed, let go and bound later. Change: a test process listens on the first port of a block below that range for as long as it lives, and uses only that block.

--- a/benches/transport.py
+++ b/benches/transport.py
@@ -26,7 +26,7 @@
 
 from benches.measure import percentile, print_figures
 from lavendermount_core.exceptions import PeerLinkError
-from lavendermount_testbed.processes import PortAllocator, wait_for_port
+from lavendermount_testbed.processes import reserved_block, wait_for_port
 from lavendermountd.peer.frame_stream import FrameStream
 from lavendermountd.peer.frames import Answer, BodyPart
 
@@ -208,7 +208,7 @@
     if len(sys.argv) > 1:
         asyncio.run(serve(sys.argv[2], int(sys.argv[3])))
         return
-    ports = PortAllocator()
+    ports = reserved_block()
     for transport in TRANSPORTS:
         measure_transport(transport, ports.allocate())
 
--- a/packages/testbed/src/lavendermount_testbed/processes.py
+++ b/packages/testbed/src/lavendermount_testbed/processes.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import contextlib
+import functools
 import os
 import shutil
 import signal
@@ -21,32 +22,58 @@
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 20.0
 POLL_INTERVAL_S = 0.03
+# Below the ports from which the kernel opens outgoing connections.
 PORT_RANGE_START = 21000
 PORT_RANGE_END = 32000
-PORT_STRIDE = 397
+PORTS_PER_BLOCK = 500
 
 
-class PortAllocator:
-    """Allocates ports that no process listens on."""
+class PortBlock:
+    """Consecutive ports that no other test process uses.
 
-    __slots__ = ('next_port',)
+    The process listens on the first port of the block for as long as it lives;
+    a process that can't bind that port takes another block.
+    """
 
-    def __init__(self) -> None:
-        """Start at a port derived from the process id.
+    __slots__ = ('guard', 'first', 'next_port')
+
+    def __init__(self, guard: socket.socket) -> None:
+        """Start after the port of the guard.
 
-        Concurrent test runs therefore begin at different ports.
+        :param guard: socket that listens on the first port.
         """
-        span = PORT_RANGE_END - PORT_RANGE_START
-        self.next_port = PORT_RANGE_START + (os.getpid() * PORT_STRIDE) % span
+        self.guard = guard
+        self.first: int = guard.getsockname()[1]
+        self.next_port = self.first
+
+    def allocate(self, size: int = 1) -> int:
+        """Return the first of some consecutive ports that nobody listens on.
+
+        The ports are used in turn; at the end of the block, the first ones again.
 
-    def allocate(self) -> int:
-        """Return the next free port; start over at the end of the range."""
+        :param size: number of ports.
+        """
         while True:
-            self.next_port += 1
-            if self.next_port >= PORT_RANGE_END:
-                self.next_port = PORT_RANGE_START
-            if _is_free(self.next_port):
-                return self.next_port
+            first = self.next_port + 1
+            if first + size > self.first + PORTS_PER_BLOCK:
+                first = self.first + 1
+            self.next_port = first + size - 1
+            if all(map(_is_free, range(first, first + size))):
+                return first
+
+
+@functools.cache
+def reserved_block() -> PortBlock:
+    """Reserve a block of ports for this process.
+
+    :raises OSError: if all blocks are reserved.
+    """
+    starts = range(PORT_RANGE_START, PORT_RANGE_END, PORTS_PER_BLOCK)
+    offset = os.getpid() % len(starts)
+    for start in (*starts[offset:], *starts[:offset]):
+        with contextlib.suppress(OSError):
+            return PortBlock(socket.create_server(('127.0.0.1', start)))
+    raise OSError('another test process uses each block of ports')
 
 
 class Process:
@@ -122,7 +149,7 @@
     def __init__(self) -> None:
         """Create a temporary folder for files."""
         self.folder = Path(tempfile.mkdtemp(prefix='lavendermount-'))
-        self.ports = PortAllocator()
+        self.ports = reserved_block()
         self.processes: dict[str, Process] = {}
 
     def start(self, name: str, arguments: list[str]) -> Process:
