Targets: recovery within 15 s; stops: connections in regular use, discarded bytes

Copies of hedged requests that lost the race after a few milliseconds counted as evidence that a target hangs and refreshed its averages, so old failures never expired; a success took off only a tenth of the failures, whatever the time since the last one; and an avoided target was tried every 5 s, so 'more than three requests in 20 s' was met only just. Ruled out: failures of the other targets (their ratios rose without a failed reply). Change: a cancelled request counts only if it ran at least as long as usual; a success takes off more the rarer requests are, 99% within the recovery time of 15 s; averages expire after a fifth of that time. Possible: a caller that uses a connection every 2 s sends its next request just as the stop closes it as idle. Such a connection is now kept for twice its usual time between requests, and bytes that arrive after a close are logged (request-discarded).

--- a/features/bad_targets.feature
+++ b/features/bad_targets.feature
@@ -27,6 +27,20 @@
     And 60 requests are sent to node 1
     Then node 1 soon reports no failures of its target
 
+  Scenario Outline: Failures lose their weight within the recovery time, however few requests follow
+    When a target that failed every request completes one every <seconds> s
+    Then its failure ratio is below 1% after 15 s
+
+    Examples:
+      | seconds |
+      | 0.5     |
+      | 2       |
+      | 4.9     |
+
+  Scenario: Copies that lose a race do not count against a target
+    Then a target whose requests are cancelled sooner than it usually replies keeps its averages
+    And the averages of such a target expire as if it got no requests
+
   Scenario: A restarted target receives requests again
     Given a deployment of 1 nodes
     When the target of node 1 is killed
--- a/features/builders.py
+++ b/features/builders.py
@@ -31,6 +31,18 @@
 )
 
 
+class FakeClock:
+    """A monotonic clock that tests advance."""
+
+    def __init__(self) -> None:
+        """Start at an arbitrary time."""
+        self.now = 1000.0
+
+    def monotonic(self) -> float:
+        """Return the current time."""
+        return self.now
+
+
 def preset_text(name: str = 'ordinary', **changes: str) -> str:
     """Build a preset that routes the two example services.
 
--- a/features/steps/fault_steps.py
+++ b/features/steps/fault_steps.py
@@ -6,11 +6,18 @@
 import json
 import time
 from typing import Any
-from unittest.mock import Mock
+from unittest.mock import Mock, patch
 from urllib.request import Request, urlopen
 
 from behave import then, when
-from builders import NODE_SETTINGS, call_request, gate_with_target, member, preset_text
+from builders import (
+    NODE_SETTINGS,
+    FakeClock,
+    call_request,
+    gate_with_target,
+    member,
+    preset_text,
+)
 from deployment_steps import instance_of
 from hypothesis import given as generated
 from hypothesis import strategies as st
@@ -32,12 +39,14 @@
 from lavendermountd.claims.stream import ClaimFold
 from lavendermountd.gate.attempts import Attempt, Progress
 from lavendermountd.gate.suspects import SuspectTable, Verdict
-from lavendermountd.gate.target import TargetState
+from lavendermountd.gate.target import Target, TargetState
 from lavendermountd.node import Node
 from lavendermountd.peer.frames import CrashSuspicion
 from lavendermountd.presets.holder import InForcePreset
 
 RECOVERY_LIMIT_S = 20
+# Time within which a target that has recovered is used like the others.
+TARGET_RECOVERY_S = 15
 
 
 @when('the targets take {service_ms:d} ms')
@@ -519,6 +528,56 @@
     )
 
 
+@when('a target that failed every request completes one every {seconds:g} s')
+def recover_with_few_requests(context: Any, seconds: float) -> None:
+    """Let a target fail 60 requests, then complete one at each interval."""
+    clock = FakeClock()
+    context.target = Target()
+    context.clock = clock
+    with patch('lavendermountd.gate.target.time', clock):
+        for _ in range(60):
+            context.target.observe(5, is_failure=True)
+        recovered_at = clock.now
+        while clock.now + seconds <= recovered_at + TARGET_RECOVERY_S:
+            clock.now += seconds
+            context.target.observe(5, is_failure=False)
+        clock.now = recovered_at + TARGET_RECOVERY_S
+
+
+@then('its failure ratio is below {percent:g}% after 15 s')
+def failure_ratio_is_low(context: Any, percent: float) -> None:
+    """Check the ratio that the gate reports now."""
+    ratio = context.target.current_failure_ratio(context.clock.now)
+    assert ratio < percent / 100, ratio
+
+
+@then(
+    'a target whose requests are cancelled sooner than it usually replies '
+    'keeps its averages'
+)
+def cancelled_early(context: Any) -> None:
+    """Cancel ten requests after half of the usual time."""
+    context.clock = FakeClock()
+    context.target = Target()
+    with patch('lavendermountd.gate.target.time', context.clock):
+        for _ in range(5):
+            context.target.observe(100, is_failure=False)
+        for _ in range(10):
+            context.target.observe_cancelled(50)
+        assert context.target.current_failure_ratio(context.clock.now) == 0
+        assert context.target.current_service_ms(context.clock.now) == 100
+
+
+@then('the averages of such a target expire as if it got no requests')
+def cancelled_do_not_refresh(context: Any) -> None:
+    """Cancel a request every second; nothing else is sent."""
+    with patch('lavendermountd.gate.target.time', context.clock):
+        for _ in range(6):
+            context.clock.now += 1
+            context.target.observe_cancelled(50)
+        assert context.target.is_expired(context.clock.now)
+
+
 @then('node {number:d} soon reports no failures of its target')
 def failures_expire(context: Any, number: int) -> None:
     """Check that the node's own load report has failures and later has none."""
--- a/features/steps/property_steps.py
+++ b/features/steps/property_steps.py
@@ -10,7 +10,13 @@
 from unittest.mock import patch
 
 from behave import then
-from builders import gate_without_target, load_report, member, preset_text
+from builders import (
+    FakeClock,
+    gate_without_target,
+    load_report,
+    member,
+    preset_text,
+)
 from hypothesis import given as generated
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -33,18 +39,6 @@
 LIMITS = RequestLimits(16384, 65536)
 
 
-class FakeClock:
-    """A monotonic clock that tests advance."""
-
-    def __init__(self) -> None:
-        """Start at an arbitrary time."""
-        self.now = 1000.0
-
-    def monotonic(self) -> float:
-        """Return the current time."""
-        return self.now
-
-
 def retry_options() -> RetryOptions:
     """Build a retry budget: a share of the requests and a constant part."""
     options, findings = RetryOptions.load(
--- a/packages/node/src/lavendermountd/caller/connection.py
+++ b/packages/node/src/lavendermountd/caller/connection.py
@@ -32,6 +32,11 @@
 READ_BYTES = 65536
 MAX_PIPELINED = 16
 LINGER_S = 1.0
+# A connection in regular use counts as unused after this multiple of its usual
+# time between two requests.
+UNUSED_GAP_FACTOR = 2
+# A longer time before that is forgotten by this factor with each request.
+OLD_GAP_WEIGHT = 0.5
 CONTINUE_RESPONSE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -49,7 +54,9 @@
         'exchanges',
         'state_changed',
         'used_at',
+        'usual_gap_s',
         'is_closing',
+        'discarded_bytes',
         'reader',
     )
 
@@ -61,7 +68,9 @@
         self.exchanges: deque[CallExchange] = deque()
         self.state_changed = asyncio.Event()
         self.used_at = time.monotonic()
+        self.usual_gap_s: float = 0
         self.is_closing = False
+        self.discarded_bytes = 0
         self.reader: asyncio.Task[None] | None = None
 
     @property
@@ -112,9 +121,20 @@
             except StreamClosedError:
                 self.handle_disconnect()
                 return
-            if not self.is_closing:
-                self.used_at = time.monotonic()
-                self.process_chunk(chunk)
+            self.take_chunk(chunk)
+
+    def take_chunk(self, chunk: bytes) -> None:
+        """Process a chunk, or discard it if no further request is accepted."""
+        if self.is_closing:
+            self.discarded_bytes += len(chunk)
+            return
+        now = time.monotonic()
+        if self.is_idle:
+            self.usual_gap_s = max(
+                now - self.used_at, self.usual_gap_s * OLD_GAP_WEIGHT
+            )
+        self.used_at = now
+        self.process_chunk(chunk)
 
     async def wait_for_change(self) -> None:
         """Wait until a request starts or ends, or no further one is accepted."""
@@ -199,17 +219,29 @@
             self.stream.socket.shutdown(socket.SHUT_WR)
         if self.reader is not None:
             await asyncio.wait({self.reader}, timeout=LINGER_S)
+        if self.discarded_bytes:
+            log.warning(
+                'request-discarded',
+                extra={
+                    'bytes': self.discarded_bytes,
+                    'idle_s': round(time.monotonic() - self.used_at, 3),
+                    'is_stopping': self.service.is_stopping,
+                },
+            )
 
     def close_if_idle(self, idle_s: float) -> None:
         """Close the connection if it was unused for some time.
 
         A caller that used it just now may be sending the next request, which
         would arrive after the close and be lost; its connection is closed with
-        the next reply instead.
+        the next reply instead. The same holds for a connection on which the next
+        request is due, judged by the times between the previous ones.
 
-        :param idle_s: minimum time without use.
+        :param idle_s: minimum time without use; 0 closes the connection in any
+            case, unless a request is in progress.
         """
-        if self.is_idle and time.monotonic() - self.used_at >= idle_s:
+        unused_s = idle_s and max(idle_s, UNUSED_GAP_FACTOR * self.usual_gap_s)
+        if self.is_idle and time.monotonic() - self.used_at >= unused_s:
             self.stop_accepting()
 
 
--- a/packages/node/src/lavendermountd/gate/target.py
+++ b/packages/node/src/lavendermountd/gate/target.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from enum import StrEnum
 
@@ -15,13 +16,21 @@
 # Weights of a new sample in the moving averages.
 SERVICE_TIME_WEIGHT = 0.1
 FAILURE_WEIGHT = 0.1
-AVERAGE_EXPIRY_S = 5.0
+# Time within which a target that has recovered is used like the others.
+RECOVERY_S = 15.0
+# Within the recovery time, a target that is avoided is tried this many times.
+RECOVERY_TRIES = 5
+AVERAGE_EXPIRY_S = RECOVERY_S / RECOVERY_TRIES
+# Within the recovery time, earlier failures lose 99% of their weight.
+FAILURE_DECAY_S = RECOVERY_S / math.log(100)
 SLOWNESS_EXPIRY_S = 0.5
 WARM_UPTIME_S = 3600.0
 # Up to this slowness, run times count as those of a VM that is not slow.
 MAX_NORMAL_SLOWNESS = 1.3
 # Consecutive cancelled requests from which on the target is presumed to hang.
 HANG_THRESHOLD = 2
+# A cancelled request counts only if it ran at least this long.
+MIN_CANCELLED_MS = 20.0
 
 
 class TargetState(StrEnum):
@@ -46,6 +55,7 @@
         'ready_at',
         'start_number',
         'service_ms',
+        'replied_ms',
         'failure_ratio',
         'running_since',
         'observed_at',
@@ -67,6 +77,8 @@
         self.ready_at: float = 0
         self.start_number = 0
         self.service_ms: float = 0
+        # Mean service time of the requests that the target answered.
+        self.replied_ms: float = 0
         self.failure_ratio: float = 0
         self.running_since: dict[str, float] = {}
         self.observed_at: float = 0
@@ -121,6 +133,7 @@
         self.start_number += 1
         self.state = TargetState.UP
         self.service_ms = 0
+        self.replied_ms = 0
         self.failure_ratio = 0
 
     def record_slowness(self, slowness: float, now: float) -> None:
@@ -153,12 +166,16 @@
         :param elapsed_ms: time from the start of the exchange to its end.
         :param is_failure: whether the target failed to answer correctly.
         """
-        self.reset_if_expired(time.monotonic())
+        now = time.monotonic()
+        elapsed_s = now - self.observed_at
+        self.reset_if_expired(now)
         self.consecutive_cancelled = 0
-        self.failure_ratio += FAILURE_WEIGHT * (is_failure - self.failure_ratio)
         if is_failure:
+            self.failure_ratio += FAILURE_WEIGHT * (1 - self.failure_ratio)
             return
+        self.failure_ratio *= _failure_decay(elapsed_s)
         self.add_service_time(elapsed_ms)
+        self.replied_ms = _moving_average(self.replied_ms, elapsed_ms)
 
     def observe_cancelled(self, elapsed_ms: float) -> None:
         """Add a request that was cancelled before the target answered.
@@ -169,9 +186,15 @@
         between, the target is presumed to hang and a failure is added, unless
         its VM is known to have been slow just now.
 
+        A request that ran shorter than usual shows nothing: it is often the
+        second copy of a request whose first copy was answered. It must not keep
+        the averages of a target alive that gets no other requests.
+
         :param elapsed_ms: time from the start of the exchange to its
             cancellation.
         """
+        if elapsed_ms < max(self.replied_ms, MIN_CANCELLED_MS):
+            return
         now = time.monotonic()
         self.reset_if_expired(now)
         self.consecutive_cancelled += 1
@@ -197,9 +220,7 @@
 
     def add_service_time(self, elapsed_ms: float) -> None:
         """Add one sample to the average service time."""
-        if not self.service_ms:
-            self.service_ms = elapsed_ms
-        self.service_ms += SERVICE_TIME_WEIGHT * (elapsed_ms - self.service_ms)
+        self.service_ms = _moving_average(self.service_ms, elapsed_ms)
 
     def is_expired(self, now: float) -> bool:
         """Whether the averages are too old to be used."""
@@ -231,3 +252,20 @@
         :returns: milliseconds.
         """
         return int((now - self.ready_at) * MS_PER_S)
+
+
+def _moving_average(average_ms: float, sample_ms: float) -> float:
+    """Add a sample to an average; the first sample becomes the average."""
+    if not average_ms:
+        return sample_ms
+    return average_ms + SERVICE_TIME_WEIGHT * (sample_ms - average_ms)
+
+
+def _failure_decay(elapsed_s: float) -> float:
+    """Factor by which a success reduces the failure ratio.
+
+    It falls with the time since the previous sample. With a fixed factor, a target
+    that gets few requests because it failed would need minutes to show that it has
+    recovered.
+    """
+    return (1 - FAILURE_WEIGHT) * math.exp(-elapsed_s / FAILURE_DECAY_S)
