Malformed input: endless replies, late second copies, numbers out of range

The text 'the reply body is too large' was lost in the parser. Ruled out by tests that pass before and after: chunked replies that break off, random bytes and malformed frames on every port of a node, arbitrary bytes in the decoders of members, claims, presets and decisions. Change: heads, trailers and interim replies are limited to 64 KiB (128 KiB received); native targets may repeat X-Request-Id, and replies that name another request end their connection; numbers are checked where they enter; each decoder raises only its declared error.

--- a/packages/core/src/lavendermount_core/models/loads.py
+++ b/packages/core/src/lavendermount_core/models/loads.py
@@ -5,8 +5,14 @@
 
 from __future__ import annotations
 
+from typing import Any, Self
+
+from lavendermount_core.exceptions import RecordError
 from lavendermount_core.models.records import Record
 
+# Load reports travel in messages with 32-bit counts.
+MAX_COUNT = 1_000_000
+
 
 class LoadReport(Record):
     """Load of a target as of the time its node writes the report.
@@ -71,3 +77,15 @@
         self.warm_ms = warm_ms
         self.is_accepting = is_accepting
         self.slowness = slowness
+
+    @classmethod
+    def from_row(cls, row: Any) -> Self:
+        """Build a report from its row.
+
+        :raises RecordError: if the row is malformed or a count is out of range.
+        """
+        report = super().from_row(row)
+        for count in (report.in_flight, report.queued, report.slots):
+            if not isinstance(count, int) or not 0 <= count <= MAX_COUNT:
+                raise RecordError(f'LoadReport: {count!r} is out of range')
+        return report
--- a/packages/core/src/lavendermount_core/models/members.py
+++ b/packages/core/src/lavendermount_core/models/members.py
@@ -6,9 +6,16 @@
 from __future__ import annotations
 
 from enum import IntEnum
+from typing import Any, Self
 
+from lavendermount_core.exceptions import RecordError
 from lavendermount_core.models.records import Record
 
+# Members travel in messages with 64-bit counters.
+COUNTER_BITS = 62
+MAX_COUNTER = 1 << COUNTER_BITS
+MAX_PORT = 65535
+
 
 class MemberStatus(IntEnum):
     """Liveness of a member; at equal incarnation and version the higher value wins."""
@@ -74,6 +81,23 @@
         self.peer_port = peer_port
         self.control_port = control_port
 
+    @classmethod
+    def checked_from_row(cls, row: Any) -> Self:
+        """Build a member from an untrusted row.
+
+        :raises RecordError: if the row is malformed or a number is out of range.
+        """
+        member = super().checked_from_row(row)
+        counters = (member.incarnation, member.version)
+        ports = (member.peer_port, member.control_port)
+        if not all(0 <= counter <= MAX_COUNTER for counter in counters):
+            raise RecordError('Member: incarnation or version is out of range')
+        if not all(0 <= port <= MAX_PORT for port in ports):
+            raise RecordError('Member: a port is out of range')
+        if member.status not in tuple(MemberStatus):
+            raise RecordError(f'Member: unknown status {member.status}')
+        return member
+
     @property
     def is_available(self) -> bool:
         """Whether new requests may be sent to the member."""
--- a/packages/node/src/lavendermountd/dialects/native.py
+++ b/packages/node/src/lavendermountd/dialects/native.py
@@ -15,7 +15,7 @@
 from lavendermountd.caller.headers import drop_headers
 from lavendermountd.caller.problems import problem_reply
 from lavendermountd.dialects.base import CallMetadata, Dialect, ReplyMetadata, dialects
-from lavendermountd.http1.messages import find_header
+from lavendermountd.http1.messages import find_header, is_decimal
 
 REQUEST_ID_HEADER = 'X-Request-Id'
 DEADLINE_HEADER = 'X-Deadline-Ms'
@@ -25,13 +25,12 @@
 
 @dialects.register('native')
 class NativeDialect(Dialect):
-    """Assigns request identifiers and accepts every reply of a target."""
+    """Assigns request identifiers; targets may repeat them in their replies."""
 
     def read_call_metadata(self, headers: Headers) -> CallMetadata:
         """Read the deadline; an identifier sent by the caller is ignored."""
         text = find_header(headers, DEADLINE_HEADER.lower())
-        is_number = text.isascii() and text.isdigit()
-        return CallMetadata('', int(text) if is_number else None)
+        return CallMetadata('', int(text) if is_decimal(text) else None)
 
     def forwarded_headers(
         self, headers: Headers, request_id: str, origin: str
@@ -54,8 +53,11 @@
         return [(DEADLINE_HEADER, str(remaining_ms))]
 
     def read_reply(self, status: int, headers: Headers) -> ReplyMetadata:
-        """Return defaults: targets of this dialect send no metadata."""
-        return ReplyMetadata()
+        """Read the request identifier, which targets may repeat in their replies.
+
+        It tells a late second copy of a reply from that to the next request.
+        """
+        return ReplyMetadata(find_header(headers, REQUEST_ID_HEADER.lower()))
 
     def returned_headers(self, headers: Headers, request_id: str) -> Headers:
         """Add the request identifier."""
--- a/packages/node/src/lavendermountd/http1/messages.py
+++ b/packages/node/src/lavendermountd/http1/messages.py
@@ -12,6 +12,8 @@
 
 CONTENT_LENGTH = 'content-length'
 TRANSFER_ENCODING = 'transfer-encoding'
+# Longer numbers in headers can't be times or sizes; int() refuses very long ones.
+MAX_HEADER_DIGITS = 15
 NO_BODY_STATUS = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 
 
@@ -100,3 +102,8 @@
     lines.extend(f'{name}: {text}' for name, text in headers)
     lines.append('\r\n')
     return '\r\n'.join(lines).encode('latin-1')
+
+
+def is_decimal(text: str, max_digits: int = MAX_HEADER_DIGITS) -> bool:
+    """Return whether a header is a decimal number of a bounded length."""
+    return len(text) <= max_digits and text.isascii() and text.isdigit()
--- a/packages/node/src/lavendermountd/http1/reply_parser.py
+++ b/packages/node/src/lavendermountd/http1/reply_parser.py
@@ -18,6 +18,8 @@
 )
 
 FIRST_FINAL_STATUS = 200
+MAX_REPLY_HEAD_BYTES = 65536
+HEAD_TOO_LARGE = 'the reply head is too large'
 
 
 class ReplyError(Exception):
@@ -41,6 +43,10 @@
         'headers',
         'parts',
         'body_size',
+        'head_size',
+        'head_received_size',
+        'is_reading_body',
+        'failure',
     )
 
     def __init__(self, max_body: int) -> None:
@@ -55,6 +61,11 @@
         self.headers: Headers = []
         self.parts: list[bytes] = []
         self.body_size = 0
+        self.head_size = 0
+        self.head_received_size = 0
+        self.is_reading_body = False
+        # Why a callback has refused the reply; the parser drops its error.
+        self.failure = ''
 
     def feed(self, chunk: bytes) -> list[WireReply]:
         """Parse a chunk of data.
@@ -64,10 +75,15 @@
             the error stay in ``complete_replies``.
         :returns: the replies completed by this chunk.
         """
+        # The parser reports a header only once it is complete, so a head that never
+        # ends, or interim replies without end, are limited by the bytes received.
+        self.head_received_size += 0 if self.is_reading_body else len(chunk)
         try:
             self.parser.feed_data(chunk)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            raise ReplyError(str(error)) from error
+            raise ReplyError(self.failure or str(error)) from error
+        if self.head_received_size > 2 * MAX_REPLY_HEAD_BYTES:
+            raise ReplyError(HEAD_TOO_LARGE)
         return self.take_complete()
 
     def take_complete(self) -> list[WireReply]:
@@ -93,19 +109,32 @@
         self.headers = []
         self.parts = []
         self.body_size = 0
+        self.head_size = 0
+        self.is_reading_body = False
 
     def on_status(self, reason: bytes) -> None:
         """Append to the reason phrase."""
         self.reason += reason
 
     def on_header(self, name: bytes, text: bytes) -> None:
-        """Store a header."""
+        """Store a header, or a trailer after the body.
+
+        :raises ReplyError: if the headers exceed the size limit.
+        """
+        self.head_size += len(name) + len(text)
+        if self.head_size > MAX_REPLY_HEAD_BYTES:
+            self.failure = HEAD_TOO_LARGE
+            raise ReplyError(self.failure)
         self.headers.append((name.decode('latin-1'), text.decode('latin-1')))
 
     def on_headers_complete(self) -> None:
         """Determine how the body is delimited."""
         status = self.parser.get_status_code()
-        if status < FIRST_FINAL_STATUS or status in NO_BODY_STATUS:
+        if status < FIRST_FINAL_STATUS:
+            return
+        self.head_received_size = 0
+        self.is_reading_body = True
+        if status in NO_BODY_STATUS:
             return
         if self.is_head_request:
             self.add_complete(keeps_alive=False)
@@ -122,7 +151,8 @@
         """
         self.body_size += len(part)
         if self.body_size > self.max_body:
-            raise ReplyError('the reply body is too large')
+            self.failure = 'the reply body is too large'
+            raise ReplyError(self.failure)
         self.parts.append(part)
 
     def on_message_complete(self) -> None:
@@ -137,6 +167,7 @@
         """Build the current reply and add it to the complete ones."""
         self.is_between_messages = True
         self.is_close_delimited = False
+        self.is_reading_body = False
         self.complete_replies.append(
             WireReply(
                 self.parser.get_status_code(),
--- a/packages/node/src/lavendermountd/peer/frames.py
+++ b/packages/node/src/lavendermountd/peer/frames.py
@@ -255,6 +255,15 @@
         self.remaining_ms = remaining_ms
 
 
+# What handling a frame raises if a field has the wrong type or value.
+MALFORMED_FRAME_ERRORS = (
+    RecordError,
+    TypeError,
+    ValueError,
+    LookupError,
+    AttributeError,
+    AssertionError,
+)
 KIND_BY_CLASS = MappingProxyType(
     {frame_class: kind for kind, frame_class in frame_kinds.entries.items()},
 )
--- a/packages/node/src/lavendermountd/peer/link.py
+++ b/packages/node/src/lavendermountd/peer/link.py
@@ -15,7 +15,7 @@
 from returns.result import Failure, Success
 from tornado.iostream import IOStream, StreamClosedError
 
-from lavendermount_core.exceptions import PeerLinkError, RecordError
+from lavendermount_core.exceptions import PeerLinkError
 from lavendermount_core.models.calls import CallReply, Refusal
 from lavendermount_core.models.loads import LoadReport
 from lavendermount_core.models.members import Member
@@ -25,6 +25,7 @@
 from lavendermountd.peer.bodies import BodyAssembler
 from lavendermountd.peer.frame_stream import FrameStream
 from lavendermountd.peer.frames import (
+    MALFORMED_FRAME_ERRORS,
     Answer,
     BodyPart,
     CrashSuspicion,
@@ -128,10 +129,10 @@
             await self.handle_frames()
         except PeerLinkError:
             log.debug('link-closed', extra={'peer': self.member.node_id})
-        except RecordError as error:
+        except MALFORMED_FRAME_ERRORS as error:
             log.warning(
                 'link-frame-malformed',
-                extra={'peer': self.member.node_id, 'cause': str(error)},
+                extra={'peer': self.member.node_id, 'cause': repr(error)},
             )
         finally:
             self.close()
--- a/packages/node/src/lavendermountd/peer/server.py
+++ b/packages/node/src/lavendermountd/peer/server.py
@@ -14,7 +14,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpserver import TCPServer
 
-from lavendermount_core.exceptions import PeerLinkError, RecordError
+from lavendermount_core.exceptions import PeerLinkError
 from lavendermount_core.models.calls import (
     CallClass,
     CallReply,
@@ -31,6 +31,7 @@
 from lavendermountd.peer.bodies import BodyAssembler
 from lavendermountd.peer.frame_stream import FrameStream
 from lavendermountd.peer.frames import (
+    MALFORMED_FRAME_ERRORS,
     MAX_PART_BYTES,
     Answer,
     BodyPart,
@@ -78,7 +79,7 @@
             await self.serve_frames(guard)
         except PeerLinkError:
             log.debug('peer-disconnected')
-        except RecordError as error:
+        except MALFORMED_FRAME_ERRORS as error:
             log.warning('peer-frame-malformed', extra={'cause': str(error)})
         finally:
             self.frames.close()
--- a/packages/testbed/src/lavendermount_testbed/target_server.py
+++ b/packages/testbed/src/lavendermount_testbed/target_server.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import hashlib
 import json
 import os
@@ -35,6 +36,7 @@
 from lavendermount_core.utils.units import MS_PER_S
 from lavendermount_testbed.caller import CallerPool
 
+ENDLESS_PART_BYTES = 16384
 CONTROL_PATH = '/.control'
 CRASH_EXIT_CODE = 13
 RUN_COUNT_FIELDS = frozenset(('ran', 'ran_posts'))
@@ -61,6 +63,8 @@
         'fail_status',
         'retry_after',
         'truncate',
+        'endless',
+        'second_copy_ms',
         'silent',
         'ran',
         'ran_posts',
@@ -78,6 +82,8 @@
         self.fail_status = 0
         self.retry_after = ''
         self.truncate = False
+        self.endless = False
+        self.second_copy_ms = 0
         self.silent = False
         self.ran: Counter[str] = Counter()
         self.ran_posts: Counter[str] = Counter()
@@ -163,11 +169,40 @@
         if behaviour.fail_status:
             self.write_response(behaviour.fail_status, b'failed')
             return
+        if behaviour.endless:
+            await self.write_without_end()
+            return
         async with self.server.slots:
             self.record_run()
             await asyncio.sleep(behaviour.next_service_s())
         inner = await self.send_nested_request()
         self.write_response(HTTPStatus.OK, self.build_body(inner))
+        if behaviour.second_copy_ms:
+            await self.write_second_copy(behaviour.second_copy_ms, inner)
+
+    async def write_without_end(self) -> None:
+        """Write a header until the node closes the connection."""
+        stream = self.connection.stream  # type: ignore[attr-defined]
+        with contextlib.suppress(StreamClosedError):
+            await stream.write(b'HTTP/1.1 200 OK\r\nX-Endless: ')
+            while True:
+                await stream.write(b'x' * ENDLESS_PART_BYTES)
+
+    async def write_second_copy(
+        self, delay_ms: float, inner: dict[str, object] | None
+    ) -> None:
+        """Write the reply again, late; the connection may be in use again."""
+        await asyncio.sleep(delay_ms / MS_PER_S)
+        body = self.build_body(inner)
+        lines = ['HTTP/1.1 200 OK', f'Content-Length: {len(body)}', *self.id_lines()]
+        head = '\r\n'.join((*lines, '', '')).encode()
+        with contextlib.suppress(StreamClosedError):
+            await self.connection.stream.write(head + body)  # type: ignore[attr-defined]
+
+    def id_lines(self) -> list[str]:
+        """Build the header that repeats the request's identifier, if it has one."""
+        request_id = self.headers.get('X-Request-Id', '')
+        return [f'X-Request-Id: {request_id}'] if request_id else []
 
     def handle_control(self) -> None:
         """Set faults if the method is POST and respond with the counters."""
@@ -232,6 +267,8 @@
         behaviour = self.server.behaviour
         headers = HTTPHeaders({'Content-Type': 'application/json'})
         headers['Content-Length'] = str(len(body))
+        for line in self.id_lines():
+            headers.parse_line(line)
         if behaviour.fail_status and behaviour.retry_after:
             headers['Retry-After'] = behaviour.retry_after
         start_line = ResponseStartLine('HTTP/1.1', status, 'OK')
