--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -92,6 +92,9 @@
   Scenario: Claims agree with a naive implementation on generated streams
     Then the claim fold agrees with a naive implementation on generated streams
 
+  Scenario: A claim that the log has lost still counts
+    Then a claim that the log lost is known to a node that had read it
+
   Scenario: A request that crashes its targets is refused after two crashes
     Given a deployment of 4 nodes
     When a crashing request is sent 6 times together with unrelated requests
--- a/features/fakes.py
+++ b/features/fakes.py
@@ -17,11 +17,17 @@
 )
 from lavendermount_core.log.adapter import (
     KeyedRecord,
+    LogAdapter,
     LogBatch,
     LogRecord,
     NewestRecords,
+    join_position,
+    split_position,
 )
 from lavendermount_core.models.calls import CallReply, CallRequest, Reason
+from lavendermountd.claims.claims import ClaimService, ClaimState
+from lavendermountd.claims.holders import FORGOTTEN, HolderResponse
+from lavendermountd.claims.records import Claim
 from lavendermountd.dialects.base import ReplyMetadata
 from lavendermountd.gate.attempts import Attempt, AttemptResult, Progress
 from lavendermountd.gate.gate import Gate
@@ -209,6 +215,117 @@
         return KeyedRecord('config', body)
 
 
+class FakeClaimLog(LogAdapter):
+    """One node's client of a log of claims that can lose its latest records.
+
+    :param stored: the log that all nodes share.
+    """
+
+    def __init__(self, stored: StoredLog) -> None:
+        """Connect to the log."""
+        super().__init__()
+        self.stored = stored
+        # Seconds until the log answers this node.
+        self.delay_s = 0.0
+
+    async def append(self, stream: str, body: bytes) -> int:
+        """Append a record; the answer may come late or never."""
+        await asyncio.sleep(0)
+        self.check_available()
+        self.stored.records.append(body)
+        position = join_position(self.stored.era, len(self.stored.records) - 1)
+        await asyncio.sleep(self.delay_s)
+        self.check_available()
+        self.check_era(split_position(position)[0])
+        return position
+
+    async def read(self, stream: str, offset: int, wait_s: float = 0) -> LogBatch:
+        """Read all records from an offset on, after the delay.
+
+        :raises LogEvictedError: if records from there on were evicted.
+        """
+        await asyncio.sleep(self.delay_s)
+        self.check_available()
+        stored = self.stored
+        self.check_era(stored.era)
+        start = split_position(offset)[1]
+        oldest = join_position(stored.era, stored.oldest)
+        if start < stored.oldest or start > len(stored.records):
+            raise LogEvictedError(stream, oldest)
+        self.check_position(stream, offset, stored.oldest)
+        rows = [
+            LogRecord(join_position(stored.era, index), body)
+            for index, body in enumerate(stored.records)
+            if index >= start
+        ]
+        end = join_position(stored.era, len(stored.records))
+        return LogBatch(oldest, end, end, rows)
+
+    def check_available(self) -> None:
+        """Raise an error while the log is unavailable."""
+        if self.stored.is_unavailable:
+            raise LogUnavailableError('the fake log is unavailable')
+
+
+class StoredLog:
+    """Records of the log of claims."""
+
+    def __init__(self) -> None:
+        """Start empty, in era 0."""
+        self.records: list[bytes] = []
+        self.oldest = 0
+        self.era = 0
+        self.is_unavailable = False
+
+    def lose_latest(self, count: int) -> None:
+        """Come back from a copy that lacks the latest records."""
+        self.records = self.records[: max(self.oldest, len(self.records) - count)]
+        self.era += 1
+
+
+class FakeHolders:
+    """Queries the claims of other nodes without a network.
+
+    :param services: claim services of the running nodes by incarnation.
+    """
+
+    def __init__(self, services: dict[int, ClaimService]) -> None:
+        """Keep the services."""
+        self.services = services
+
+    async def query(self, claim: Claim, deadline: float) -> HolderResponse:
+        """Return the state of a claim, as the control server does."""
+        await asyncio.sleep(0)
+        service = self.services.get(claim.incarnation)
+        if service is None:
+            return HolderResponse(FORGOTTEN, None)
+        local = service.find(claim.claim_id)
+        if local is None:
+            is_released = service.is_released(claim.claim_id)
+            state = str(ClaimState.RELEASED) if is_released else FORGOTTEN
+            return HolderResponse(state, None)
+        if local.state == ClaimState.RUNNING:
+            await asyncio.shield(local.outcome_future)
+        if local.state != ClaimState.COMPLETE:
+            return HolderResponse(str(local.state), None)
+        return HolderResponse('whole', local.outcome_future.result().unwrap())
+
+
+class FakeRouter:
+    """Runs requests; each run ends when the state machine says how."""
+
+    def __init__(self) -> None:
+        """Start without runs."""
+        self.run_counts: Counter[str] = Counter()
+        self.pending: list[tuple[str, asyncio.Future[Any]]] = []
+
+    async def route(self, request: CallRequest, preset: Any) -> Any:
+        """Wait until the state machine ends the run."""
+        outcome: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+        self.pending.append((request.headers[0][1], outcome))
+        return await outcome
+
+
 def decode_fake_record(body: bytes) -> Any:
     """Decode a record that the state machine wrote.
 
--- a/features/properties.feature
+++ b/features/properties.feature
@@ -32,6 +32,9 @@
   Scenario: No preset is replaced by an older one, whatever the log does
     Then 300 generated preset histories violate no invariant
 
+  Scenario: No key runs twice, whatever the log does to its claims
+    Then 150 generated claim histories violate no invariant
+
   Scenario: A load report after a restart counts before gossip announces the restart
     Then the load view excludes a node that reported after its restart that it accepts no work
 
--- a/features/state_machines.py
+++ b/features/state_machines.py
@@ -14,9 +14,20 @@
 import logging
 import sys
 from collections import Counter
+from unittest.mock import Mock
 
 from builders import call_request, gate_without_target, preset_snapshot
-from fakes import FakeClient, FakeLog, FakeTarget, SentAttempt, decode_fake_record
+from fakes import (
+    FakeClaimLog,
+    FakeClient,
+    FakeHolders,
+    FakeLog,
+    FakeRouter,
+    FakeTarget,
+    SentAttempt,
+    StoredLog,
+    decode_fake_record,
+)
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -26,10 +37,16 @@
     rule,
     run_state_machine_as_test,
 )
-from returns.result import Success
+from returns.result import Failure, Success
 
-from lavendermount_core.models.calls import CallReply, CallRequest, Reason
+from lavendermount_core.models.calls import (
+    CallReply,
+    CallRequest,
+    Reason,
+    not_run_refusal,
+)
 from lavendermount_testbed.simulated_time import SimulatedTime
+from lavendermountd.claims.claims import ClaimService
 from lavendermountd.dialects.base import ReplyMetadata
 from lavendermountd.gate.attempts import Attempt, AttemptResult
 from lavendermountd.gate.reports import ReportedState, TargetReport
@@ -41,6 +58,8 @@
 from lavendermountd.presets.keyed_follower import KeyedPresetFollower
 
 OK = 200
+NODE_COUNT = 3
+KEY = 'k'
 SERVER_ERROR = 500
 STEPS_PER_HISTORY = 40
 DEFAULT_HISTORIES = 10000
@@ -513,7 +532,126 @@
         assert self.holder.revision in {-1, *self.written_revisions}
 
 
-MACHINES = (AttemptMachine, PresetMachine)
+class ClaimMachine(RuleBasedStateMachine):
+    """Three nodes that claim one key on a log that fails, evicts and loses records.
+
+    A key whose record was evicted is old, so its runs are no longer counted. When
+    records are lost, every node learns of it at once.
+    """
+
+    def __init__(self) -> None:
+        """Start three nodes."""
+        super().__init__()
+        self.time = SimulatedTime()
+        self.time.__enter__()
+        self.stored = StoredLog()
+        self.router = FakeRouter()
+        self.services: dict[int, ClaimService] = {}
+        self.incarnations = 0
+        self.rewriting: list[asyncio.Task[None]] = []
+        self.calls: list[asyncio.Task[AttemptResult]] = []
+        for _ in range(NODE_COUNT):
+            self.time.run(self.start_node())
+
+    def teardown(self) -> None:
+        """Close the event loop."""
+        self.time.__exit__(None, None, None)
+
+    async def start_node(self) -> None:
+        """Start a node without claims."""
+        self.incarnations += 1
+        identity = Mock(node_id=f'n{self.incarnations}', incarnation=self.incarnations)
+        service = ClaimService(
+            identity,
+            FakeClaimLog(self.stored),
+            self.router,  # type: ignore[arg-type]
+            FakeHolders(self.services),  # type: ignore[arg-type]
+        )
+        self.services[self.incarnations] = service
+
+    def service(self, pick: int) -> ClaimService:
+        """Choose a running node."""
+        services = list(self.services.values())
+        return services[pick % len(services)]
+
+    @rule(pick=PICK, delay_s=st.sampled_from((0.0, 0.0, 0.3, 1.2)))
+    def send(self, pick: int, delay_s: float) -> None:
+        """Send a request to a node, which the log answers late from now on."""
+        service = self.service(pick)
+        service.platform_log.delay_s = delay_s  # type: ignore[attr-defined]
+        request = call_request('POST', key=KEY)
+        request.deadline = self.time.now + DEADLINE_S
+        self.calls.append(self.time.run(self.start(service, request)))
+        self.time.advance(0.001)
+
+    async def start(
+        self, service: ClaimService, request: CallRequest
+    ) -> asyncio.Task[AttemptResult]:
+        """Run a request in a separate task, as a caller's connection does."""
+        key = service.key_digest(request)
+        assert key is not None
+        return asyncio.create_task(service.run_once(key, request, Mock()))
+
+    @rule(pick=PICK, has_run=st.booleans())
+    def end_run(self, pick: int, has_run: bool) -> None:
+        """Let a target run a request, or let every target refuse it."""
+        if not self.router.pending:
+            return
+        key, outcome = self.router.pending.pop(pick % len(self.router.pending))
+        if outcome.done():
+            return
+        if has_run:
+            self.router.run_counts[key] += 1
+            outcome.set_result(Success(CallReply(OK, 'OK', [], key.encode())))
+        else:
+            outcome.set_result(Failure(not_run_refusal(Reason.QUEUE_FULL, 'full')))
+        self.time.advance(0.001)
+
+    @rule(is_unavailable=st.booleans())
+    def set_log_availability(self, is_unavailable: bool) -> None:
+        """Make the log unavailable or available again."""
+        self.stored.is_unavailable = is_unavailable
+
+    @rule()
+    def evict(self) -> None:
+        """Evict all records; runs of the keys so far are no longer counted.
+
+        A key that runs at the moment would be held by no record, so nothing is
+        evicted then: records are kept much longer than a request lasts.
+        """
+        if any(not outcome.done() for _, outcome in self.router.pending):
+            return
+        self.stored.oldest = len(self.stored.records)
+        self.router.run_counts.clear()
+
+    @rule(count=st.integers(1, 4))
+    def lose_latest_records(self, count: int) -> None:
+        """Bring the log back from a copy that lacks its latest records."""
+        self.stored.lose_latest(count)
+        self.stored.is_unavailable = False
+        self.time.run(self.announce_era())
+        self.time.advance(0.5)
+
+    async def announce_era(self) -> None:
+        """Tell every node of the new era, as gossip does."""
+        for service in self.services.values():
+            service.platform_log.delay_s = 0  # type: ignore[attr-defined]
+            service.platform_log.note_era(self.stored.era)
+            self.rewriting.append(asyncio.create_task(service.rewrite()))
+
+    @rule(seconds=st.sampled_from((0.05, 0.6, 3.5, 8.0)))
+    def advance_time(self, seconds: float) -> None:
+        """Let time pass."""
+        self.time.advance(seconds)
+
+    @invariant()
+    def keys_run_once(self) -> None:
+        """Check that no key ran twice."""
+        repeated = [key for key, runs in self.router.run_counts.items() if runs > 1]
+        assert not repeated, repeated
+
+
+MACHINES = (AttemptMachine, PresetMachine, ClaimMachine)
 
 
 def search_for_violations(
--- a/features/steps/fault_steps.py
+++ b/features/steps/fault_steps.py
@@ -19,6 +19,7 @@
     preset_text,
 )
 from deployment_steps import instance_of
+from fakes import FakeClaimLog, StoredLog
 from hypothesis import given as generated
 from hypothesis import strategies as st
 from request_steps import SentRequest, runs_of
@@ -35,8 +36,13 @@
 from lavendermount_core.presets.records import PresetSnapshot
 from lavendermount_core.utils.digests import short_digest
 from lavendermount_testbed.processes import wait_until
-from lavendermountd.claims.records import Claim, Release, encode_claims
-from lavendermountd.claims.stream import ClaimFold
+from lavendermountd.claims.records import (
+    Claim,
+    Release,
+    RestoredClaim,
+    encode_claims,
+)
+from lavendermountd.claims.stream import ClaimFold, ClaimStream
 from lavendermountd.gate.attempts import Attempt, Progress
 from lavendermountd.gate.suspects import SuspectTable, Verdict
 from lavendermountd.gate.target import Target, TargetState
@@ -269,7 +275,7 @@
     """Compare the fold with a plain dictionary of holders after each record."""
     rows = st.lists(
         st.tuples(
-            st.sampled_from(['claim', 'claim', 'release', 'corrupt']),
+            st.sampled_from(['claim', 'claim', 'release', 'restored', 'corrupt']),
             st.integers(0, 6),
             st.integers(0, 2),
             st.integers(0, 6),
@@ -289,6 +295,10 @@
                 fold.apply(offset, encode_claims([Release(f'c{claim_number}', key)]))
                 if holders.get(key) == f'c{claim_number}':
                     del holders[key]
+            elif kind == 'restored':
+                restored = RestoredClaim(f'c{claim_number}', key, 'p', 'n', 1, '')
+                fold.apply(offset, encode_claims([restored]))
+                holders[key] = f'c{claim_number}'
             else:
                 claim = Claim(f'c{claim_number}', key, 'p', 'n', 1, f'c{superseded}')
                 fold.apply(offset, encode_claims([claim]))
@@ -302,6 +312,26 @@
     check()
 
 
+@then('a claim that the log lost is known to a node that had read it')
+def lost_claim_is_known(context: Any) -> None:
+    """Read a claim, let the log come back without it, and read again."""
+    asyncio.run(_lose_claim())
+
+
+async def _lose_claim() -> None:
+    stored = StoredLog()
+    stream = ClaimStream(FakeClaimLog(stored), 'claims.s')
+    kept = Claim('c0', 'k0', 'p', 'n', 1, '')
+    lost = Claim('c1', 'k1', 'p', 'n', 1, '')
+    await stream.append(kept)
+    assert await stream.winning_claim_at('k1', await stream.append(lost)) == lost
+    stored.lose_latest(1)
+    other = Claim('c2', 'k1', 'p', 'm', 1, '')
+    assert await stream.winning_claim_at('k1', await stream.append(other)) == other
+    assert stream.lost_claim('k1') == lost
+    assert stream.lost_claim('k0') is None
+
+
 @when('a crashing request is sent {times:d} times together with unrelated requests')
 def send_crashing_request(context: Any, times: int) -> None:
     """Send the same crashing request repeatedly, to each node in turn."""
--- a/features/steps/property_steps.py
+++ b/features/steps/property_steps.py
@@ -20,7 +20,12 @@
 from hypothesis import given as generated
 from hypothesis import settings
 from hypothesis import strategies as st
-from state_machines import AttemptMachine, PresetMachine, search_for_violations
+from state_machines import (
+    AttemptMachine,
+    ClaimMachine,
+    PresetMachine,
+    search_for_violations,
+)
 
 from lavendermount_core.config.preset import RetryOptions, parse_preset
 from lavendermountd.caller.splitting import choose_service
@@ -104,6 +109,12 @@
     search_for_violations(AttemptMachine, histories, is_derandomized=True)
 
 
+@then('{histories:d} generated claim histories violate no invariant')
+def claim_histories(context: Any, histories: int) -> None:
+    """Run the state machine of claims on the same histories each time."""
+    search_for_violations(ClaimMachine, histories, is_derandomized=True)
+
+
 @then('{histories:d} generated preset histories violate no invariant')
 def preset_histories(context: Any, histories: int) -> None:
     """Run the state machine of presets on the same histories each time."""
--- a/packages/client/src/lavendermount/commands/replay.py
+++ b/packages/client/src/lavendermount/commands/replay.py
@@ -35,6 +35,7 @@
                     'replayed': report.replayed,
                     'dropped': report.dropped,
                     'unjudged': report.unjudged,
+                    'losses': [str(entry) for entry in report.losses],
                     'differences': [str(entry) for entry in report.differences],
                 },
             ),
@@ -42,8 +43,11 @@
     else:
         click.echo(
             f'replayed={report.replayed} dropped={report.dropped} '
-            f'unjudged={report.unjudged} differences={len(report.differences)}',
+            f'unjudged={report.unjudged} losses={len(report.losses)} '
+            f'differences={len(report.differences)}',
         )
+        for loss in report.losses:
+            click.echo(str(loss))
     if report.differences:
         raise ReplayMismatchError('\n'.join(map(str, report.differences)))
 
@@ -55,6 +59,7 @@
     stored = await read_decisions(log)
     replay = Replay(_preset_bodies(stream, fold))
     replay.report.differences.extend(stored.findings)
+    replay.report.losses.extend(stored.chain.losses)
     replay.report.dropped = stored.dropped
     with click.progressbar(
         length=len(stored.decisions),
--- a/packages/core/src/lavendermount_core/log/adapter.py
+++ b/packages/core/src/lavendermount_core/log/adapter.py
@@ -1,15 +1,36 @@
 """Interface to the platform's append-only log.
 
-:shapes: a stream is a sequence of binary records with increasing offsets.
+:shapes: a stream is a sequence of binary records with increasing offsets. Where
+    this interface says offset, it means the era of the log and the offset within
+    it, in one number: positions of a later era are higher than all earlier ones.
 :errors: ``LogUnavailableError`` and ``LogEvictedError``.
 """
 
 from __future__ import annotations
 
 import abc
+import logging
+from collections.abc import Callable
 
+from lavendermount_core.exceptions import LogEvictedError, LogUnavailableError
 from lavendermount_core.utils.registry import Registry
 
+log = logging.getLogger(__name__)
+
+# The lower bits of a position are the offset, the others the era.
+OFFSET_BITS = 40
+UNKNOWN_ERA = -1
+
+
+def join_position(era: int, offset: int) -> int:
+    """Combine the era of a log and an offset into a position."""
+    return (era << OFFSET_BITS) + offset
+
+
+def split_position(position: int) -> tuple[int, int]:
+    """Split a position into the era and the offset."""
+    return position >> OFFSET_BITS, position % (1 << OFFSET_BITS)
+
 
 class LogRecord:
     """A record of a stream.
@@ -83,7 +104,55 @@
 
 
 class LogAdapter(abc.ABC):
-    """Client of the platform's log."""
+    """Client of the platform's log.
+
+    The log may come back from an older copy of itself. It then has lost its latest
+    records and assigns their offsets again. Each time, its era rises by one.
+    """
+
+    def __init__(self) -> None:
+        """Start without having seen an answer of the log."""
+        self.era = UNKNOWN_ERA
+        self.era_listeners: list[Callable[[], None]] = []
+
+    def note_era(self, era: int) -> None:
+        """Take note of an era that the log or another node has named.
+
+        The listeners are called if the log came back from an older copy since its
+        last answer. The first known era is no such change.
+        """
+        if era <= self.era:
+            return
+        is_first = self.era == UNKNOWN_ERA
+        self.era = era
+        if is_first:
+            return
+        log.warning('log-restored', extra={'era': era})
+        for listener in self.era_listeners:
+            listener()
+
+    def check_era(self, era: int) -> None:
+        """Take note of the era of an answer.
+
+        :raises LogUnavailableError: if the answer is of an era that has ended; what
+            it says no longer holds.
+        """
+        self.note_era(era)
+        if era < self.era:
+            raise LogUnavailableError(f'the answer is of era {era}, not {self.era}')
+
+    def check_position(self, stream: str, position: int, first: int) -> None:
+        """Check that a position is of the current era.
+
+        Position 0, the beginning of a stream, belongs to every era.
+
+        :param stream: name of the stream.
+        :param position: position that was read from.
+        :param first: oldest offset that the stream retains.
+        :raises LogEvictedError: if the position is of an earlier era.
+        """
+        if position and split_position(position)[0] != self.era:
+            raise LogEvictedError(stream, join_position(self.era, first))
 
     @abc.abstractmethod
     async def append(self, stream: str, body: bytes) -> int:
@@ -108,7 +177,8 @@
         :param stream: name of the stream.
         :param offset: offset of the first record to read.
         :param wait_s: maximum time to wait for a record at the end of the stream.
-        :raises LogEvictedError: if the offset is no longer retained.
+        :raises LogEvictedError: if the offset is no longer retained, or is of an
+            earlier era.
         :raises LogUnavailableError: if the log did not respond.
         :returns: the records; empty if there are none when the wait ends.
         """
--- a/packages/core/src/lavendermount_core/log/http_log.py
+++ b/packages/core/src/lavendermount_core/log/http_log.py
@@ -2,8 +2,7 @@
 
 :source: ``tornado.httpclient``; each request uses a new connection, so that an
     unresponsive connection cannot delay the next request.
-:errors: ``LogUnavailableError`` and ``LogEvictedError``; ``TypeError`` or
-    ``ValueError`` if a row of a batch is malformed.
+:errors: ``LogUnavailableError`` and ``LogEvictedError``.
 """
 
 from __future__ import annotations
@@ -19,13 +18,16 @@
     LogAdapter,
     LogBatch,
     LogRecord,
+    join_position,
     log_adapters,
+    split_position,
 )
 from lavendermount_core.models.records import unpack
 from lavendermount_core.utils.units import MS_PER_S
 
 GONE = 410
 MAX_CLIENTS = 64
+ERA_HEADER = 'Log-Era'
 
 
 @log_adapters.register('http')
@@ -39,6 +41,7 @@
 
     def __init__(self, url: str, timeout_s: float) -> None:
         """Create the HTTP client; no connection is opened yet."""
+        super().__init__()
         self.url = url.rstrip('/')
         self.timeout_s = timeout_s
         self.client = httpclient.AsyncHTTPClient(
@@ -57,7 +60,7 @@
                 connect_timeout=self.timeout_s,
             ),
         )
-        return _parse_offset(response.body)
+        return join_position(self.era, _parse_offset(response.body))
 
     async def read(
         self,
@@ -69,7 +72,7 @@
 
         The log may hold the response back for up to the wait time.
         """
-        query = f'?offset={offset}&wait_ms={int(wait_s * MS_PER_S)}'
+        query = f'?offset={split_position(offset)[1]}&wait_ms={int(wait_s * MS_PER_S)}'
         response = await self.fetch(
             httpclient.HTTPRequest(
                 self.stream_url(stream) + query,
@@ -78,8 +81,11 @@
             ),
         )
         if response.code == GONE:
-            raise LogEvictedError(stream, _parse_offset(response.body))
-        return _parse_batch(response.body)
+            oldest = join_position(self.era, _parse_offset(response.body))
+            raise LogEvictedError(stream, oldest)
+        batch = _parse_batch(response.body, self.era)
+        self.check_position(stream, offset, split_position(batch.oldest)[1])
+        return batch
 
     def stream_url(self, stream: str) -> str:
         """Return the URL of a stream."""
@@ -99,6 +105,7 @@
             response = await self.client.fetch(request, raise_error=False)
         except (OSError, httpclient.HTTPError) as error:
             raise LogUnavailableError(f'log at {self.url}: {error}') from error
+        self.check_era(_parse_era(response.headers.get(ERA_HEADER, '0')))
         if response.code in {200, GONE}:
             return response
         raise LogUnavailableError(f'log at {self.url}: status {response.code}')
@@ -111,10 +118,24 @@
         raise LogUnavailableError('log returned a malformed offset') from error
 
 
-def _parse_batch(body: bytes) -> LogBatch:
+def _parse_era(text: str) -> int:
+    if not text.isdecimal():
+        raise LogUnavailableError(f'log returned a malformed era: {text!r}')
+    return int(text)
+
+
+def _parse_batch(body: bytes, era: int) -> LogBatch:
     try:
         oldest, next_offset, end, rows = unpack(body)
+        records = [
+            LogRecord(join_position(era, offset), bytes(record))
+            for offset, record in rows
+        ]
+        return LogBatch(
+            join_position(era, oldest),
+            join_position(era, next_offset),
+            join_position(era, end),
+            records,
+        )
     except (RecordError, ValueError, TypeError) as error:
         raise LogUnavailableError('log returned a malformed batch') from error
-    records = [LogRecord(offset, record) for offset, record in rows]
-    return LogBatch(oldest, next_offset, end, records)
--- a/packages/core/src/lavendermount_core/replay/records.py
+++ b/packages/core/src/lavendermount_core/replay/records.py
@@ -153,6 +153,7 @@
     :param previous: chain digest of the previous batch; empty for the first.
     :param dropped: number of decisions dropped since the previous batch.
     :param rows: compressed concatenation of the packed decision rows.
+    :param era: era of the log in which the batch was appended.
     """
 
     __slots__ = (
@@ -162,6 +163,7 @@
         'previous',
         'dropped',
         'rows',
+        'era',
     )
 
     def __init__(
@@ -172,6 +174,7 @@
         previous: str,
         dropped: int,
         rows: bytes,
+        era: int = 0,
     ) -> None:
         """Initialize the fields."""
         self.node_id = node_id
@@ -180,6 +183,7 @@
         self.previous = previous
         self.dropped = dropped
         self.rows = rows
+        self.era = era
 
     def digest(self) -> str:
         """Return the digest of this batch, which covers all previous ones."""
@@ -211,4 +215,8 @@
 
     :raises RecordError: if the bytes do not encode a batch.
     """
-    return DecisionBatch.checked_from_row(unpack(body))
+    row = unpack(body)
+    # Batches written before the log had eras.
+    if isinstance(row, list) and len(row) == len(DecisionBatch.__slots__) - 1:
+        row.append(0)
+    return DecisionBatch.checked_from_row(row)
--- a/packages/core/src/lavendermount_core/replay/replay.py
+++ b/packages/core/src/lavendermount_core/replay/replay.py
@@ -22,16 +22,19 @@
     :param dropped: number of decisions that nodes dropped before storing them.
     :param unjudged: number of decisions whose policy was not checked, since
         the log no longer holds a valid preset of their revision.
+    :param losses: places where the log lost decisions because it came back from
+        an older copy.
     :param differences: differences between record and replay.
     """
 
-    __slots__ = ('replayed', 'dropped', 'unjudged', 'differences')
+    __slots__ = ('replayed', 'dropped', 'unjudged', 'losses', 'differences')
 
     def __init__(self) -> None:
         """Start with all counts at zero."""
         self.replayed = 0
         self.dropped = 0
         self.unjudged = 0
+        self.losses: list[Finding] = []
         self.differences: list[Finding] = []
 
 
--- a/packages/node/src/lavendermountd/claims/claims.py
+++ b/packages/node/src/lavendermountd/claims/claims.py
@@ -4,10 +4,14 @@
     refused.
 
 A node runs such a request only after it has appended its own claim and read the
-log at least up to it. Either its claim must hold the key then, or no claim: the
-winner may have been released or evicted in between. A claim has no lease: the
+log at least up to it, and only if its claim holds the key then. If no claim does,
+because the winner was released or its record evicted in between, the node claims
+the key again: several losers may see that it is free. A claim has no lease: the
 process that holds it may stay frozen for any length of time, and no other node
 runs the request while the log holds the claim.
+
+The log may come back from an older copy without its latest claims. Every node then
+appends its claims again, and no node claims a key until they all had time to.
 """
 
 from __future__ import annotations
@@ -15,6 +19,7 @@
 import asyncio
 import hashlib
 import logging
+import random
 from collections import OrderedDict
 from enum import StrEnum
 
@@ -32,7 +37,12 @@
 )
 from lavendermount_core.utils.digests import random_identifier
 from lavendermountd.claims.holders import HolderClient, HolderResponse
-from lavendermountd.claims.records import Claim, Release, claim_stream_name
+from lavendermountd.claims.records import (
+    Claim,
+    Release,
+    RestoredClaim,
+    claim_stream_name,
+)
 from lavendermountd.claims.stream import ClaimStream
 from lavendermountd.gate.attempts import AttemptResult
 from lavendermountd.gate.suspects import IDEMPOTENCY_KEY_HEADER
@@ -46,10 +56,15 @@
 MAX_LOCAL_CLAIMS = 10000
 MAX_CACHED_BODY_BYTES = 65536
 LOG_RETRY_AFTER_S = 2.0
-# Time after which a caller may ask again about a key that is in use; also the
-# timeout for appending a release.
+# Time after which a caller may ask again about a key that is in use.
 RUNNING_RETRY_S = 0.5
+RELEASE_TIMEOUT_S = 0.5
 MAX_CLAIM_ATTEMPTS = 3
+MAX_RELEASED_CLAIMS = 20000
+# Time in which all nodes learn that the log came back from an older copy, and
+# append their claims again.
+CLAIM_RECOVERY_S = 6.0
+REWRITE_SPREAD_S = 1.5
 
 
 class ClaimState(StrEnum):
@@ -66,13 +81,15 @@
     """A claim that this node made, and its outcome.
 
     :param claim: the record that is appended to the log.
+    :param service: service of the request.
     """
 
-    __slots__ = ('claim', 'state', 'outcome_future')
+    __slots__ = ('claim', 'service', 'state', 'outcome_future')
 
-    def __init__(self, claim: Claim) -> None:
+    def __init__(self, claim: Claim, service: str) -> None:
         """Start in the state before the log has confirmed the claim."""
         self.claim = claim
+        self.service = service
         self.state = ClaimState.CLAIMING
         self.outcome_future: asyncio.Future[AttemptResult] = (
             asyncio.get_running_loop().create_future()
@@ -105,6 +122,44 @@
         self.holders = holders
         self.streams: dict[str, ClaimStream] = {}
         self.by_key: OrderedDict[str, LocalClaim] = OrderedDict()
+        self.released_ids: OrderedDict[str, None] = OrderedDict()
+        self.recovered_at: float = 0
+
+    async def rewrite(self) -> None:
+        """Append the claims of this node again; the log may have lost them.
+
+        The nodes spread their calls over ``REWRITE_SPREAD_S``.
+        """
+        now = asyncio.get_running_loop().time()
+        self.recovered_at = now + CLAIM_RECOVERY_S
+        await asyncio.sleep(random.uniform(0, REWRITE_SPREAD_S))
+        held = [
+            local
+            for local in self.by_key.values()
+            if local.state != ClaimState.RELEASED
+        ]
+        for local in held:
+            await self.append_again(local)
+
+    async def append_again(self, local: LocalClaim) -> None:
+        """Append one claim until the log has accepted it."""
+        while True:
+            restored = RestoredClaim(*local.claim.to_row())
+            try:
+                await self.stream(local.service).append(restored)
+            except LogUnavailableError as error:
+                log.info('claim-rewrite-delayed', extra={'cause': str(error)})
+                await asyncio.sleep(RELEASE_TIMEOUT_S)
+            else:
+                return
+
+    def recovery_refusal(self) -> Refusal | None:
+        """Return the refusal of a new claim while claims are being restored."""
+        left_s = self.recovered_at - asyncio.get_running_loop().time()
+        if left_s <= 0:
+            return None
+        detail = 'the idempotency keys in use are being collected again'
+        return not_run_refusal(Reason.LOG_DOWN, detail, left_s)
 
     def key_digest(self, request: CallRequest) -> str | None:
         """Compute the key digest of a request that may run only once.
@@ -155,7 +210,7 @@
             self.identity.incarnation,
             supersedes,
         )
-        local = LocalClaim(claim)
+        local = LocalClaim(claim, request.call_class.service)
         self.by_key[key] = local
         self.by_key.move_to_end(key)
         self.evict_oldest()
@@ -169,6 +224,8 @@
         """
         while len(self.by_key) > MAX_LOCAL_CLAIMS:
             self.by_key.popitem(last=False)
+        while len(self.released_ids) > MAX_RELEASED_CLAIMS:
+            self.released_ids.popitem(last=False)
 
     def fail_if_abandoned(self, local: LocalClaim) -> None:
         """Fail a claim whose submission was cancelled.
@@ -206,7 +263,8 @@
             async with asyncio.timeout_at(request.deadline):
                 settled_outcome = await self.acquire_or_query_holder(local, request)
         except (LogUnavailableError, TimeoutError) as error:
-            log.warning('claim-impossible', extra={'cause': str(error)})
+            cause = str(error) or 'no answer from the log before the deadline'
+            log.warning('claim-impossible', extra={'cause': cause})
             return self.finish(local, Failure(_log_unavailable_refusal()))
         if settled_outcome is not None:
             return self.finish(local, settled_outcome)
@@ -225,20 +283,75 @@
         """Acquire the key, or get the outcome from the node that holds it.
 
         :returns: ``None`` if this node may run the request, because its claim holds
-            the key or no claim does.
+            the key.
         """
         for _ in range(MAX_CLAIM_ATTEMPTS):
+            refusal = self.recovery_refusal()
+            if refusal is not None:
+                return Failure(refusal)
             winner = await self.append_and_read(local, request)
-            if winner is None or winner.claim_id == local.claim.claim_id:
-                return None
-            if winner.payload != local.claim.payload:
-                return Failure(_reused_key_refusal())
-            response = await self.holders.query(winner, request.deadline)
-            if response.state != ClaimState.RELEASED:
-                return _outcome_from(response)
-            local.claim.claim_id = random_identifier()
-            local.claim.supersedes = winner.claim_id
-        return Failure(_still_running_refusal())
+            if winner is not None and winner.claim_id == local.claim.claim_id:
+                return await self.query_lost_claim(local, request)
+            settled_outcome = await self.query_winner(local, request, winner)
+            if settled_outcome is not None:
+                return settled_outcome
+        return Failure(_lost_claims_refusal())
+
+    async def query_winner(
+        self, local: LocalClaim, request: CallRequest, winner: Claim | None
+    ) -> AttemptResult | None:
+        """Get the outcome of the request whose claim holds the key.
+
+        :param winner: the claim that holds the key; ``None`` if no claim does.
+        :returns: the outcome; ``None`` if that request was not run, and the claim of
+            this node was renewed.
+        """
+        if winner is None:
+            self.renew(local, '')
+            return None
+        if winner.payload != local.claim.payload:
+            return Failure(_reused_key_refusal())
+        response = await self.holders.query(winner, request.deadline)
+        if response.state != ClaimState.RELEASED:
+            return _outcome_from(response)
+        self.renew(local, winner.claim_id)
+        return None
+
+    async def query_lost_claim(
+        self, local: LocalClaim, request: CallRequest
+    ) -> AttemptResult | None:
+        """Query the holder of a claim of the same key that the log has lost.
+
+        :returns: the outcome of its request; ``None`` if it was not run, or if there
+            is no such claim.
+        """
+        stream = self.stream(local.service)
+        lost = stream.lost_claim(local.claim.key)
+        if lost is None:
+            return None
+        response = await self.holders.query(lost, request.deadline)
+        if response.state != ClaimState.RELEASED:
+            return _outcome_from(response)
+        stream.lost_claims.pop(lost.key, None)
+        return None
+
+    def renew(self, local: LocalClaim, supersedes: str) -> None:
+        """Replace a claim that did not win by a new one.
+
+        The request will not run under the old one, which others may ask about.
+
+        :param supersedes: identifier of the claim that the new one replaces.
+        """
+        old = local.claim
+        self.released_ids[old.claim_id] = None
+        local.claim = Claim(
+            random_identifier(),
+            old.key,
+            old.payload,
+            old.node_id,
+            old.incarnation,
+            supersedes,
+        )
 
     async def append_and_read(
         self,
@@ -259,10 +372,14 @@
         release = Release(local.claim.claim_id, local.claim.key)
         stream = self.stream(request.call_class.service)
         try:
-            async with asyncio.timeout(RUNNING_RETRY_S):
+            async with asyncio.timeout(RELEASE_TIMEOUT_S):
                 await stream.append(release)
-        except (LogUnavailableError, TimeoutError):
-            log.info('release-delayed', extra={'claim': local.claim.claim_id})
+        except (LogUnavailableError, TimeoutError) as error:
+            cause = str(error) or f'no answer from the log in {RELEASE_TIMEOUT_S} s'
+            log.info(
+                'release-delayed',
+                extra={'claim': local.claim.claim_id, 'cause': cause},
+            )
 
     def stream(self, service: str) -> ClaimStream:
         """Return the claim stream of a service."""
@@ -277,6 +394,7 @@
             local.state = ClaimState.COMPLETE
         elif outcome.failure().is_not_run:
             local.state = ClaimState.RELEASED
+            self.released_ids[local.claim.claim_id] = None
         else:
             local.state = ClaimState.UNKNOWN
         if not local.outcome_future.done():
@@ -294,6 +412,10 @@
         )
         local.outcome_future.set_result(Failure(refusal))
 
+    def is_released(self, claim_id: str) -> bool:
+        """Return whether a claim of this node ended without a run of its request."""
+        return claim_id in self.released_ids
+
     def find(self, claim_id: str) -> LocalClaim | None:
         """Find a claim of this node by its identifier."""
         for local in self.by_key.values():
@@ -346,6 +468,14 @@
     )
 
 
+def _lost_claims_refusal() -> Refusal:
+    return not_run_refusal(
+        Reason.CLAIMED,
+        'other requests with this idempotency key were claimed first',
+        RUNNING_RETRY_S,
+    )
+
+
 def _log_unavailable_refusal() -> Refusal:
     return not_run_refusal(
         Reason.LOG_DOWN,
--- a/packages/node/src/lavendermountd/claims/records.py
+++ b/packages/node/src/lavendermountd/claims/records.py
@@ -61,6 +61,17 @@
         self.supersedes = supersedes
 
 
+@claim_kinds.register('restored')
+class RestoredClaim(Claim):
+    """A claim that holds its key, appended again by the node that made it.
+
+    It is appended when the log has come back from an older copy. It takes the key
+    from any other claim: its request may have run.
+    """
+
+    __slots__ = Claim.__slots__
+
+
 @claim_kinds.register('release')
 class Release(Record):
     """The winner's confirmation that the request was not run and will not be.
--- a/packages/node/src/lavendermountd/claims/stream.py
+++ b/packages/node/src/lavendermountd/claims/stream.py
@@ -13,11 +13,12 @@
     LogUnavailableError,
     RecordError,
 )
-from lavendermount_core.log.adapter import LogAdapter, LogBatch
+from lavendermount_core.log.adapter import LogAdapter, LogBatch, split_position
 from lavendermount_core.models.records import Record
 from lavendermountd.claims.records import (
     Claim,
     Release,
+    RestoredClaim,
     decode_claims,
     encode_claims,
 )
@@ -50,7 +51,9 @@
 
     def apply_record(self, offset: int, record: Record) -> None:
         """Apply one claim or release."""
-        if isinstance(record, Claim):
+        if isinstance(record, RestoredClaim):
+            self.assign(offset, record)
+        elif isinstance(record, Claim):
             self.apply_claim(offset, record)
         elif isinstance(record, Release):
             self.apply_release(record)
@@ -60,6 +63,10 @@
         winner = self.winning_claims.get(claim.key)
         if winner is not None and winner.claim_id != claim.supersedes:
             return
+        self.assign(offset, claim)
+
+    def assign(self, offset: int, claim: Claim) -> None:
+        """Make a claim the one that holds its key."""
         self.winning_claims[claim.key] = claim
         self.offsets[claim.key] = offset
 
@@ -92,6 +99,7 @@
         self.platform_log = platform_log
         self.name = name
         self.fold = ClaimFold()
+        self.lost_claims: dict[str, Claim] = {}
         self.next_offset = 0
         self.read_lock = asyncio.Lock()
         self.pending: list[tuple[Record, OffsetFuture]] = []
@@ -135,11 +143,30 @@
                 await self.read_batch()
         return self.fold.winning_claims.get(key)
 
+    def restart(self) -> None:
+        """Read the stream anew, because the log came back from an older copy.
+
+        The claims known until now are kept aside: the copy may lack them.
+        """
+        self.lost_claims.update(self.fold.winning_claims)
+        self.fold = ClaimFold()
+
+    def lost_claim(self, key: str) -> Claim | None:
+        """Return the claim that held a key before the log lost it, if any."""
+        lost = self.lost_claims.get(key)
+        winner = self.fold.winning_claims.get(key)
+        if lost is None or (winner is not None and winner.claim_id == lost.claim_id):
+            return None
+        return lost
+
     async def read_batch(self) -> None:
         """Read and apply one batch, or skip the offsets that were evicted."""
         try:
             batch = await self.platform_log.read(self.name, self.next_offset)
         except LogEvictedError as error:
+            era = split_position(error.oldest)[0]
+            if era != split_position(self.next_offset)[0]:
+                self.restart()
             self.next_offset = error.oldest
             return
         self.apply(batch)
@@ -149,6 +176,9 @@
 
         :raises LogUnavailableError: if the batch does not advance it.
         """
+        # Which claim wins must not depend on when a node reads, so claims that are
+        # evicted by now are dropped before later ones are applied.
+        self.fold.drop_evicted(batch.oldest)
         for record in batch.records:
             self.fold.apply(record.offset, record.body)
         if batch.next_offset <= self.next_offset:
@@ -156,7 +186,6 @@
                 f'stream {self.name} ends before the requested offset'
             )
         self.next_offset = batch.next_offset
-        self.fold.drop_evicted(batch.oldest)
 
 
 def _resolve_all(batch: list[tuple[Record, OffsetFuture]], offset: int) -> None:
--- a/packages/node/src/lavendermountd/control/server.py
+++ b/packages/node/src/lavendermountd/control/server.py
@@ -92,7 +92,9 @@
         """Return the state of a claim of this node; wait while its request runs."""
         local = self.node.claims.find(request.claim_id)
         if local is None:
-            return control_pb2.ClaimReply(state=FORGOTTEN)
+            is_released = self.node.claims.is_released(request.claim_id)
+            state = str(ClaimState.RELEASED) if is_released else FORGOTTEN
+            return control_pb2.ClaimReply(state=state)
         if local.state == ClaimState.RUNNING:
             await asyncio.shield(local.outcome_future)
         return _claim_reply(local)
--- /dev/null
+++ b/packages/node/src/lavendermountd/log_recovery.py
@@ -0,0 +1,59 @@
+"""Recovery of a node when the log comes back from an older copy of itself.
+
+The log has then lost the latest records of all nodes, and its era has risen. Each
+node reads it anew and appends its own lasting records again: its member record and
+its claims. What the node believes stays in force meanwhile.
+
+:units: seconds.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from lavendermountd.node import Node
+
+log = logging.getLogger(__name__)
+
+# Longest time that a starting node waits for the presets of others.
+NEIGHBOUR_TIMEOUT_S = 1.5
+
+
+class LogRecovery:
+    """Restarts the readers and writers of the log.
+
+    :param node: node whose components read and write the log.
+    """
+
+    __slots__ = ('node', 'tasks')
+
+    def __init__(self, node: Node) -> None:
+        """Start without a recovery."""
+        self.node = node
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def start(self) -> None:
+        """Read and write again what the log may have lost."""
+        self.node.follower.restart()
+        for task in self.tasks:
+            task.cancel()
+        self.tasks = {
+            asyncio.create_task(self.node.joiner.rewrite()),
+            asyncio.create_task(self.node.claims.rewrite()),
+        }
+
+    async def ask_neighbours(self) -> None:
+        """Learn the preset in force from other nodes, if there are any.
+
+        The log may have come back from an older copy, whose preset must not replace
+        the one that the running nodes have in force.
+        """
+        try:
+            async with asyncio.timeout(NEIGHBOUR_TIMEOUT_S):
+                await self.node.joiner.has_asked_peers.wait()
+                await self.node.catch_up.is_up_to_date.wait()
+        except TimeoutError:
+            log.warning('neighbours-unanswered')
--- a/packages/node/src/lavendermountd/membership/exchange.py
+++ b/packages/node/src/lavendermountd/membership/exchange.py
@@ -6,9 +6,12 @@
 
 from __future__ import annotations
 
+import logging
 import time
 from collections.abc import Callable
 
+from lavendermount_core.exceptions import RecordError
+from lavendermount_core.log.adapter import UNKNOWN_ERA
 from lavendermount_core.models.members import Member, MemberStatus
 from lavendermount_core.presets.records import NO_REVISION
 from lavendermount_core.utils.units import MS_PER_S
@@ -27,6 +30,8 @@
 from lavendermountd.routing.budgets import MeasuringBudget, TokenBucket
 from lavendermountd.routing.load_view import LoadView
 
+log = logging.getLogger(__name__)
+
 LOADS_PER_ROUND = 8
 SUSPICIONS_PER_ROUND = 8
 MAX_LOAD_AGE_S = 5.0
@@ -61,6 +66,8 @@
         self.is_remote_out_of_sync = False
         self.revision: Callable[[], int] = _no_revision
         self.on_revision: Callable[[Member, int], None] = _ignore_revision
+        self.log_era: Callable[[], int] = _no_era
+        self.on_log_era: Callable[[int], None] = _ignore_era
 
     def build(self, receiver: Member | None) -> control_pb2.GossipRound:
         """Build a round.
@@ -101,6 +108,7 @@
         message = control_pb2.GossipRound(
             sender=member_message(self.table.own),
             revision=self.revision(),
+            log_era=max(0, self.log_era()),
             loads=[load_message(self.gate.load(), 0)],
             suspicions=map(suspicion_message, suspicions),
         )
@@ -138,13 +146,24 @@
         for entry in message.members:
             self.table.merge(member_record(entry))
         for aged in message.loads:
-            self.view.take_report(load_record(aged), aged.age_ms)
+            self.take_load(aged)
         for suspicion in message.suspicions:
             self.gate.suspects.merge(suspicion_record(suspicion))
+        if message.log_era > max(0, self.log_era()):
+            self.on_log_era(message.log_era)
         if message.revision > self.revision():
             self.on_revision(sender, message.revision)
         return self.differing_members(message)
 
+    def take_load(self, aged: control_pb2.AgedLoad) -> None:
+        """Take a load report of a round; log and skip a malformed one."""
+        try:
+            report = load_record(aged)
+        except RecordError as error:
+            log.warning('load-report-malformed', extra={'cause': str(error)})
+            return
+        self.view.take_report(report, aged.age_ms)
+
     def differing_members(self, message: control_pb2.GossipRound) -> list[Member]:
         """List the members of buckets whose digests differ between the nodes."""
         received_digests = {entry.bucket: entry.digest for entry in message.digests}
@@ -192,5 +211,13 @@
     return NO_REVISION
 
 
+def _no_era() -> int:
+    return UNKNOWN_ERA
+
+
+def _ignore_era(era: int) -> None:
+    """Ignore the era; replaced when the node's components are connected."""
+
+
 def _ignore_revision(sender: Member, revision: int) -> None:
     """Ignore the revision; replaced when the node's components are connected."""
--- a/packages/node/src/lavendermountd/membership/joining.py
+++ b/packages/node/src/lavendermountd/membership/joining.py
@@ -27,6 +27,7 @@
 
 MEMBER_STREAM = 'members'
 CHECK_INTERVAL_S = 2.0
+REWRITE_SPREAD_S = 1.5
 ISOLATED_READ_INTERVAL_S = 5.0
 # Interval at which relays rewrite their records, relative to the retention time of
 # the log.
@@ -64,8 +65,20 @@
         self.read_at: float = 0
         self.was_relay = False
         self.has_read_members = False
+        self.has_asked_peers = asyncio.Event()
         self.is_log_unavailable = False
 
+    async def rewrite(self) -> None:
+        """Write this node's record again and read those of the others.
+
+        The log came back from an older copy, which may lack them. The nodes spread
+        their calls over ``REWRITE_SPREAD_S``.
+        """
+        await asyncio.sleep(random.uniform(0, REWRITE_SPREAD_S))
+        self.written_at = 0
+        self.read_at = 0
+        await self.step()
+
     async def run(self) -> None:
         """Join, and stay discoverable, until cancelled."""
         while True:
@@ -99,6 +112,7 @@
         await self.read_all()
         self.read_at = now
         self.has_read_members = True
+        self.has_asked_peers.set()
 
     async def read_all(self) -> None:
         """Read from the last offset to the end of the stream."""
--- a/packages/node/src/lavendermountd/membership/keyed_joining.py
+++ b/packages/node/src/lavendermountd/membership/keyed_joining.py
@@ -12,7 +12,7 @@
 import random
 
 from lavendermount_core.exceptions import LogUnavailableError
-from lavendermount_core.log.adapter import KeyedLog, KeyedRecord
+from lavendermount_core.log.adapter import UNKNOWN_ERA, KeyedLog, KeyedRecord
 from lavendermount_core.models.records import pack
 from lavendermountd.membership.gossip import Gossip
 from lavendermountd.membership.joining import merge_join_record
@@ -24,6 +24,7 @@
 CHECK_INTERVAL_S = 2.0
 ISOLATED_READ_INTERVAL_S = 5.0
 ANNOUNCE_FANOUT = 4
+REWRITE_SPREAD_S = 1.5
 
 
 class KeyedJoiner:
@@ -47,7 +48,20 @@
         self.read_at: float = 0
         self.retry_s = INITIAL_RETRY_S
         self.has_read_members = False
+        self.has_asked_peers = asyncio.Event()
         self.is_log_unavailable = False
+        self.is_due = asyncio.Event()
+
+    async def rewrite(self) -> None:
+        """Write this node's record again and read those of the others.
+
+        The log came back from an older copy, which may lack them. The nodes spread
+        their calls over ``REWRITE_SPREAD_S``.
+        """
+        await asyncio.sleep(random.uniform(0, REWRITE_SPREAD_S))
+        self.written_incarnation = 0
+        self.read_at = 0
+        self.is_due.set()
 
     async def run(self) -> None:
         """Join, and read again while no peer is known, until cancelled."""
@@ -62,7 +76,16 @@
             else:
                 self.is_log_unavailable = False
                 self.retry_s = INITIAL_RETRY_S
-                await asyncio.sleep(CHECK_INTERVAL_S)
+                await self.wait_until_due()
+
+    async def wait_until_due(self) -> None:
+        """Wait for the next check, or for a request to write and read again."""
+        try:
+            async with asyncio.timeout(CHECK_INTERVAL_S):
+                await self.is_due.wait()
+        except TimeoutError:
+            return
+        self.is_due.clear()
 
     async def step(self) -> None:
         """Write this node's record if it is due, and read those of the others.
@@ -70,13 +93,25 @@
         The record is written if this incarnation is not stored yet. The others are
         read at the start, and at intervals while no peer is known.
         """
+        try:
+            await self.write_if_due()
+        finally:
+            await self.read_if_due()
+
+    async def write_if_due(self) -> None:
+        """Write this node's record unless this incarnation is stored."""
         own = self.table.own
-        if self.written_incarnation != own.incarnation:
-            incarnation = own.incarnation
-            body = pack(own.to_row())
-            keyed = KeyedRecord(own.node_id, body)
-            await self.keyed_log.append_keyed(self.stream, keyed)
+        incarnation = own.incarnation
+        if self.written_incarnation == incarnation:
+            return
+        era = self.keyed_log.era
+        keyed = KeyedRecord(own.node_id, pack(own.to_row()))
+        await self.keyed_log.append_keyed(self.stream, keyed)
+        if era in {UNKNOWN_ERA, self.keyed_log.era}:
             self.written_incarnation = incarnation
+
+    async def read_if_due(self) -> None:
+        """Read the members at the start, and at intervals while no peer is known."""
         now = asyncio.get_running_loop().time()
         is_due = (
             not self.table.living() and now - self.read_at > ISOLATED_READ_INTERVAL_S
@@ -90,6 +125,7 @@
         self.has_read_members = True
         log.info('members-read', extra={'members': len(self.table.members)})
         await self.announce()
+        self.has_asked_peers.set()
 
     async def announce(self) -> None:
         """Gossip with some discovered peers, which may not know this node yet."""
--- a/packages/node/src/lavendermountd/node.py
+++ b/packages/node/src/lavendermountd/node.py
@@ -27,6 +27,7 @@
 from lavendermountd.gate.target_monitor import TargetMonitor
 from lavendermountd.identity import Identity
 from lavendermountd.log_readers import build_follower, build_joiner
+from lavendermountd.log_recovery import LogRecovery
 from lavendermountd.membership.exchange import GossipExchange
 from lavendermountd.membership.gossip import Gossip
 from lavendermountd.membership.suspicion import SuspicionTimers
@@ -39,6 +40,7 @@
 from lavendermountd.presets.applier import PresetApplier
 from lavendermountd.presets.catchup import PresetCatchUp
 from lavendermountd.presets.holder import PresetHolder
+from lavendermountd.presets.keyed_follower import KeyedPresetFollower
 from lavendermountd.recorder.recorder import Recorder
 from lavendermountd.routing.budgets import MeasuringBudget, TokenBucket
 from lavendermountd.routing.load_view import LoadView
@@ -174,12 +176,18 @@
         self.holder.on_change.append(PresetApplier(self).apply)
         self.gossip.exchange.revision = self.current_revision
         self.gossip.exchange.on_revision = self.catch_up.note_revision
+        self.gossip.exchange.log_era = self.current_log_era
+        self.gossip.exchange.on_log_era = self.platform_log.note_era
         self.gate.on_load_change = self.broadcast_load
         self.gate.on_suspect = self.broadcast_suspect
         self.gate.on_other_target = self.target_lifecycle.mark_replaced
         self.gate.on_slowness_change = self.broadcast_slowness
         self.gate.refresh_load = self.target_monitor.refresh
         self.freeze_guard.on_freeze.append(self.reset_after_freeze)
+        recovery = LogRecovery(self)
+        self.platform_log.era_listeners.append(recovery.start)
+        if isinstance(self.follower, KeyedPresetFollower):
+            self.follower.prepare_first_preset = recovery.ask_neighbours
         self.links.on_ping_sent = self.charge_ping
         self.table.listeners.append(self.forget_if_dead)
         static = self.settings.target
@@ -201,6 +209,10 @@
         """Return the revision of the preset in force on this node."""
         return self.holder.revision
 
+    def current_log_era(self) -> int:
+        """Return the era of the log that this node last saw."""
+        return self.platform_log.era
+
     def forget_if_dead(self, member: Member) -> None:
         """Close the link to a dead member and discard its load report."""
         if member.status == MemberStatus.DEAD:
@@ -267,7 +279,7 @@
         self.links.close_all()
         self.gossip.timers.restart()
         self.service.caught_up.clear()
-        self.follower.is_caught_up.clear()
+        self.follower.restart()
         self.joiner.read_at = 0
 
     def not_ready_reason(self) -> str:
--- a/packages/node/src/lavendermountd/presets/catchup.py
+++ b/packages/node/src/lavendermountd/presets/catchup.py
@@ -34,12 +34,15 @@
         self.channels = channels
         self.newer_peer: Member | None = None
         self.is_behind = asyncio.Event()
+        self.is_up_to_date = asyncio.Event()
+        self.is_up_to_date.set()
 
     def note_revision(self, member: Member, revision: int) -> None:
         """Remember a peer if its revision is newer."""
         if revision > self.holder.revision:
             self.newer_peer = member
             self.is_behind.set()
+            self.is_up_to_date.clear()
 
     async def run(self) -> None:
         """Fetch the preset whenever a peer is newer, until cancelled."""
@@ -48,6 +51,8 @@
             self.is_behind.clear()
             if self.newer_peer is not None:
                 await self.fetch(self.newer_peer)
+            if not self.is_behind.is_set():
+                self.is_up_to_date.set()
             await asyncio.sleep(FETCH_PAUSE_S)
 
     async def fetch(self, member: Member) -> None:
--- a/packages/node/src/lavendermountd/presets/follower.py
+++ b/packages/node/src/lavendermountd/presets/follower.py
@@ -37,6 +37,10 @@
         self.is_caught_up = asyncio.Event()
         self.retry_s = INITIAL_RETRY_S
 
+    def restart(self) -> None:
+        """Read to the end of the stream again before it counts as caught up."""
+        self.is_caught_up.clear()
+
     async def run(self) -> None:
         """Follow the stream until cancelled."""
         while True:
--- a/packages/node/src/lavendermountd/presets/keyed_follower.py
+++ b/packages/node/src/lavendermountd/presets/keyed_follower.py
@@ -10,6 +10,7 @@
 import asyncio
 import logging
 import random
+from collections.abc import Awaitable, Callable
 
 from lavendermount_core.exceptions import (
     ConfigurationError,
@@ -61,6 +62,18 @@
         self.is_reachable = False
         self.is_caught_up = asyncio.Event()
         self.retry_s = INITIAL_RETRY_S
+        self.has_read = False
+        self.restart_requested = asyncio.Event()
+        self.prepare_first_preset: Callable[[], Awaitable[None]] = _prepare_nothing
+
+    def restart(self) -> None:
+        """Start again from the newest record, and abandon a read that is waiting.
+
+        What was read before may be out of date, or the log may have come back from
+        an older copy.
+        """
+        self.is_caught_up.clear()
+        self.restart_requested.set()
 
     async def run(self) -> None:
         """Follow the record until cancelled."""
@@ -69,8 +82,9 @@
 
     async def step(self) -> None:
         """Read once; after an eviction, start again from the newest record."""
+        self.restart_requested.clear()
         try:
-            await self.read()
+            await self.read_until_restart()
         except LogEvictedError as error:
             log.info('presets-evicted', extra={'oldest': error.oldest})
             self.offset = UNKNOWN_OFFSET
@@ -79,6 +93,20 @@
         else:
             self.mark_reachable()
 
+    async def read_until_restart(self) -> None:
+        """Read, unless a restart is requested while the read waits."""
+        reading = asyncio.ensure_future(self.read())
+        restarting = asyncio.ensure_future(self.restart_requested.wait())
+        try:
+            await asyncio.wait(
+                {reading, restarting}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if reading.done():
+                reading.result()
+        finally:
+            reading.cancel()
+            restarting.cancel()
+
     async def read(self) -> None:
         """Read the newest record at first, then wait for new records.
 
@@ -86,6 +114,9 @@
         """
         if self.offset == UNKNOWN_OFFSET or not self.is_caught_up.is_set():
             newest = await self.keyed_log.newest(self.stream)
+            if not self.has_read:
+                await self.prepare_first_preset()
+                self.has_read = True
             body = newest.bodies.get(self.key)
             if body is not None:
                 self.adopt_if_newer(body)
@@ -139,3 +170,7 @@
             log.info('log-reachable')
         self.is_reachable = True
         self.retry_s = INITIAL_RETRY_S
+
+
+async def _prepare_nothing() -> None:
+    """Do nothing; the node installs the real callback."""
--- a/packages/node/src/lavendermountd/recorder/recorder.py
+++ b/packages/node/src/lavendermountd/recorder/recorder.py
@@ -50,7 +50,7 @@
         self.recorded = 0
         self.dropped = 0
         self.reported_dropped = 0
-        self.pending_batch: bytes | None = None
+        self.pending_batch: DecisionBatch | None = None
         self.lock = asyncio.Lock()
 
     def add(self, decision: DecisionRecord) -> None:
@@ -76,20 +76,31 @@
             while self.pending_batch or self.buffer:
                 if self.pending_batch is None:
                     self.pending_batch = await self.take_batch()
-                try:
-                    await self.platform_log.append(DECISION_STREAM, self.pending_batch)
-                except LogUnavailableError as error:
-                    log.warning('decisions-unsent', extra={'cause': str(error)})
+                if not await self.try_append(self.pending_batch):
                     return False
                 self.pending_batch = None
             return True
 
-    async def take_batch(self) -> bytes:
-        """Remove the next batch from the buffer and encode it.
+    async def try_append(self, batch: DecisionBatch) -> bool:
+        """Append a batch to the log, marked with the current era of the log.
+
+        :returns: whether the log accepted it.
+        """
+        batch.era = max(0, self.platform_log.era)
+        try:
+            await self.platform_log.append(DECISION_STREAM, pack(batch.to_row()))
+        except LogUnavailableError as error:
+            log.warning('decisions-unsent', extra={'cause': str(error)})
+            return False
+        self.previous_digest = batch.digest()
+        return True
+
+    async def take_batch(self) -> DecisionBatch:
+        """Remove the next batch from the buffer.
 
         ``flush`` sends the batch again until the log accepts it. If the reply
         to an append is lost, the batch is on the log twice; readers skip the
-        duplicate, which has the sequence number and digest of the batch before it.
+        duplicate, which has the sequence number of the batch before it.
 
         Compression runs in a thread, because it would block the event loop
         and delay requests.
@@ -107,5 +118,4 @@
         )
         self.reported_dropped = self.dropped
         self.sequence += 1
-        self.previous_digest = batch.digest()
-        return pack(batch.to_row())
+        return batch
--- a/packages/testbed/src/lavendermount_testbed/processes.py
+++ b/packages/testbed/src/lavendermount_testbed/processes.py
@@ -54,7 +54,7 @@
         :param size: number of ports.
         """
         while True:
-            first = self.next_port + 1
+            first: int = self.next_port + 1
             if first + size > self.first + PORTS_PER_BLOCK:
                 first = self.first + 1
             self.next_port = first + size - 1
