Presets over eras of the log, repeated departures, deadlines after a freeze, slots

Cause: the preset stream of the product could not go on after the log came back from an older copy: its revisions are offsets, which are given out again, and records written before and after can't be told apart in the copy. A repeated departure of an old start drained a later start of the same name; a later start time under the same name was no new start. A gate that was frozen wrote requests to its target whose deadline had passed (found by the state machine of attempts with a new invariant). Raising the slots of a target started no queued request. 'repeated' in demo and bench was counted by target, p99_all_ms was taken from an unsorted list, two messages named environment variables that are not read. The gate refuses an attempt whose deadline has passed as not run. The stand-in of the log learns eras; its lost responses are closed connections now, as the steps' texts say.

--- a/benches/policy.py
+++ b/benches/policy.py
@@ -333,18 +333,19 @@
 
     def __init__(self, benchmark: PolicyBenchmark) -> None:
         """Read all counters."""
-        self.repeated = 0
+        runs: Counter[str] = Counter()
         self.faulty_target_requests = 0
         self.local_bytes = 0.0
         self.paid_bytes = 0.0
         self.link_bytes = 0
         for number, instance in enumerate(benchmark.deployment.instances.values()):
             report = instance.control_target()
-            self.repeated += int(str(report['repeated']))
+            runs.update(report['ran_posts'])
             if not number:
                 self.faulty_target_requests = int(str(report['asked']))
             self.local_bytes += read_measuring_bytes(instance, 'local')
             self.paid_bytes += read_measuring_bytes(instance, 'paid')
+        self.repeated = sum(1 for times in runs.values() if times > 1)
         for region in benchmark.deployment.relays:
             report = benchmark.deployment.control_link(region)
             self.link_bytes += int(str(report['carried']))
@@ -413,7 +414,8 @@
     unserved = len(rows) - sum(
         1 for row in rows if row.outcome == 'whole' and row.status < 500
     )
-    all_latencies = served_latencies + [UNSERVED_LATENCY_MS for _ in range(unserved)]
+    unserved_latencies = [UNSERVED_LATENCY_MS for _ in range(unserved)]
+    all_latencies = sorted(served_latencies + unserved_latencies)
     paid_bytes = after.paid_bytes - before.paid_bytes
     link_bytes = after.link_bytes - before.link_bytes
     print_figures(
--- a/features/fakes.py
+++ b/features/fakes.py
@@ -64,6 +64,7 @@
         self.running: list[Execution] = []
         self.departed_starts: set[tuple[str, int]] = set()
         self.started_after_departure: list[str] = []
+        self.sent_after_deadline: list[str] = []
 
 
 class FakeDialect:
@@ -93,6 +94,8 @@
         :raises TargetError: if the target does not listen or the connection is
             lost.
         """
+        if attempt.request.deadline < asyncio.get_running_loop().time():
+            self.target.sent_after_deadline.append(attempt.attempt_id)
         await asyncio.sleep(0)
         if not self.target.is_listening:
             raise TargetError(Reason.TARGET_DOWN, 'connection refused')
--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -34,3 +34,12 @@
 
   Scenario: Bytes that arrive after the close of an idle connection are logged
     Then a request that crosses the close of its connection leaves a warning
+
+  Scenario: A repeated departure of an earlier start does not drain the later one
+    Then a target that started again under its name stays up when its old departure is repeated
+
+  Scenario: A later start time under the same name is a new start
+    Then a report with a later start time resets the averages of the target
+
+  Scenario: A queued request starts as soon as the target offers more slots
+    Then a request that waits for a slot gets one when the number of slots rises
--- a/features/presets.feature
+++ b/features/presets.feature
@@ -30,6 +30,29 @@
     And preset "peak" is put in force
     Then preset "peak" is in force on all running nodes
 
+  Scenario: A preset that the log has lost stays in force, and switches are decided again
+    Given a deployment of 3 nodes
+    When a copy of the log is taken
+    And preset "peak" is put in force
+    And the log comes back from the copy
+    And 2 s pass
+    Then preset "peak" is in force on all running nodes
+    When node 3 is killed
+    And node 3 is restarted
+    Then node 3 has preset "peak" in force
+    When preset "ordinary" is put in force
+    Then preset "ordinary" is in force on all running nodes
+
+  Scenario: After the loss of all nodes the preset of the copy is put in force
+    Given a deployment of 2 nodes
+    When a copy of the log is taken
+    And the log comes back from the copy
+    And every node is killed at once
+    And every node is started again
+    Then preset "ordinary" is in force on all running nodes
+    When preset "peak" is put in force
+    Then preset "peak" is in force on all running nodes
+
   Scenario: A slow log delays no request, and a switch succeeds once the log responds without delay
     Given a deployment of 2 nodes
     When the log is slow
--- a/features/state_machines.py
+++ b/features/state_machines.py
@@ -240,6 +240,11 @@
         """Check that no work started at a target after its departure was processed."""
         assert not self.target.started_after_departure
 
+    @invariant()
+    def nothing_is_sent_after_its_deadline(self) -> None:
+        """Check that no request was sent late, also not after a freeze."""
+        assert not self.target.sent_after_deadline
+
     @invariant()
     def slots_are_not_exceeded(self) -> None:
         """Check that the target never runs more requests than it has slots.
--- a/features/steps/deployment_steps.py
+++ b/features/steps/deployment_steps.py
@@ -119,6 +119,34 @@
     context.deployment.control_log(lose_answers=count)
 
 
+@when('a copy of the log is taken')
+def copy_log(context: Any) -> None:
+    """Keep a copy of all streams of the log."""
+    context.deployment.control_log(copy=True)
+
+
+@when('the log comes back from the copy')
+def restore_log(context: Any) -> None:
+    """Lose what was appended since the copy; the era rises."""
+    context.deployment.control_log(restore=True)
+
+
+@when('every node is killed at once')
+def kill_all_nodes(context: Any) -> None:
+    """Kill the process of each node."""
+    for instance in context.deployment.instances.values():
+        instance.node.popen.kill()
+    for killed in context.deployment.instances.values():
+        killed.node.popen.wait()
+
+
+@when('every node is started again')
+def start_all_nodes(context: Any) -> None:
+    """Start the process of each node, and its target anew."""
+    for number in range(1, len(context.deployment.instances) + 1):
+        restart_node(context, number)
+
+
 @when('the link to the {region} is cut')
 def cut_link(context: Any, region: str) -> None:
     """Reset the open connections into a region, and new ones when they are accepted."""
--- a/features/steps/stop_steps.py
+++ b/features/steps/stop_steps.py
@@ -10,11 +10,14 @@
 from unittest.mock import Mock, patch
 
 from behave import then
-from builders import FakeClock
+from builders import FakeClock, gate_with_target, gate_without_target
 from tornado.iostream import IOStream
 
 from lavendermountd.caller import connection as connection_module
 from lavendermountd.caller.connection import CallerConnection
+from lavendermountd.gate.admission import Ticket
+from lavendermountd.gate.reports import ReportedState, TargetReport
+from lavendermountd.gate.target import TargetState
 from lavendermountd.http1.request_parser import RequestLimits
 
 REQUEST = b'POST /order HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n'
@@ -84,3 +87,61 @@
     await task
     assert time.monotonic() - started_at < 5
     caller_end.close()
+
+
+def report_of(
+    started_at_ms: int, sequence: int, state: str = ReportedState.READY
+) -> TargetReport:
+    """Build a report of a target that keeps its instance name over its starts."""
+    return TargetReport('s', '127.0.0.1', 1, 2, 'i-1', state, started_at_ms, sequence)
+
+
+@then(
+    'a target that started again under its name stays up '
+    'when its old departure is repeated'
+)
+def repeated_departure(context: Any) -> None:
+    """Let a target depart, start again, and repeat the report of its departure."""
+    gate, lifecycle = gate_without_target(1)
+    lifecycle.handle_report(report_of(1000, 1))
+    lifecycle.handle_report(report_of(1000, 2))
+    lifecycle.handle_report(report_of(1000, 3, ReportedState.DRAINING))
+    assert gate.target.state == TargetState.DRAINING
+    lifecycle.handle_report(report_of(2000, 1))
+    assert gate.target.state == TargetState.UP
+    lifecycle.handle_report(report_of(1000, 4, ReportedState.STOPPED))
+    assert gate.target.state == TargetState.UP
+    lifecycle.handle_report(report_of(2000, 2, ReportedState.DRAINING))
+    assert gate.target.state == TargetState.DRAINING
+
+
+@then('a report with a later start time resets the averages of the target')
+def later_start(context: Any) -> None:
+    """Report a later start of a target that was not seen to be down."""
+    gate, lifecycle = gate_without_target(1)
+    lifecycle.handle_report(report_of(1000, 1))
+    lifecycle.handle_report(report_of(1000, 2))
+    gate.target.observe(50, is_failure=True)
+    starts = gate.target.start_number
+    lifecycle.handle_report(report_of(2000, 1))
+    assert gate.target.start_number == starts + 1
+    assert gate.target.failure_ratio == 0
+
+
+@then('a request that waits for a slot gets one when the number of slots rises')
+def slots_rise(context: Any) -> None:
+    """Fill all slots, let one more request wait, and add a slot."""
+    asyncio.run(_raise_slots())
+
+
+async def _raise_slots() -> None:
+    queue = gate_with_target(1).queue
+    queue.set_slots(1)
+    deadline = asyncio.get_running_loop().time() + 5
+    assert await queue.acquire_slot(Ticket('c', deadline, False, 0)) is None
+    waiting = asyncio.create_task(queue.acquire_slot(Ticket('c', deadline, False, 0)))
+    await asyncio.sleep(0)
+    assert not waiting.done()
+    queue.set_slots(2)
+    async with asyncio.timeout(1):
+        assert await waiting is None
--- a/packages/client/src/lavendermount/context.py
+++ b/packages/client/src/lavendermount/context.py
@@ -64,7 +64,7 @@
         :raises UsageError: if ``--log`` is missing.
         """
         if self.log_url is None:
-            raise UsageError('--log or LAVENDERMOUNT_LOG is required')
+            raise UsageError('--log or LAVENDERMOUNT_LOG_URL is required')
         return open_log(self.log_adapter, self.log_url, LOG_TIMEOUT_S)
 
     def first_node(self) -> str:
@@ -73,5 +73,5 @@
         :raises UsageError: if ``--node`` is missing.
         """
         if not self.nodes:
-            raise UsageError('--node or LAVENDERMOUNT_NODE is required')
+            raise UsageError('--node or LAVENDERMOUNT_NODES is required')
         return self.nodes[0]
--- a/packages/client/src/lavendermount/decisions.py
+++ b/packages/client/src/lavendermount/decisions.py
@@ -7,8 +7,9 @@
 from __future__ import annotations
 
 from lavendermount_core.config.findings import Finding
-from lavendermount_core.exceptions import LogEvictedError, RecordError
-from lavendermount_core.log.adapter import LogAdapter, LogBatch
+from lavendermount_core.exceptions import RecordError
+from lavendermount_core.log.adapter import LogAdapter
+from lavendermount_core.log.reading import read_to_end
 from lavendermount_core.replay.chain import ChainCheck
 from lavendermount_core.replay.records import (
     DECISION_STREAM,
@@ -57,19 +58,7 @@
     :returns: the decisions, and findings about the stream.
     """
     stored = StoredDecisions()
-    offset = 0
-    while True:
-        try:
-            batch = await platform_log.read(DECISION_STREAM, offset)
-        except LogEvictedError as error:
-            offset = error.oldest
-            continue
-        _add_batches(stored, batch)
-        offset = batch.next_offset
-        if offset >= batch.end:
-            return stored
-
-
-def _add_batches(stored: StoredDecisions, batch: LogBatch) -> None:
-    for record in batch.records:
-        stored.add_batch(record.offset, record.body)
+    async for batch in read_to_end(platform_log, DECISION_STREAM):
+        for record in batch.records:
+            stored.add_batch(record.offset, record.body)
+    return stored
--- a/packages/client/src/lavendermount/presets.py
+++ b/packages/client/src/lavendermount/presets.py
@@ -15,15 +15,21 @@
     PresetNotAcceptedError,
     RecordError,
 )
-from lavendermount_core.log.adapter import LogAdapter, LogBatch
+from lavendermount_core.log.adapter import (
+    LogAdapter,
+    LogBatch,
+    join_position,
+    split_position,
+)
+from lavendermount_core.log.reading import read_to_end
 from lavendermount_core.models.records import Record
-from lavendermount_core.presets.fold import PresetFold
+from lavendermount_core.presets.fold import PresetFold, apply_publish
 from lavendermount_core.presets.records import (
-    PRESET_STREAM,
     Publish,
     Switch,
     decode_record,
     encode_record,
+    preset_stream,
 )
 
 APPEND_TIMEOUT_S = 15.0
@@ -49,16 +55,61 @@
         :returns: the fold over all records that the log retains.
         """
         while True:
-            offset = 0 if self.fold is None else self.fold.next_offset
             try:
-                batch = await self.platform_log.read(PRESET_STREAM, offset)
+                batch = await self.read_batch()
             except LogEvictedError as error:
                 self.resume_at(error.oldest)
                 continue
+            if batch is None:
+                await self.start_era()
+                continue
             fold = self.apply_batch(batch)
             if batch.next_offset >= batch.end:
                 return fold
 
+    async def read_batch(self) -> LogBatch | None:
+        """Read the next records of the stream of the current era.
+
+        :returns: ``None`` if the answer showed that another era has begun.
+        """
+        offset = 0 if self.fold is None else self.fold.next_offset
+        name = preset_stream(self.platform_log.era)
+        batch = await self.platform_log.read(name, offset)
+        return batch if preset_stream(self.platform_log.era) == name else None
+
+    async def start_era(self) -> None:
+        """Continue with the stream of a new era of the log.
+
+        The switches and presets of earlier eras are collected from what the log
+        retains of them.
+        """
+        era = self.platform_log.era
+        if self.fold is None:
+            self.fold = PresetFold(join_position(era, 0))
+        else:
+            self.fold.restart(join_position(era, 0))
+        self.switches.clear()
+        for earlier in range(era):
+            await self.collect_era(earlier)
+
+    async def collect_era(self, era: int) -> None:
+        """Collect the switches and the published presets of an earlier era."""
+        async for batch in read_to_end(self.platform_log, preset_stream(era)):
+            for record in batch.records:
+                position = join_position(era, split_position(record.offset)[1])
+                self.collect_switch(position, record.body)
+                self.collect_published(record.body)
+
+    def collect_published(self, body: bytes) -> None:
+        """Add a published preset of an earlier era to the fold."""
+        assert self.fold is not None
+        try:
+            record = decode_record(body)
+        except RecordError:
+            return
+        if isinstance(record, Publish):
+            apply_publish(self.fold, self.fold.next_offset, record)
+
     def apply_batch(self, batch: LogBatch) -> PresetFold:
         """Apply the records of a batch to the fold."""
         if self.fold is None:
@@ -70,6 +121,9 @@
 
     def resume_at(self, oldest: int) -> None:
         """Continue at the oldest retained offset after records were evicted."""
+        era = split_position(oldest)[0]
+        if self.fold is not None and era != split_position(self.fold.next_offset)[0]:
+            oldest = join_position(era, 0)
         if self.fold is None:
             self.fold = PresetFold(oldest)
             return
@@ -100,7 +154,8 @@
         failure: LogUnavailableError | None = None
         while time.monotonic() < deadline:
             try:
-                await self.platform_log.append(PRESET_STREAM, encode_record(record))
+                stream = preset_stream(self.platform_log.era)
+                await self.platform_log.append(stream, encode_record(record))
             except LogUnavailableError as error:
                 failure = error
             if await self.is_on_log(record_id):
--- a/packages/core/src/lavendermount_core/presets/fold.py
+++ b/packages/core/src/lavendermount_core/presets/fold.py
@@ -8,6 +8,10 @@
 succeeds. A fold that starts above offset 0, or that missed evicted records,
 becomes settled with the first snapshot (a ``PresetSnapshot`` record) whose author
 had read every record below the start of the fold.
+
+A stream of a later era of the log begins without a preset. It becomes settled with
+the first snapshot that a node carries over from an earlier era; a later one with a
+higher revision, from a node that had seen more, replaces it.
 """
 
 from __future__ import annotations
@@ -17,6 +21,7 @@
 
 from lavendermount_core.config.preset import parse_preset
 from lavendermount_core.exceptions import ConfigurationError, RecordError
+from lavendermount_core.log.adapter import split_position
 from lavendermount_core.models.records import Record
 from lavendermount_core.presets.records import (
     NO_REVISION,
@@ -66,6 +71,7 @@
         'pending_switches',
         'skipped',
         'snapshot_offset',
+        'carried_revision',
     )
 
     def __init__(self, start: int = 0) -> None:
@@ -79,6 +85,24 @@
         self.pending_switches: list[tuple[int, Switch]] = []
         self.skipped = 0
         self.snapshot_offset = start
+        self.carried_revision = NO_REVISION
+
+    @property
+    def decided_revision(self) -> int:
+        """Revision in force according to the records of the current era.
+
+        The fold may know of a newer one from an earlier era, which the records do
+        not show yet.
+        """
+        era = split_position(self.next_offset)[0]
+        if split_position(self.in_force.as_of)[0] == era:
+            return self.in_force.revision
+        return self.carried_revision
+
+    @property
+    def must_carry_over(self) -> bool:
+        """Whether the records of the current era lack the preset in force."""
+        return self.decided_revision < self.in_force.revision
 
     @classmethod
     def from_snapshot(cls, snapshot: PresetSnapshot) -> PresetFold:
@@ -96,13 +120,15 @@
     def restart(self, oldest: int) -> None:
         """Resume after records that were evicted before they were read.
 
-        The preset in force is kept, although it may be out of date.
+        The same happens when the log came back from an older copy. The preset in
+        force is kept, although it may be out of date.
 
         :param oldest: oldest offset that the log retains.
         """
         self.start = oldest
         self.next_offset = oldest
         self.is_settled = False
+        self.carried_revision = NO_REVISION
         self.pending_switches.clear()
 
     def apply(self, offset: int, body: bytes) -> None:
@@ -135,6 +161,14 @@
         if reaches_start and not self.is_settled:
             self.settle(snapshot)
 
+    def carry_over(self, snapshot: PresetSnapshot) -> None:
+        """Apply a snapshot that a node carried over from an earlier era."""
+        self.carried_revision = max(self.carried_revision, snapshot.revision)
+        if snapshot.revision > self.in_force.revision:
+            self.in_force = snapshot
+        if not self.is_settled:
+            self.settle(snapshot)
+
     def settle(self, snapshot: PresetSnapshot) -> None:
         """Mark the fold as settled and evaluate the pending switches.
 
@@ -185,7 +219,9 @@
         :returns: a record that lets the folds of other nodes become settled.
         """
         current = self.in_force
-        as_of = max(self.next_offset, current.as_of)
+        as_of = current.as_of
+        if self.is_settled and not self.must_carry_over:
+            as_of = max(self.next_offset, as_of)
         return PresetSnapshot(
             current.revision, as_of, current.name, current.version, current.body
         )
@@ -210,12 +246,12 @@
         fold.pending_switches.append((offset, record))
         return
     if offset >= fold.in_force.as_of:
-        fold.evaluate_switch(offset, record, fold.in_force.revision)
+        fold.evaluate_switch(offset, record, fold.decided_revision)
 
 
 @record_appliers.register(PresetSnapshot)
 def apply_snapshot(fold: PresetFold, offset: int, record: PresetSnapshot) -> None:
-    """Adopt a snapshot if the fold is not settled yet.
+    """Adopt a snapshot if the fold is not settled yet, or if it was carried over.
 
     A snapshot is skipped if it claims to cover its own offset or later ones, if
     its revision is not below ``as_of``, or if its body is not a valid preset.
@@ -227,6 +263,9 @@
         fold.skipped += 1
         return
     fold.snapshot_offset = offset
+    if split_position(record.as_of)[0] < split_position(offset)[0]:
+        fold.carry_over(record)
+        return
     if not fold.is_settled:
         fold.adopt(record)
 
--- a/packages/core/src/lavendermount_core/presets/records.py
+++ b/packages/core/src/lavendermount_core/presets/records.py
@@ -10,7 +10,7 @@
 from lavendermount_core.models.records import Record, pack, unpack
 from lavendermount_core.utils.registry import Registry
 
-PRESET_STREAM = 'presets'
+FIRST_PRESET_STREAM = 'presets'
 NO_REVISION = -1
 
 record_kinds: Registry[str, type[Record]] = Registry('preset record')
@@ -125,6 +125,17 @@
         self.body = body
 
 
+def preset_stream(era: int) -> str:
+    """Return the name of the preset stream of an era of the log.
+
+    Each era has its own stream: in the copy that the log came back from, records
+    written before and after can't be told apart.
+
+    :param era: era of the log; a negative number if it is unknown.
+    """
+    return FIRST_PRESET_STREAM if era <= 0 else f'{FIRST_PRESET_STREAM}.{era}'
+
+
 def encode_record(record: Record) -> bytes:
     """Encode a record of the preset stream.
 
--- a/packages/node/src/lavendermountd/control/server.py
+++ b/packages/node/src/lavendermountd/control/server.py
@@ -80,7 +80,8 @@
         Otherwise ``is_settled`` of the reply is false.
         """
         fold = self.node.holder.fold
-        if fold is None or not fold.is_settled or self.node.holder.current is None:
+        is_known = fold is not None and (fold.is_settled or fold.must_carry_over)
+        if fold is None or not is_known or self.node.holder.current is None:
             return control_pb2.PresetReply(is_settled=False)
         return preset_message(fold.snapshot())
 
--- a/packages/node/src/lavendermountd/gate/gate.py
+++ b/packages/node/src/lavendermountd/gate/gate.py
@@ -213,8 +213,15 @@
             self.queue.refuse_waiting(is_limited_wait_only=True)
 
     async def run(self, attempt: Attempt) -> AttemptResult:
-        """Send the request of an attempt that holds a slot and await the reply."""
+        """Send the request of an attempt that holds a slot and await the reply.
+
+        A request whose deadline has passed is not sent: the process may have been
+        frozen since the attempt was accepted.
+        """
         started_at = time.monotonic()
+        if started_at > attempt.request.deadline:
+            detail = 'the deadline passed before the request was sent'
+            return Failure(not_run_refusal(Reason.DEADLINE, detail))
         in_flight = self.admission.in_flight
         attempt.started_at = started_at
         self.target.begin(attempt.attempt_id, started_at)
@@ -261,7 +268,7 @@
         ran_ms = (time.monotonic() - started_at) * MS_PER_S
         name = attempt.request.call_class.name
         self.concurrency_limit.observe(name, in_flight, self.target.slots, ran_ms)
-        self.admission.slots = self.concurrency_limit.slots_to_use(self.target.slots)
+        self.queue.set_slots(self.concurrency_limit.slots_to_use(self.target.slots))
 
     def refusal_from(self, metadata: ReplyMetadata) -> Refusal | None:
         """Return the refusal that the headers of a reply imply, if any."""
--- a/packages/node/src/lavendermountd/gate/queue.py
+++ b/packages/node/src/lavendermountd/gate/queue.py
@@ -116,6 +116,11 @@
         slots = max(self.target.slots, 1)
         return request_count * self.target.service_ms / slots / MS_PER_S
 
+    def set_slots(self, slots: int) -> None:
+        """Change the number of slots, and start queued requests in new ones."""
+        self.admission.slots = slots
+        self.grant_slots(self.admission.start_waiting())
+
     def refuse(self, reason: Reason, detail: str) -> Refusal:
         """Refuse a request that was not run.
 
--- a/packages/node/src/lavendermountd/gate/reports.py
+++ b/packages/node/src/lavendermountd/gate/reports.py
@@ -139,6 +139,10 @@
             return bool(report.sequence) and report.sequence <= self.sequence
         return bool(report.started_at_ms) and report.started_at_ms < self.current[1]
 
+    def is_later_start(self, report: TargetReport) -> bool:
+        """Whether a report is of a later start under the same instance name."""
+        return 0 < self.current[1] < report.started_at_ms
+
     def record_report(self, report: TargetReport) -> None:
         """Record a report that was not late."""
         if report.start != self.current:
--- a/packages/node/src/lavendermountd/gate/target.py
+++ b/packages/node/src/lavendermountd/gate/target.py
@@ -100,7 +100,11 @@
         :param report: report that is newer than the current state.
         :returns: whether the instance name changed or the target was not up before.
         """
-        is_new = report.instance != self.instance or self.state != TargetState.UP
+        is_new = (
+            report.instance != self.instance
+            or self.state != TargetState.UP
+            or self.history.is_later_start(report)
+        )
         self.history.record_report(report)
         self.set_address(report)
         self.state = TargetState.UP
--- a/packages/node/src/lavendermountd/gate/target_lifecycle.py
+++ b/packages/node/src/lavendermountd/gate/target_lifecycle.py
@@ -82,9 +82,13 @@
     def handle_departure(self, report: TargetReport) -> None:
         """Record that a start of the target is draining or has stopped.
 
-        If it is the current start, the target is drained.
+        If it is the current start, the target is drained. A repeated report of an
+        earlier start changes nothing.
         """
         target = self.gate.target
+        is_current = report.start == target.history.current
+        if report.start in target.history.departed and not is_current:
+            return
         target.history.record_report(report)
         target.mark_departing(report)
         # A report without an instance name applies to the current target.
@@ -108,7 +112,7 @@
         """Set the gate up for a new start and publish its service to other nodes."""
         target = self.gate.target
         self.gate.client.close_idle()
-        self.gate.admission.slots = target.slots
+        self.gate.queue.set_slots(target.slots)
         self.gate.concurrency_limit.reset()
         self.table.change_own(target.service, MemberStatus.ALIVE)
         self.broadcast_load()
--- a/packages/node/src/lavendermountd/gate/target_monitor.py
+++ b/packages/node/src/lavendermountd/gate/target_monitor.py
@@ -185,5 +185,5 @@
                 'evidence': evidence,
             },
         )
-        self.gate.admission.slots = target.slots
+        self.gate.queue.set_slots(target.slots)
         self.gate.on_load_change()
--- a/packages/node/src/lavendermountd/presets/follower.py
+++ b/packages/node/src/lavendermountd/presets/follower.py
@@ -10,10 +10,16 @@
 import logging
 
 from lavendermount_core.exceptions import LogEvictedError, LogUnavailableError
-from lavendermount_core.log.adapter import LogAdapter, LogBatch
+from lavendermount_core.log.adapter import (
+    LogAdapter,
+    LogBatch,
+    join_position,
+    split_position,
+)
 from lavendermount_core.presets.fold import PresetFold
-from lavendermount_core.presets.records import PRESET_STREAM
+from lavendermount_core.presets.records import preset_stream
 from lavendermountd.presets.holder import PresetHolder
+from lavendermountd.presets.restart import RestartRequest
 
 log = logging.getLogger(__name__)
 
@@ -36,10 +42,15 @@
         self.is_reachable = False
         self.is_caught_up = asyncio.Event()
         self.retry_s = INITIAL_RETRY_S
+        self.restart_request = RestartRequest()
 
     def restart(self) -> None:
-        """Read to the end of the stream again before it counts as caught up."""
+        """Read to the end of the stream again before it counts as caught up.
+
+        A read that is waiting is abandoned.
+        """
         self.is_caught_up.clear()
+        self.restart_request.request()
 
     async def run(self) -> None:
         """Follow the stream until cancelled."""
@@ -48,21 +59,38 @@
 
     async def step(self) -> None:
         """Read once; wait for new records at the end of the stream."""
-        fold = self.holder.fold
-        offset = 0 if fold is None else fold.next_offset
-        wait_s = LONG_POLL_S if self.is_caught_up.is_set() else 0
         try:
-            batch = await self.platform_log.read(PRESET_STREAM, offset, wait_s)
+            await self.restart_request.run(self.read())
         except LogEvictedError as error:
             self.skip_evicted(error.oldest)
         except LogUnavailableError as error:
             await self.wait_for_log(error)
-        else:
-            self.apply(batch)
+
+    async def read(self) -> None:
+        """Read the next records of the stream of the current era."""
+        era = self.platform_log.era
+        fold = self.holder.fold
+        offset = 0 if fold is None else fold.next_offset
+        wait_s = LONG_POLL_S if self.is_caught_up.is_set() else 0
+        batch = await self.platform_log.read(preset_stream(era), offset, wait_s)
+        if preset_stream(self.platform_log.era) != preset_stream(era):
+            self.skip_evicted(batch.oldest)
+            return
+        self.apply(batch)
 
     def skip_evicted(self, oldest: int) -> None:
-        """Resume at the oldest retained record."""
+        """Resume at the oldest retained record.
+
+        In a later era of the log, that is the beginning of the era's own stream.
+
+        :param oldest: oldest position that the log retains.
+        """
         self.mark_reachable()
+        fold = self.holder.fold
+        era = split_position(oldest)[0]
+        if fold is None or era != split_position(fold.next_offset)[0]:
+            oldest = join_position(era, 0)
+            self.is_caught_up.clear()
         log.info('presets-evicted', extra={'oldest': oldest})
         if self.holder.fold is None:
             self.holder.fold = PresetFold(oldest)
--- a/packages/node/src/lavendermountd/presets/keyed_follower.py
+++ b/packages/node/src/lavendermountd/presets/keyed_follower.py
@@ -22,6 +22,7 @@
 from lavendermount_core.presets.records import PresetSnapshot
 from lavendermountd.presets.decoders import PresetDecoder
 from lavendermountd.presets.holder import PresetHolder
+from lavendermountd.presets.restart import RestartRequest
 
 log = logging.getLogger(__name__)
 
@@ -63,7 +64,7 @@
         self.is_caught_up = asyncio.Event()
         self.retry_s = INITIAL_RETRY_S
         self.has_read = False
-        self.restart_requested = asyncio.Event()
+        self.restart_request = RestartRequest()
         self.prepare_first_preset: Callable[[], Awaitable[None]] = _prepare_nothing
 
     def restart(self) -> None:
@@ -73,7 +74,7 @@
         an older copy.
         """
         self.is_caught_up.clear()
-        self.restart_requested.set()
+        self.restart_request.request()
 
     async def run(self) -> None:
         """Follow the record until cancelled."""
@@ -82,9 +83,8 @@
 
     async def step(self) -> None:
         """Read once; after an eviction, start again from the newest record."""
-        self.restart_requested.clear()
         try:
-            await self.read_until_restart()
+            await self.restart_request.run(self.read())
         except LogEvictedError as error:
             log.info('presets-evicted', extra={'oldest': error.oldest})
             self.offset = UNKNOWN_OFFSET
@@ -93,20 +93,6 @@
         else:
             self.mark_reachable()
 
-    async def read_until_restart(self) -> None:
-        """Read, unless a restart is requested while the read waits."""
-        reading = asyncio.ensure_future(self.read())
-        restarting = asyncio.ensure_future(self.restart_requested.wait())
-        try:
-            await asyncio.wait(
-                {reading, restarting}, return_when=asyncio.FIRST_COMPLETED
-            )
-            if reading.done():
-                reading.result()
-        finally:
-            reading.cancel()
-            restarting.cancel()
-
     async def read(self) -> None:
         """Read the newest record at first, then wait for new records.
 
--- a/packages/node/src/lavendermountd/presets/republisher.py
+++ b/packages/node/src/lavendermountd/presets/republisher.py
@@ -15,8 +15,8 @@
 from lavendermount_core.presets.fold import PresetFold
 from lavendermount_core.presets.records import (
     NO_REVISION,
-    PRESET_STREAM,
     encode_record,
+    preset_stream,
 )
 from lavendermountd.presets.follower import PresetFollower
 
@@ -78,9 +78,10 @@
     async def republish(self, fold: PresetFold) -> None:
         """Append a snapshot of the preset in force, and all published presets."""
         records = [fold.snapshot(), *fold.published.values()]
+        stream = preset_stream(self.platform_log.era)
         try:
             for record in records:
-                await self.platform_log.append(PRESET_STREAM, encode_record(record))
+                await self.platform_log.append(stream, encode_record(record))
         except LogUnavailableError as error:
             log.info('preset-republish-failed', extra={'cause': str(error)})
             return
--- a/packages/node/src/lavendermountd/supervisor_tree.py
+++ b/packages/node/src/lavendermountd/supervisor_tree.py
@@ -3,13 +3,13 @@
 ::
 
     node
-    ├── log        preset-follower, preset-keeper, recorder, joiner
+    ├── log        preset-follower, preset-keeper, preset-carrier, recorder, joiner
     ├── members    control-server, gossip, preset-catch-up
     ├── target     peer-server, target-watch
     ├── callers    caller-server, admin-server, endpoints of adapters
     └── clock      freeze-guard, fence
 
-The preset-keeper runs only if presets are read from a stream.
+The preset-keeper and the preset-carrier run only if presets are read from a stream.
 
 A task that fails is restarted after a backoff. If a task fails too often, the
 root restarts its whole branch. If that happens too often, the process ends with
@@ -26,6 +26,7 @@
 from lavendermountd.control.server import serve_control
 from lavendermountd.endpoints import endpoints
 from lavendermountd.node import Node
+from lavendermountd.presets.carry_over import PresetCarrier
 from lavendermountd.presets.follower import PresetFollower
 from lavendermountd.presets.republisher import PresetRepublisher
 from lavendermountd.supervision.supervisor import Child, Supervisor
@@ -67,7 +68,9 @@
                 node.follower,
                 node.settings.log.retention_s,
             )
+            carrier = PresetCarrier(node.platform_log, node.follower, republisher)
             children.append(Child('preset-keeper', republisher.run))
+            children.append(Child('preset-carrier', carrier.run))
         return self.supervisor('log', children)
 
     def members(self) -> Supervisor:
--- a/packages/testbed/src/lavendermount_testbed/demo.py
+++ b/packages/testbed/src/lavendermount_testbed/demo.py
@@ -155,10 +155,10 @@
 def _summarize(deployment: Deployment, traffic: Traffic) -> int:
     replayed = deployment.run_cli('replay', '--json')
     report = json.loads(replayed.read_output().splitlines()[-1])
-    repeated = sum(
-        int(str(instance.control_target()['repeated']))
-        for instance in deployment.instances.values()
-    )
+    runs: Counter[str] = Counter()
+    for instance in deployment.instances.values():
+        runs.update(instance.control_target()['ran_posts'])  # type: ignore[call-overload]
+    repeated = sum(1 for times in runs.values() if times > 1)
     requests = CALLER_COUNT * REQUESTS_PER_CALLER
     whole = traffic.outcomes['whole']
     differences = len(report['differences'])
--- a/packages/testbed/src/lavendermount_testbed/log_server.py
+++ b/packages/testbed/src/lavendermount_testbed/log_server.py
@@ -12,6 +12,7 @@
 import json
 import time
 
+from tornado.http1connection import HTTP1Connection
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
@@ -41,6 +42,14 @@
         """Offset of the next record."""
         return self.oldest + len(self.records)
 
+    def copy(self) -> Stream:
+        """Return a copy, from which the log can come back."""
+        copied = Stream()
+        copied.records = list(self.records)
+        copied.append_times = list(self.append_times)
+        copied.oldest = self.oldest
+        return copied
+
     def append(self, body: bytes) -> int:
         """Append a record, wake waiting readers and return its offset."""
         self.records.append(body)
@@ -79,8 +88,8 @@
 
     :param outage: every request is answered with status 503.
     :param slow_ms: delay before each request is handled.
-    :param lose_answers: number of appends that succeed but are answered with
-        status 503.
+    :param lose_answers: number of appends that succeed but whose connection is
+        closed without a response.
     :param lose_claims: the same, for streams of claims only.
     :param retention_s: age at which records are evicted.
     """
@@ -96,7 +105,7 @@
         self.retention_s = float('inf')
 
     def should_fail_response(self, name: str) -> bool:
-        """Whether to answer an append with status 503 although it succeeded.
+        """Whether to drop the response to an append that succeeded.
 
         Counts the fault down.
         """
@@ -110,16 +119,29 @@
 
 
 class LogState:
-    """The streams, the injected faults and the number of appends."""
+    """The streams, the injected faults, the era and the number of appends."""
 
-    __slots__ = ('streams', 'faults', 'appends')
+    __slots__ = ('streams', 'copied_streams', 'era', 'faults', 'appends')
 
     def __init__(self) -> None:
         """Start without streams or faults."""
         self.streams: dict[str, Stream] = {}
+        self.copied_streams: dict[str, Stream] = {}
+        self.era = 0
         self.faults = Faults()
         self.appends = 0
 
+    def take_copy(self) -> None:
+        """Copy all streams."""
+        self.copied_streams = {
+            name: stream.copy() for name, stream in self.streams.items()
+        }
+
+    def restore_copy(self) -> None:
+        """Come back from the copy in the next era; later records are lost."""
+        self.streams = self.copied_streams
+        self.era += 1
+
     def get_stream(self, name: str) -> Stream:
         """Get or create a stream and evict its expired records."""
         stream = self.streams.setdefault(name, Stream())
@@ -140,6 +162,7 @@
         :returns: whether an outage ends the request, with status 503.
         """
         faults = self.state.faults
+        self.set_header('Log-Era', str(self.state.era))
         if faults.slow_ms:
             await asyncio.sleep(faults.slow_ms / MS_PER_S)
         if faults.outage:
@@ -157,10 +180,17 @@
         self.state.appends += 1
         offset = self.state.get_stream(name).append(self.request.body)
         if self.state.faults.should_fail_response(name):
-            self.set_status(UNAVAILABLE)
+            self.drop_connection()
             return
         self.write(str(offset))
 
+    def drop_connection(self) -> None:
+        """Close the connection without a response."""
+        connection = self.request.connection
+        assert isinstance(connection, HTTP1Connection)
+        connection.stream.close()
+        self._finished = True
+
     async def get(self, name: str) -> None:
         """Read from an offset; at the end, wait up to ``wait_ms`` for a record."""
         if await self.apply_faults():
@@ -172,7 +202,7 @@
             self.set_status(UNAVAILABLE)
             return
         stream = self.state.get_stream(name)
-        if offset < stream.oldest:
+        if not stream.oldest <= offset <= stream.end:
             self.set_status(GONE)
             self.write(str(stream.oldest))
             return
@@ -198,10 +228,15 @@
     def post(self) -> None:
         """Set the faults and evict the records named in a JSON object.
 
-        ``evict`` maps a stream to its new oldest offset; any other key is a
-        field of :class:`Faults`.
+        ``evict`` maps a stream to its new oldest offset; ``copy`` and ``restore``
+        keep a copy of all streams and come back from it; any other key is a field
+        of :class:`Faults`.
         """
         payload = json.loads(self.request.body)
+        if payload.pop('copy', False):
+            self.state.take_copy()
+        if payload.pop('restore', False):
+            self.state.restore_copy()
         evict = payload.pop('evict', {})
         for name, offset in evict.items():
             self.state.get_stream(name).evict_below(offset)
--- a/packages/testbed/src/lavendermount_testbed/target_server.py
+++ b/packages/testbed/src/lavendermount_testbed/target_server.py
@@ -213,7 +213,7 @@
                 setattr(behaviour, name, converted)
         report = {
             'ran': dict(behaviour.ran),
-            'repeated': sum(1 for times in behaviour.ran_posts.values() if times > 1),
+            'ran_posts': dict(behaviour.ran_posts),
             'started': behaviour.started,
             'asked': behaviour.asked,
             'pid': os.getpid(),
