Claims: a node that learns of a new era from its own claim runs nothing yet

Cause: found by the state machine of claims after its nodes were made to learn of the new era from their next answer of the log, as they do in use: such a node had looked at the recovery time before its append, won the key in the new era and ran the request, while the holder of the lost claim had not appended it again. Change: the recovery time begins when the era is seen and is looked at again after the claim was read back. A scenario with real processes: a key that ran before the log came back is refused as not run at first, then answered with the first outcome by another node; it ran once.

--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -92,6 +92,20 @@
   Scenario: Claims agree with a naive implementation on generated streams
     Then the claim fold agrees with a naive implementation on generated streams
 
+  Scenario: A key that ran before the log came back from an older copy is not run again
+    Given a deployment of 3 nodes
+    When a copy of the log is taken
+    And a caller sends POST "/order" with key "k6" to node 1
+    Then the response is complete and belongs to the request
+    When the log comes back from the copy
+    And a caller sends POST "/order" with key "k6" to node 2
+    Then the response has outcome "not-run" and status 503
+    And the response has a Retry-After header
+    When 9 s pass
+    And a caller sends POST "/order" with key "k6" to node 3
+    Then the response is complete and belongs to the request
+    And the request ran 1 times
+
   Scenario: A claim that the log has lost still counts
     Then a claim that the log lost is known to a node that had read it
 
--- a/features/state_machines.py
+++ b/features/state_machines.py
@@ -39,6 +39,7 @@
 )
 from returns.result import Failure, Success
 
+from lavendermount_core.log.adapter import LogAdapter
 from lavendermount_core.models.calls import (
     CallReply,
     CallRequest,
@@ -60,6 +61,7 @@
 OK = 200
 NODE_COUNT = 3
 KEY = 'k'
+GOSSIP_S = 2.0
 SERVER_ERROR = 500
 STEPS_PER_HISTORY = 40
 DEFAULT_HISTORIES = 10000
@@ -541,7 +543,8 @@
     """Three nodes that claim one key on a log that fails, evicts and loses records.
 
     A key whose record was evicted is old, so its runs are no longer counted. When
-    records are lost, every node learns of it at once.
+    records are lost, every node learns of it within ``GOSSIP_S``, or from its next
+    answer of the log.
     """
 
     def __init__(self) -> None:
@@ -566,14 +569,22 @@
         """Start a node without claims."""
         self.incarnations += 1
         identity = Mock(node_id=f'n{self.incarnations}', incarnation=self.incarnations)
+        claim_log = FakeClaimLog(self.stored)
         service = ClaimService(
             identity,
-            FakeClaimLog(self.stored),
+            claim_log,
             self.router,  # type: ignore[arg-type]
             FakeHolders(self.services),  # type: ignore[arg-type]
         )
+        claim_log.note_era(self.stored.era)
+        claim_log.era_listeners.append(lambda: self.recover(service))
         self.services[self.incarnations] = service
 
+    def recover(self, service: ClaimService) -> None:
+        """Let a node recover its claims, as it does when it sees a new era."""
+        service.begin_recovery()
+        self.rewriting.append(asyncio.create_task(service.rewrite()))
+
     def service(self, pick: int) -> ClaimService:
         """Choose a running node."""
         services = list(self.services.values())
@@ -634,15 +645,15 @@
         """Bring the log back from a copy that lacks its latest records."""
         self.stored.lose_latest(count)
         self.stored.is_unavailable = False
-        self.time.run(self.announce_era())
-        self.time.advance(0.5)
-
-    async def announce_era(self) -> None:
-        """Tell every node of the new era, as gossip does."""
-        for service in self.services.values():
-            service.platform_log.delay_s = 0  # type: ignore[attr-defined]
-            service.platform_log.note_era(self.stored.era)
-            self.rewriting.append(asyncio.create_task(service.rewrite()))
+        for number, service in enumerate(self.services.values()):
+            delay_s = GOSSIP_S * number / NODE_COUNT
+            self.time.run(self.announce_era(service.platform_log, delay_s))
+
+    async def announce_era(self, platform_log: LogAdapter, delay_s: float) -> None:
+        """Tell a node of the new era later, as gossip does."""
+        platform_log.delay_s = 0  # type: ignore[attr-defined]
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay_s, platform_log.note_era, self.stored.era)
 
     @rule(seconds=st.sampled_from((0.05, 0.6, 3.5, 8.0)))
     def advance_time(self, seconds: float) -> None:
--- a/packages/node/src/lavendermountd/claims/claims.py
+++ b/packages/node/src/lavendermountd/claims/claims.py
@@ -125,13 +125,16 @@
         self.released_ids: OrderedDict[str, None] = OrderedDict()
         self.recovered_at: float = 0
 
+    def begin_recovery(self) -> None:
+        """Claim no key until all nodes had time to append their claims again."""
+        now = asyncio.get_running_loop().time()
+        self.recovered_at = now + CLAIM_RECOVERY_S
+
     async def rewrite(self) -> None:
         """Append the claims of this node again; the log may have lost them.
 
         The nodes spread their calls over ``REWRITE_SPREAD_S``.
         """
-        now = asyncio.get_running_loop().time()
-        self.recovered_at = now + CLAIM_RECOVERY_S
         await asyncio.sleep(random.uniform(0, REWRITE_SPREAD_S))
         held = [
             local
@@ -194,6 +197,9 @@
         if existing is not None and existing.state != ClaimState.RELEASED:
             return await self.await_earlier_submission(existing, request)
         supersedes = '' if existing is None else existing.claim.claim_id
+        refusal = self.recovery_refusal()
+        if refusal is not None:
+            return Failure(refusal)
         local = self.new_claim(key, request, supersedes)
         try:
             return await self.claim_and_run(local, request, preset)
@@ -286,10 +292,11 @@
             the key.
         """
         for _ in range(MAX_CLAIM_ATTEMPTS):
+            winner = await self.append_and_read(local, request)
+            # The answers may have shown that the log came back from an older copy.
             refusal = self.recovery_refusal()
             if refusal is not None:
                 return Failure(refusal)
-            winner = await self.append_and_read(local, request)
             if winner is not None and winner.claim_id == local.claim.claim_id:
                 return await self.query_lost_claim(local, request)
             settled_outcome = await self.query_winner(local, request, winner)
--- a/packages/node/src/lavendermountd/log_recovery.py
+++ b/packages/node/src/lavendermountd/log_recovery.py
@@ -38,6 +38,7 @@
     def start(self) -> None:
         """Read and write again what the log may have lost."""
         self.node.follower.restart()
+        self.node.claims.begin_recovery()
         for task in self.tasks:
             task.cancel()
         self.tasks = {
