Recovery of the log: one place spreads the calls

Change: the wait before a node writes its records again stood in three classes; LogRecovery waits once. No behaviour changed but that the claims follow the member record.

--- a/features/state_machines.py
+++ b/features/state_machines.py
@@ -55,6 +55,7 @@
 from lavendermountd.gate.target_client import TargetAnswer, TargetError
 from lavendermountd.gate.target_monitor import TargetMonitor
 from lavendermountd.http1.messages import WireReply
+from lavendermountd.log_recovery import REWRITE_SPREAD_S
 from lavendermountd.presets.holder import PresetHolder
 from lavendermountd.presets.keyed_follower import KeyedPresetFollower
 
@@ -583,7 +584,12 @@
     def recover(self, service: ClaimService) -> None:
         """Let a node recover its claims, as it does when it sees a new era."""
         service.begin_recovery()
-        self.rewriting.append(asyncio.create_task(service.rewrite()))
+        self.rewriting.append(asyncio.create_task(self.rewrite(service)))
+
+    async def rewrite(self, service: ClaimService) -> None:
+        """Append the claims of a node again, after it has waited for its turn."""
+        await asyncio.sleep(REWRITE_SPREAD_S)
+        await service.rewrite()
 
     def service(self, pick: int) -> ClaimService:
         """Choose a running node."""
--- a/packages/node/src/lavendermountd/claims/claims.py
+++ b/packages/node/src/lavendermountd/claims/claims.py
@@ -19,7 +19,6 @@
 import asyncio
 import hashlib
 import logging
-import random
 from collections import OrderedDict
 from enum import StrEnum
 
@@ -64,7 +63,6 @@
 # Time in which all nodes learn that the log came back from an older copy, and
 # append their claims again.
 CLAIM_RECOVERY_S = 6.0
-REWRITE_SPREAD_S = 1.5
 
 
 class ClaimState(StrEnum):
@@ -131,11 +129,7 @@
         self.recovered_at = now + CLAIM_RECOVERY_S
 
     async def rewrite(self) -> None:
-        """Append the claims of this node again; the log may have lost them.
-
-        The nodes spread their calls over ``REWRITE_SPREAD_S``.
-        """
-        await asyncio.sleep(random.uniform(0, REWRITE_SPREAD_S))
+        """Append the claims of this node again; the log may have lost them."""
         held = [
             local
             for local in self.by_key.values()
--- a/packages/node/src/lavendermountd/log_recovery.py
+++ b/packages/node/src/lavendermountd/log_recovery.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import logging
+import random
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -20,6 +21,7 @@
 
 # Longest time that a starting node waits for the presets of others.
 NEIGHBOUR_TIMEOUT_S = 1.5
+REWRITE_SPREAD_S = 1.5
 
 
 class LogRecovery:
@@ -41,10 +43,16 @@
         self.node.claims.begin_recovery()
         for task in self.tasks:
             task.cancel()
-        self.tasks = {
-            asyncio.create_task(self.node.joiner.rewrite()),
-            asyncio.create_task(self.node.claims.rewrite()),
-        }
+        self.tasks = {asyncio.create_task(self.rewrite())}
+
+    async def rewrite(self) -> None:
+        """Append the lasting records of this node again.
+
+        The nodes spread their calls over ``REWRITE_SPREAD_S``.
+        """
+        await asyncio.sleep(random.uniform(0, REWRITE_SPREAD_S))
+        await self.node.joiner.rewrite()
+        await self.node.claims.rewrite()
 
     async def ask_neighbours(self) -> None:
         """Learn the preset in force from other nodes, if there are any.
--- a/packages/node/src/lavendermountd/membership/joining.py
+++ b/packages/node/src/lavendermountd/membership/joining.py
@@ -27,7 +27,6 @@
 
 MEMBER_STREAM = 'members'
 CHECK_INTERVAL_S = 2.0
-REWRITE_SPREAD_S = 1.5
 ISOLATED_READ_INTERVAL_S = 5.0
 # Interval at which relays rewrite their records, relative to the retention time of
 # the log.
@@ -71,10 +70,8 @@
     async def rewrite(self) -> None:
         """Write this node's record again and read those of the others.
 
-        The log came back from an older copy, which may lack them. The nodes spread
-        their calls over ``REWRITE_SPREAD_S``.
+        The log came back from an older copy, which may lack them.
         """
-        await asyncio.sleep(random.uniform(0, REWRITE_SPREAD_S))
         self.written_at = 0
         self.read_at = 0
         await self.step()
--- a/packages/node/src/lavendermountd/membership/keyed_joining.py
+++ b/packages/node/src/lavendermountd/membership/keyed_joining.py
@@ -24,7 +24,6 @@
 CHECK_INTERVAL_S = 2.0
 ISOLATED_READ_INTERVAL_S = 5.0
 ANNOUNCE_FANOUT = 4
-REWRITE_SPREAD_S = 1.5
 
 
 class KeyedJoiner:
@@ -55,10 +54,8 @@
     async def rewrite(self) -> None:
         """Write this node's record again and read those of the others.
 
-        The log came back from an older copy, which may lack them. The nodes spread
-        their calls over ``REWRITE_SPREAD_S``.
+        The log came back from an older copy, which may lack them.
         """
-        await asyncio.sleep(random.uniform(0, REWRITE_SPREAD_S))
         self.written_incarnation = 0
         self.read_at = 0
         self.is_due.set()
