Start: members are read before the own record is written

Since readiness and the first preset wait for the members, and the joiner wrote its record before it read the others, every node waited for two slow calls, and the first preset for its whole timeout of 1.5 s. Ruled out: errors of the store (no join-delayed in the logs); slow targets (up within 0.2 s of the preset). A starting node waits for its neighbours for 0.5 s at most.

--- a/packages/node/src/lavendermountd/log_recovery.py
+++ b/packages/node/src/lavendermountd/log_recovery.py
@@ -20,7 +20,7 @@
 log = logging.getLogger(__name__)
 
 # Longest time that a starting node waits for the presets of others.
-NEIGHBOUR_TIMEOUT_S = 1.5
+NEIGHBOUR_TIMEOUT_S = 0.5
 REWRITE_SPREAD_S = 1.5
 
 
--- a/packages/node/src/lavendermountd/membership/keyed_joining.py
+++ b/packages/node/src/lavendermountd/membership/keyed_joining.py
@@ -27,10 +27,10 @@
 
 
 class KeyedJoiner:
-    """Writes the node's record, then reads those of the other nodes.
+    """Reads the records of the other nodes and writes that of this node.
 
-    When two nodes start at the same time, the one that writes later reads the
-    record of the other; so at least one of them knows the other.
+    When two nodes start at the same time and find no other, the one that writes
+    later then reads the record of the other; so at least one of them knows the other.
 
     :param gossip: contacts the discovered peers.
     :param keyed_log: log that stores the records.
@@ -85,27 +85,34 @@
         self.is_due.clear()
 
     async def step(self) -> None:
-        """Write this node's record if it is due, and read those of the others.
+        """Read the records of the others, and write that of this node if it is due.
 
-        The record is written if this incarnation is not stored yet. The others are
-        read at the start, and at intervals while no peer is known.
+        The others are read at the start, and at intervals while no peer is known.
+        The record is written if this incarnation is not stored yet. It comes second,
+        because callers wait until the members are known, and a slow log takes long
+        for each call. A node that found no peer then reads again: another one may
+        have started at the same time and written before it.
         """
-        try:
-            await self.write_if_due()
-        finally:
-            await self.read_if_due()
+        await self.read_if_due()
+        has_written = await self.write_if_due()
+        if has_written and not self.table.living():
+            await self.read_members()
+
+    async def write_if_due(self) -> bool:
+        """Write this node's record unless this incarnation is stored.
 
-    async def write_if_due(self) -> None:
-        """Write this node's record unless this incarnation is stored."""
+        :returns: whether it was written.
+        """
         own = self.table.own
         incarnation = own.incarnation
         if self.written_incarnation == incarnation:
-            return
+            return False
         era = self.keyed_log.era
         keyed = KeyedRecord(own.node_id, pack(own.to_row()))
         await self.keyed_log.append_keyed(self.stream, keyed)
         if era in {UNKNOWN_ERA, self.keyed_log.era}:
             self.written_incarnation = incarnation
+        return True
 
     async def read_if_due(self) -> None:
         """Read the members at the start, and at intervals while no peer is known."""
@@ -113,10 +120,13 @@
         is_due = (
             not self.table.living() and now - self.read_at > ISOLATED_READ_INTERVAL_S
         )
-        if self.read_at and not is_due:
-            return
+        if is_due or not self.read_at:
+            await self.read_members()
+
+    async def read_members(self) -> None:
+        """Read all member records, and announce this node to some of the members."""
         newest = await self.keyed_log.newest(self.stream)
-        self.read_at = now
+        self.read_at = asyncio.get_running_loop().time()
         for body in newest.bodies.values():
             merge_join_record(self.table, body)
         self.has_read_members = True
