--- a/packages/node/src/lavendermountd/gate/target_monitor.py
+++ b/packages/node/src/lavendermountd/gate/target_monitor.py
@@ -120,7 +120,7 @@
             async with asyncio.timeout(HEALTH_TIMEOUT_S):
                 reply = await connection.exchange(self.health_request())
         except (ExchangeError, TimeoutError) as error:
-            log.debug('health-unanswered', extra={'cause': str(error)})
+            log.debug('health-unanswered', extra={'cause': repr(error)})
             self.gate.client.discard(connection)
             return
         except asyncio.CancelledError:
--- a/packages/node/src/lavendermountd/http1/client.py
+++ b/packages/node/src/lavendermountd/http1/client.py
@@ -199,7 +199,7 @@
     except (StreamClosedError, TimeoutError) as error:
         stream.close()
         raise ConnectionError(
-            f'cannot connect to {host}:{port}: {stream.error or error}'
+            f'cannot connect to {host}:{port}: {stream.error or repr(error)}'
         ) from error
     except BaseException:
         stream.close()
--- a/packages/node/src/lavendermountd/peer/link.py
+++ b/packages/node/src/lavendermountd/peer/link.py
@@ -118,7 +118,7 @@
         except (StreamClosedError, OSError, TimeoutError) as error:
             stream.close()
             raise PeerLinkError(
-                f'cannot connect to node {self.member.node_id}: {error}'
+                f'cannot connect to node {self.member.node_id}: {error!r}'
             ) from error
         self.frames = FrameStream(stream)
         self.reader = asyncio.create_task(self.receive_frames())
