--- a/features/control_calls.feature
+++ b/features/control_calls.feature
@@ -2,3 +2,6 @@
 
   Scenario: A call that fails does not cancel another one to the same node
     Then a claim query completes although a gossip round to its holder times out
+
+  Scenario: Gossip tells a node that the log came back from an older copy
+    Then a node recovers once when gossip names a later era of the log, and ignores earlier ones
--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from typing import Any
+from unittest.mock import Mock
 
 import grpc
 from behave import then
@@ -13,6 +14,7 @@
 from lavendermount_core.config.node import NodeSchema
 from lavendermountd.claims.records import Claim
 from lavendermountd.control.generated import control_pb2, control_pb2_grpc
+from lavendermountd.control.messages import member_message
 from lavendermountd.node import Node
 
 ANSWER_S = 0.6
@@ -58,3 +60,21 @@
     assert response.reply is not None
     await node.channels.close()
     await server.stop(None)
+
+
+@then(
+    'a node recovers once when gossip names a later era of the log, '
+    'and ignores earlier ones'
+)
+def era_by_gossip(context: Any) -> None:
+    """Merge rounds that name eras 0, 2, 1 and 2 into a node that knows era 1."""
+    node = Node(load_text(NodeSchema, NODE_SETTINGS, 'test'))
+    node.platform_log.note_era(1)
+    node.platform_log.era_listeners = [Mock()]
+    for era in (0, 2, 1, 2):
+        sender = member_message(member('n1', region='r'))
+        message = control_pb2.GossipRound(sender=sender, revision=-1, log_era=era)
+        node.gossip.exchange.merge(message)
+    assert node.platform_log.era == 2
+    node.platform_log.era_listeners[0].assert_called_once()
+    assert node.gossip.exchange.minimal_round(None).log_era == 2
