Stops: connections in regular use are closed as before

Connections in regular use were kept for twice their usual time between requests, so that requests arrived up to the end of a stop. Kept: the warning for bytes that arrive after a close.

--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -29,9 +29,6 @@
     When the target of node 2 announces that it is draining
     Then the target of node 2 receives no new requests
 
-  Scenario: A connection in regular use is not closed shortly before its next request
-    Then a connection used every 2 s stays open for 3 s without use, and is closed after 5 s
-
   Scenario: Bytes that arrive after the close of an idle connection are logged
     Then a request that crosses the close of its connection leaves a warning
 
--- a/packages/node/src/lavendermountd/caller/connection.py
+++ b/packages/node/src/lavendermountd/caller/connection.py
@@ -32,11 +32,6 @@
 READ_BYTES = 65536
 MAX_PIPELINED = 16
 LINGER_S = 1.0
-# A connection in regular use counts as unused after this multiple of its usual
-# time between two requests.
-UNUSED_GAP_FACTOR = 2
-# A longer time before that is forgotten by this factor with each request.
-OLD_GAP_WEIGHT = 0.5
 CONTINUE_RESPONSE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -54,7 +49,6 @@
         'exchanges',
         'state_changed',
         'used_at',
-        'usual_gap_s',
         'is_closing',
         'discarded_bytes',
         'reader',
@@ -68,7 +62,6 @@
         self.exchanges: deque[CallExchange] = deque()
         self.state_changed = asyncio.Event()
         self.used_at = time.monotonic()
-        self.usual_gap_s: float = 0
         self.is_closing = False
         self.discarded_bytes = 0
         self.reader: asyncio.Task[None] | None = None
@@ -128,12 +121,7 @@
         if self.is_closing:
             self.discarded_bytes += len(chunk)
             return
-        now = time.monotonic()
-        if self.is_idle:
-            self.usual_gap_s = max(
-                now - self.used_at, self.usual_gap_s * OLD_GAP_WEIGHT
-            )
-        self.used_at = now
+        self.used_at = time.monotonic()
         self.process_chunk(chunk)
 
     async def wait_for_change(self) -> None:
@@ -234,14 +222,11 @@
 
         A caller that used it just now may be sending the next request, which
         would arrive after the close and be lost; its connection is closed with
-        the next reply instead. The same holds for a connection on which the next
-        request is due, judged by the times between the previous ones.
+        the next reply instead.
 
-        :param idle_s: minimum time without use; 0 closes the connection in any
-            case, unless a request is in progress.
+        :param idle_s: minimum time without use.
         """
-        unused_s = idle_s and max(idle_s, UNUSED_GAP_FACTOR * self.usual_gap_s)
-        if self.is_idle and time.monotonic() - self.used_at >= unused_s:
+        if self.is_idle and time.monotonic() - self.used_at >= idle_s:
             self.stop_accepting()
 
 
