Replay: batches of earlier versions, changed copies and copies of a later era

The era had been added to the digest of a batch, so batches that an earlier version had stored no longer formed a chain and were reported as modified; a batch sent again after the era had risen broke the chain of the next one; and a changed copy that named another era was taken for a repeated batch, where it was a finding before. Change: era 0 is left out of the digest; a batch is repeated only if all but its era is equal, and the later copy counts for the chain.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -26,3 +26,9 @@
     And the log is up again
     And the decisions have reached the log
     Then replay reports no difference
+
+  Scenario: Batches that the log lost with an era are a loss, and all other gaps a difference
+    Then a gap before a batch of a later era is a loss and a gap within an era is a finding
+    And a batch that was sent again in a later era counts once and breaks no chain
+    And a changed copy of a batch is a finding, whichever era it names
+    And batches that were stored before the log had eras still form a chain
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import hashlib
 import json
 from typing import Any
 from urllib.request import urlopen
@@ -16,8 +17,11 @@
 
 from lavendermount_core.log.adapter import open_log
 from lavendermount_core.models.records import pack, unpack
+from lavendermount_core.replay.chain import ChainCheck
 from lavendermount_core.replay.records import (
     DECISION_STREAM,
+    DIGEST_LENGTH,
+    DecisionBatch,
     DecisionRecord,
     compress_rows,
     decode_batch,
@@ -389,3 +393,76 @@
     process = context.deployment.run_cli('status', '--json')
     recorded = int(json.loads(process.read_output())['decisions'])
     assert recorded <= count, recorded
+
+
+def chained_batches(count: int, eras: dict[int, int]) -> list[DecisionBatch]:
+    """Build batches of one process, each linked to the one before.
+
+    :param eras: era of each batch that was not appended in era 0.
+    """
+    batches: list[DecisionBatch] = []
+    for sequence in range(count):
+        previous = batches[-1].digest() if batches else ''
+        rows = compress_rows([pack(sequence)])
+        era = eras.get(sequence, 0)
+        batches.append(DecisionBatch('n', 1, sequence, previous, 0, rows, era))
+    return batches
+
+
+def check_chain(batches: list[DecisionBatch]) -> tuple[int, int, int]:
+    """Check batches as the reader of the stream does.
+
+    :returns: numbers of findings, losses and repeated batches.
+    """
+    chain = ChainCheck()
+    findings = 0
+    repeated = 0
+    for batch in batches:
+        if chain.is_repeated(batch):
+            repeated += 1
+            continue
+        findings += len(chain.check(batch, 'test'))
+    return findings, len(chain.losses), repeated
+
+
+@then(
+    'a gap before a batch of a later era is a loss and a gap within an era is a finding'
+)
+def gaps_and_eras(context: Any) -> None:
+    """Leave out two batches before one of the same era or of the next."""
+    same_era = chained_batches(6, {})
+    later_era = chained_batches(6, {4: 1, 5: 1})
+    assert check_chain(same_era[:2] + same_era[4:]) == (1, 0, 0)
+    assert check_chain(later_era[:2] + later_era[4:]) == (0, 1, 0)
+    assert check_chain(later_era) == (0, 0, 0)
+
+
+@then('a batch that was sent again in a later era counts once and breaks no chain')
+def sent_again_in_later_era(context: Any) -> None:
+    """Store a batch in era 0 and again in era 1; the next one refers to the second."""
+    first = chained_batches(2, {})
+    second = chained_batches(3, {1: 1, 2: 1})
+    assert check_chain([*first, *second[1:]]) == (0, 0, 1)
+
+
+@then('a changed copy of a batch is a finding, whichever era it names')
+def changed_copy(context: Any) -> None:
+    """Append a copy of the last batch with other rows."""
+    batches = chained_batches(2, {})
+    for era in (0, 1):
+        changed = DecisionBatch.from_row(batches[-1].to_row())
+        changed.rows = compress_rows([pack('changed')])
+        changed.era = era
+        assert check_chain([*batches, changed]) == (1, 0, 0), era
+
+
+@then('batches that were stored before the log had eras still form a chain')
+def batches_without_era(context: Any) -> None:
+    """Link rows without an era by their digests, as earlier versions did."""
+    previous = ''
+    stored = []
+    for sequence in range(3):
+        body = pack(['n', 1, sequence, previous, 0, compress_rows([pack(sequence)])])
+        previous = hashlib.sha256(body).hexdigest()[:DIGEST_LENGTH]
+        stored.append(decode_batch(body))
+    assert check_chain(stored) == (0, 0, 0)
--- a/packages/core/src/lavendermount_core/replay/chain.py
+++ b/packages/core/src/lavendermount_core/replay/chain.py
@@ -26,12 +26,15 @@
     def is_repeated(self, batch: DecisionBatch) -> bool:
         """Return whether the batch is a duplicate of the previous one.
 
-        An append whose acknowledgement was lost is sent again, byte for byte.
+        An append whose acknowledgement was lost is sent again unchanged, but for the
+        era if it has risen meanwhile. The next batch then refers to the later copy.
         """
-        last = self.latest_batches.get((batch.node_id, batch.incarnation))
-        if last is None or batch.sequence != last.sequence:
+        process = (batch.node_id, batch.incarnation)
+        last = self.latest_batches.get(process)
+        if last is None or batch.row_without_era() != last.row_without_era():
             return False
-        return batch.era != last.era or batch.digest() == last.digest()
+        self.latest_batches[process] = batch
+        return True
 
     def check(self, batch: DecisionBatch, location: str) -> list[Finding]:
         """Verify a batch against the previous one of the same process.
--- a/packages/core/src/lavendermount_core/replay/records.py
+++ b/packages/core/src/lavendermount_core/replay/records.py
@@ -186,10 +186,18 @@
         self.era = era
 
     def digest(self) -> str:
-        """Return the digest of this batch, which covers all previous ones."""
-        digest = hashlib.sha256(pack(self.to_row()))
+        """Return the digest of this batch, which covers all previous ones.
+
+        Era 0 is left out, as in batches that were stored before the log had eras.
+        """
+        row = self.to_row() if self.era else self.row_without_era()
+        digest = hashlib.sha256(pack(row))
         return digest.hexdigest()[:DIGEST_LENGTH]
 
+    def row_without_era(self) -> list[Any]:
+        """Return the row as it was before the log had eras."""
+        return self.to_row()[:-1]
+
     def decisions(self) -> list[DecisionRecord]:
         """Decode the decisions of the batch.
 
