Eras: one place parses them, one resumes a fold; positions without pairs

The base class parses it now and refuses one that no position can hold. - Every caller of split_position used one half of the pair: era_of and offset_of take its place. check_position gets the position that its callers had instead of taking it apart and joining it again. - The follower and the operators' reader resumed a fold in the same way, with one difference: a reader that began while it did not know the era could skip the first records of the era's stream if the first stream had been evicted. resume_fold serves both. - A condition in the keyed joiner could not be false when it was read: an answer of an ended era is an error, and a new era writes the record again anyway.

--- a/features/fakes.py
+++ b/features/fakes.py
@@ -21,8 +21,9 @@
     LogBatch,
     LogRecord,
     NewestRecords,
+    era_of,
     join_position,
-    split_position,
+    offset_of,
 )
 from lavendermount_core.models.calls import CallReply, CallRequest, Reason
 from lavendermountd.claims.claims import ClaimService, ClaimState
@@ -239,7 +240,7 @@
         position = join_position(self.stored.era, len(self.stored.records) - 1)
         await asyncio.sleep(self.delay_s)
         self.check_available()
-        self.check_era(split_position(position)[0])
+        self.check_era(str(era_of(position)))
         return position
 
     async def read(self, stream: str, offset: int, wait_s: float = 0) -> LogBatch:
@@ -250,12 +251,12 @@
         await asyncio.sleep(self.delay_s)
         self.check_available()
         stored = self.stored
-        self.check_era(stored.era)
-        start = split_position(offset)[1]
+        self.check_era(str(stored.era))
+        start = offset_of(offset)
         oldest = join_position(stored.era, stored.oldest)
         if start < stored.oldest or start > len(stored.records):
             raise LogEvictedError(stream, oldest)
-        self.check_position(stream, offset, stored.oldest)
+        self.check_position(stream, offset, oldest)
         rows = [
             LogRecord(join_position(stored.era, index), body)
             for index, body in enumerate(stored.records)
--- a/packages/client/src/lavendermount/presets.py
+++ b/packages/client/src/lavendermount/presets.py
@@ -19,11 +19,11 @@
     LogAdapter,
     LogBatch,
     join_position,
-    split_position,
+    offset_of,
 )
 from lavendermount_core.log.reading import read_to_end
 from lavendermount_core.models.records import Record
-from lavendermount_core.presets.fold import PresetFold, apply_publish
+from lavendermount_core.presets.fold import PresetFold, apply_publish, resume_fold
 from lavendermount_core.presets.records import (
     Publish,
     Switch,
@@ -84,10 +84,7 @@
         retains of them.
         """
         era = self.platform_log.era
-        if self.fold is None:
-            self.fold = PresetFold(join_position(era, 0))
-        else:
-            self.fold.restart(join_position(era, 0))
+        self.fold = resume_fold(self.fold, join_position(era, 0))
         self.switches.clear()
         for earlier in range(era):
             await self.collect_era(earlier)
@@ -96,7 +93,7 @@
         """Collect the switches and the published presets of an earlier era."""
         async for batch in read_to_end(self.platform_log, preset_stream(era)):
             for record in batch.records:
-                position = join_position(era, split_position(record.offset)[1])
+                position = join_position(era, offset_of(record.offset))
                 self.collect_switch(position, record.body)
                 self.collect_published(record.body)
 
@@ -121,13 +118,7 @@
 
     def resume_at(self, oldest: int) -> None:
         """Continue at the oldest retained offset after records were evicted."""
-        era = split_position(oldest)[0]
-        if self.fold is not None and era != split_position(self.fold.next_offset)[0]:
-            oldest = join_position(era, 0)
-        if self.fold is None:
-            self.fold = PresetFold(oldest)
-            return
-        self.fold.restart(oldest)
+        self.fold = resume_fold(self.fold, oldest)
 
     def collect_switch(self, offset: int, body: bytes) -> None:
         """Collect a switch for the history; ignore other records."""
--- a/packages/core/src/lavendermount_core/log/adapter.py
+++ b/packages/core/src/lavendermount_core/log/adapter.py
@@ -10,6 +10,7 @@
 
 import abc
 import logging
+import re
 from collections.abc import Callable
 
 from lavendermount_core.exceptions import LogEvictedError, LogUnavailableError
@@ -20,6 +21,8 @@
 # The lower bits of a position are the offset, the others the era.
 OFFSET_BITS = 40
 UNKNOWN_ERA = -1
+# An era of more digits would not fit into a position.
+ERA_PATTERN = re.compile('[0-9]{1,6}')
 
 
 def join_position(era: int, offset: int) -> int:
@@ -27,9 +30,14 @@
     return (era << OFFSET_BITS) + offset
 
 
-def split_position(position: int) -> tuple[int, int]:
-    """Split a position into the era and the offset."""
-    return position >> OFFSET_BITS, position % (1 << OFFSET_BITS)
+def era_of(position: int) -> int:
+    """Return the era of a position."""
+    return position >> OFFSET_BITS
+
+
+def offset_of(position: int) -> int:
+    """Return the offset of a position within its era."""
+    return position % (1 << OFFSET_BITS)
 
 
 class LogRecord:
@@ -131,28 +139,32 @@
         for listener in self.era_listeners:
             listener()
 
-    def check_era(self, era: int) -> None:
-        """Take note of the era of an answer.
+    def check_era(self, text: str) -> None:
+        """Take note of the era that an answer names.
 
-        :raises LogUnavailableError: if the answer is of an era that has ended; what
-            it says no longer holds.
+        :param text: the era, a decimal number; empty if the answer names none.
+        :raises LogUnavailableError: if it is malformed, or if the answer is of an era
+            that has ended; what it says no longer holds.
         """
+        if text and not ERA_PATTERN.fullmatch(text):
+            raise LogUnavailableError(f'the log names a malformed era: {text!r}')
+        era = int(text or 0)
         self.note_era(era)
         if era < self.era:
             raise LogUnavailableError(f'the answer is of era {era}, not {self.era}')
 
-    def check_position(self, stream: str, position: int, first: int) -> None:
+    def check_position(self, stream: str, position: int, oldest: int) -> None:
         """Check that a position is of the current era.
 
         Position 0, the beginning of a stream, belongs to every era.
 
         :param stream: name of the stream.
         :param position: position that was read from.
-        :param first: oldest offset that the stream retains.
+        :param oldest: oldest position that the stream retains.
         :raises LogEvictedError: if the position is of an earlier era.
         """
-        if position and split_position(position)[0] != self.era:
-            raise LogEvictedError(stream, join_position(self.era, first))
+        if position and era_of(position) != self.era:
+            raise LogEvictedError(stream, oldest)
 
     @abc.abstractmethod
     async def append(self, stream: str, body: bytes) -> int:
--- a/packages/core/src/lavendermount_core/log/http_log.py
+++ b/packages/core/src/lavendermount_core/log/http_log.py
@@ -20,7 +20,7 @@
     LogRecord,
     join_position,
     log_adapters,
-    split_position,
+    offset_of,
 )
 from lavendermount_core.models.records import unpack
 from lavendermount_core.utils.units import MS_PER_S
@@ -72,7 +72,7 @@
 
         The log may hold the response back for up to the wait time.
         """
-        query = f'?offset={split_position(offset)[1]}&wait_ms={int(wait_s * MS_PER_S)}'
+        query = f'?offset={offset_of(offset)}&wait_ms={int(wait_s * MS_PER_S)}'
         response = await self.fetch(
             httpclient.HTTPRequest(
                 self.stream_url(stream) + query,
@@ -84,7 +84,7 @@
             oldest = join_position(self.era, _parse_offset(response.body))
             raise LogEvictedError(stream, oldest)
         batch = _parse_batch(response.body, self.era)
-        self.check_position(stream, offset, split_position(batch.oldest)[1])
+        self.check_position(stream, offset, batch.oldest)
         return batch
 
     def stream_url(self, stream: str) -> str:
@@ -105,7 +105,7 @@
             response = await self.client.fetch(request, raise_error=False)
         except (OSError, httpclient.HTTPError) as error:
             raise LogUnavailableError(f'log at {self.url}: {error}') from error
-        self.check_era(_parse_era(response.headers.get(ERA_HEADER, '0')))
+        self.check_era(response.headers.get(ERA_HEADER, ''))
         if response.code in {200, GONE}:
             return response
         raise LogUnavailableError(f'log at {self.url}: status {response.code}')
@@ -118,12 +118,6 @@
         raise LogUnavailableError('log returned a malformed offset') from error
 
 
-def _parse_era(text: str) -> int:
-    if not text.isdecimal():
-        raise LogUnavailableError(f'log returned a malformed era: {text!r}')
-    return int(text)
-
-
 def _parse_batch(body: bytes, era: int) -> LogBatch:
     try:
         oldest, next_offset, end, rows = unpack(body)
--- a/packages/core/src/lavendermount_core/presets/fold.py
+++ b/packages/core/src/lavendermount_core/presets/fold.py
@@ -21,7 +21,7 @@
 
 from lavendermount_core.config.preset import parse_preset
 from lavendermount_core.exceptions import ConfigurationError, RecordError
-from lavendermount_core.log.adapter import split_position
+from lavendermount_core.log.adapter import era_of, join_position
 from lavendermount_core.models.records import Record
 from lavendermount_core.presets.records import (
     NO_REVISION,
@@ -94,8 +94,8 @@
         The fold may know of a newer one from an earlier era, which the records do
         not show yet.
         """
-        era = split_position(self.next_offset)[0]
-        if split_position(self.in_force.as_of)[0] == era:
+        era = era_of(self.next_offset)
+        if era_of(self.in_force.as_of) == era:
             return self.in_force.revision
         return self.carried_revision
 
@@ -227,6 +227,25 @@
         )
 
 
+def resume_fold(fold: PresetFold | None, oldest: int) -> PresetFold:
+    """Let a fold continue after records that the log no longer has.
+
+    In a later era of the log, it continues at the beginning of the era's own stream.
+
+    :param fold: the fold; ``None`` if nothing has been read.
+    :param oldest: oldest position that the log retains.
+    :returns: the fold, or a new one.
+    """
+    # A reader begins with the stream of era 0, since it doesn't know the era yet.
+    previous_era = 0 if fold is None else era_of(fold.next_offset)
+    if era_of(oldest) != previous_era:
+        oldest = join_position(era_of(oldest), 0)
+    if fold is None:
+        return PresetFold(oldest)
+    fold.restart(oldest)
+    return fold
+
+
 @record_appliers.register(Publish)
 def apply_publish(fold: PresetFold, offset: int, record: Publish) -> None:
     """Make a preset available; publishing the same body again has no effect."""
@@ -263,7 +282,7 @@
         fold.skipped += 1
         return
     fold.snapshot_offset = offset
-    if split_position(record.as_of)[0] < split_position(offset)[0]:
+    if era_of(record.as_of) < era_of(offset):
         fold.carry_over(record)
         return
     if not fold.is_settled:
--- a/packages/node/src/lavendermountd/claims/stream.py
+++ b/packages/node/src/lavendermountd/claims/stream.py
@@ -13,7 +13,7 @@
     LogUnavailableError,
     RecordError,
 )
-from lavendermount_core.log.adapter import LogAdapter, LogBatch, split_position
+from lavendermount_core.log.adapter import LogAdapter, LogBatch, era_of
 from lavendermount_core.models.records import Record
 from lavendermountd.claims.records import (
     Claim,
@@ -164,8 +164,8 @@
         try:
             batch = await self.platform_log.read(self.name, self.next_offset)
         except LogEvictedError as error:
-            era = split_position(error.oldest)[0]
-            if era != split_position(self.next_offset)[0]:
+            era = era_of(error.oldest)
+            if era != era_of(self.next_offset):
                 self.restart()
             self.next_offset = error.oldest
             return
--- a/packages/node/src/lavendermountd/membership/keyed_joining.py
+++ b/packages/node/src/lavendermountd/membership/keyed_joining.py
@@ -12,7 +12,7 @@
 import random
 
 from lavendermount_core.exceptions import LogUnavailableError
-from lavendermount_core.log.adapter import UNKNOWN_ERA, KeyedLog, KeyedRecord
+from lavendermount_core.log.adapter import KeyedLog, KeyedRecord
 from lavendermount_core.models.records import pack
 from lavendermountd.membership.gossip import Gossip
 from lavendermountd.membership.joining import merge_join_record
@@ -107,11 +107,9 @@
         incarnation = own.incarnation
         if self.written_incarnation == incarnation:
             return False
-        era = self.keyed_log.era
         keyed = KeyedRecord(own.node_id, pack(own.to_row()))
         await self.keyed_log.append_keyed(self.stream, keyed)
-        if era in {UNKNOWN_ERA, self.keyed_log.era}:
-            self.written_incarnation = incarnation
+        self.written_incarnation = incarnation
         return True
 
     async def read_if_due(self) -> None:
--- a/packages/node/src/lavendermountd/presets/carry_over.py
+++ b/packages/node/src/lavendermountd/presets/carry_over.py
@@ -18,7 +18,7 @@
     LogAdapter,
     LogBatch,
     join_position,
-    split_position,
+    offset_of,
 )
 from lavendermount_core.log.reading import read_to_end
 from lavendermount_core.presets.fold import PresetFold
@@ -101,9 +101,9 @@
 
     def apply_batch(self, fold: PresetFold, batch: LogBatch, era: int) -> None:
         """Apply records of an earlier era at the positions they had in that era."""
-        first = join_position(era, split_position(batch.oldest)[1])
+        first = join_position(era, offset_of(batch.oldest))
         if fold.next_offset < first:
             fold.restart(first)
         for record in batch.records:
-            position = join_position(era, split_position(record.offset)[1])
+            position = join_position(era, offset_of(record.offset))
             fold.apply(position, record.body)
--- a/packages/node/src/lavendermountd/presets/follower.py
+++ b/packages/node/src/lavendermountd/presets/follower.py
@@ -13,10 +13,9 @@
 from lavendermount_core.log.adapter import (
     LogAdapter,
     LogBatch,
-    join_position,
-    split_position,
+    era_of,
 )
-from lavendermount_core.presets.fold import PresetFold
+from lavendermount_core.presets.fold import PresetFold, resume_fold
 from lavendermount_core.presets.records import preset_stream
 from lavendermountd.presets.holder import PresetHolder
 from lavendermountd.presets.restart import RestartRequest
@@ -87,15 +86,10 @@
         """
         self.mark_reachable()
         fold = self.holder.fold
-        era = split_position(oldest)[0]
-        if fold is None or era != split_position(fold.next_offset)[0]:
-            oldest = join_position(era, 0)
+        if fold is None or era_of(oldest) != era_of(fold.next_offset):
             self.is_caught_up.clear()
         log.info('presets-evicted', extra={'oldest': oldest})
-        if self.holder.fold is None:
-            self.holder.fold = PresetFold(oldest)
-            return
-        self.holder.fold.restart(oldest)
+        self.holder.fold = resume_fold(fold, oldest)
 
     async def wait_for_log(self, error: LogUnavailableError) -> None:
         """Wait before the next attempt, with exponential backoff."""
