Presets: log who told of a preset, and how long a lost read of the log had waited

The logs could not tell a preset that was read from the log from one that a node told, nor how long a read had waited when it failed, nor when the log last answered.

- preset-in-force names its source: log, or the node.

The backoff of the two followers stood twice; LogReachability is the one place. The follower of the stream gets the jitter that the other had. No other logic changes.

--- a/features/mutations.py
+++ b/features/mutations.py
@@ -135,7 +135,7 @@
     Mutation(
         'keeper',
         f'{NODE}/presets/republisher.py',
-        'if not self.follower.is_reachable:',
+        'if not self.follower.reachability.is_reachable:',
         'if True:',
         'presets',
         'The log alone shows the preset in force long after its switch was evicted',
--- a/packages/node/src/lavendermountd/control/server.py
+++ b/packages/node/src/lavendermountd/control/server.py
@@ -123,7 +123,7 @@
             ],
             decisions=node.recorder.recorded,
             decisions_dropped=node.recorder.dropped,
-            is_log_reachable=node.follower.is_reachable,
+            is_log_reachable=node.follower.reachability.is_reachable,
         )
 
     async def Drain(  # noqa: N802
--- a/packages/node/src/lavendermountd/presets/catchup.py
+++ b/packages/node/src/lavendermountd/presets/catchup.py
@@ -62,7 +62,10 @@
                 member, 'Preset', control_pb2.PresetRequest(), FETCH_TIMEOUT_S
             )
         except ControlCallError as error:
-            log.info('preset-fetch-failed', extra={'cause': str(error)})
+            log.info(
+                'preset-fetch-failed',
+                extra={'peer': member.node_id, 'cause': str(error)},
+            )
             return
         if answer.is_settled:
-            self.holder.adopt(preset_record(answer))
+            self.holder.adopt(preset_record(answer), member.node_id)
--- a/packages/node/src/lavendermountd/presets/follower.py
+++ b/packages/node/src/lavendermountd/presets/follower.py
@@ -18,12 +18,12 @@
 from lavendermount_core.presets.fold import PresetFold, resume_fold
 from lavendermount_core.presets.records import preset_stream
 from lavendermountd.presets.holder import PresetHolder
+from lavendermountd.presets.reachability import LogReachability
 from lavendermountd.presets.restart import RestartRequest
 
 log = logging.getLogger(__name__)
 
 LONG_POLL_S = 8.0
-INITIAL_RETRY_S = 0.2
 MAX_RETRY_S = 3.0
 
 
@@ -38,9 +38,8 @@
         """Create a follower that has not read any records."""
         self.platform_log = platform_log
         self.holder = holder
-        self.is_reachable = False
+        self.reachability = LogReachability(MAX_RETRY_S)
         self.is_caught_up = asyncio.Event()
-        self.retry_s = INITIAL_RETRY_S
         self.restart_request = RestartRequest()
 
     def restart(self) -> None:
@@ -58,12 +57,13 @@
 
     async def step(self) -> None:
         """Read once; wait for new records at the end of the stream."""
+        self.reachability.mark_asked()
         try:
             await self.restart_request.run(self.read())
         except LogEvictedError as error:
             self.skip_evicted(error.oldest)
         except LogUnavailableError as error:
-            await self.wait_for_log(error)
+            await self.reachability.wait_before_retry(error)
 
     async def read(self) -> None:
         """Read the next records of the stream of the current era."""
@@ -84,35 +84,20 @@
 
         :param oldest: oldest position that the log retains.
         """
-        self.mark_reachable()
+        self.reachability.mark_answered()
         fold = self.holder.fold
         if fold is None or era_of(oldest) != era_of(fold.next_offset):
             self.is_caught_up.clear()
         log.info('presets-evicted', extra={'oldest': oldest})
         self.holder.fold = resume_fold(fold, oldest)
 
-    async def wait_for_log(self, error: LogUnavailableError) -> None:
-        """Wait before the next attempt, with exponential backoff."""
-        if self.is_reachable:
-            log.warning('log-unreachable', extra={'cause': str(error)})
-        self.is_reachable = False
-        await asyncio.sleep(self.retry_s)
-        self.retry_s = min(self.retry_s * 2, MAX_RETRY_S)
-
-    def mark_reachable(self) -> None:
-        """Mark the log as reachable and reset the backoff."""
-        if not self.is_reachable:
-            log.info('log-reachable')
-        self.is_reachable = True
-        self.retry_s = INITIAL_RETRY_S
-
     def apply(self, batch: LogBatch) -> None:
         """Apply the records of a batch and update the preset in force.
 
         After a start, no preset is put in force before the end of the stream is
         reached, so that the node never uses one that has already been replaced.
         """
-        self.mark_reachable()
+        self.reachability.mark_answered()
         if self.holder.fold is None:
             self.holder.fold = PresetFold(batch.oldest)
         fold = self.holder.fold
--- a/packages/node/src/lavendermountd/presets/holder.py
+++ b/packages/node/src/lavendermountd/presets/holder.py
@@ -16,6 +16,9 @@
 
 log = logging.getLogger(__name__)
 
+# Source of a preset that was read from the log.
+LOG = 'log'
+
 
 class InForcePreset:
     """A parsed preset and the revision at which it was put in force.
@@ -66,8 +69,11 @@
         """Revision of the preset in force, or ``NO_REVISION``."""
         return NO_REVISION if self.current is None else self.current.revision
 
-    def refresh(self) -> None:
-        """Put the preset of the fold in force if it is newer."""
+    def refresh(self, source: str = LOG) -> None:
+        """Put the preset of the fold in force if it is newer.
+
+        :param source: name of the node that it was learned from, or ``LOG``.
+        """
         if self.fold is None or self.fold.in_force.revision <= self.revision:
             return
         self.current = InForcePreset(self.fold.in_force)
@@ -77,15 +83,19 @@
                 'preset': self.current.schema.name,
                 'version': self.current.version,
                 'revision': self.current.revision,
+                'source': source,
             },
         )
         for callback in self.on_change:
             callback(self.current)
 
-    def adopt(self, snapshot: PresetSnapshot) -> None:
-        """Adopt a snapshot from the log or from another node whose fold is settled."""
+    def adopt(self, snapshot: PresetSnapshot, source: str = LOG) -> None:
+        """Adopt a snapshot from the log or from another node whose fold is settled.
+
+        :param source: name of that node, or ``LOG``.
+        """
         if self.fold is None:
             self.fold = PresetFold.from_snapshot(snapshot)
         else:
             self.fold.adopt(snapshot)
-        self.refresh()
+        self.refresh(source)
--- a/packages/node/src/lavendermountd/presets/keyed_follower.py
+++ b/packages/node/src/lavendermountd/presets/keyed_follower.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import logging
-import random
 from collections.abc import Awaitable, Callable
 
 from lavendermount_core.exceptions import (
@@ -22,14 +21,13 @@
 from lavendermount_core.presets.records import PresetSnapshot
 from lavendermountd.presets.decoders import PresetDecoder
 from lavendermountd.presets.holder import PresetHolder
+from lavendermountd.presets.reachability import LogReachability
 from lavendermountd.presets.restart import RestartRequest
 
 log = logging.getLogger(__name__)
 
 LONG_POLL_S = 28.0
-INITIAL_RETRY_S = 0.2
 MAX_RETRY_S = 2.0
-RETRY_JITTER_RATIO = 0.5
 UNKNOWN_OFFSET = -1
 # Changes in quick succession are coalesced into one read.
 COALESCE_S = 0.4
@@ -60,9 +58,8 @@
         self.key = key
         self.decode = decode
         self.offset = UNKNOWN_OFFSET
-        self.is_reachable = False
+        self.reachability = LogReachability(MAX_RETRY_S)
         self.is_caught_up = asyncio.Event()
-        self.retry_s = INITIAL_RETRY_S
         self.has_read = False
         self.restart_request = RestartRequest()
         self.prepare_first_preset: Callable[[], Awaitable[None]] = _prepare_nothing
@@ -83,15 +80,15 @@
 
     async def step(self) -> None:
         """Read once; after an eviction, start again from the newest record."""
+        self.reachability.mark_asked()
         try:
             await self.restart_request.run(self.read())
         except LogEvictedError as error:
+            self.reachability.mark_answered()
             log.info('presets-evicted', extra={'oldest': error.oldest})
             self.offset = UNKNOWN_OFFSET
         except LogUnavailableError as error:
-            await self.wait_for_log(error)
-        else:
-            self.mark_reachable()
+            await self.reachability.wait_before_retry(error)
 
     async def read(self) -> None:
         """Read the newest record at first, then wait for new records.
@@ -100,6 +97,7 @@
         """
         if self.offset == UNKNOWN_OFFSET or not self.is_caught_up.is_set():
             newest = await self.keyed_log.newest(self.stream)
+            self.reachability.mark_answered()
             if not self.has_read:
                 await self.prepare_first_preset()
                 self.has_read = True
@@ -110,6 +108,7 @@
             self.is_caught_up.set()
             return
         batch = await self.keyed_log.read(self.stream, self.offset, LONG_POLL_S)
+        self.reachability.mark_answered()
         self.offset = batch.next_offset
         newest_body = b''
         for record in batch.records:
@@ -142,21 +141,6 @@
             log.warning('preset-refused', extra={'findings': str(error)})
             return None
 
-    async def wait_for_log(self, error: LogUnavailableError) -> None:
-        """Wait before the next attempt, with exponential backoff and jitter."""
-        if self.is_reachable:
-            log.warning('log-unreachable', extra={'cause': str(error)})
-        self.is_reachable = False
-        await asyncio.sleep(self.retry_s * (1 + RETRY_JITTER_RATIO * random.random()))
-        self.retry_s = min(self.retry_s * 2, MAX_RETRY_S)
-
-    def mark_reachable(self) -> None:
-        """Mark the log as reachable and reset the backoff."""
-        if not self.is_reachable:
-            log.info('log-reachable')
-        self.is_reachable = True
-        self.retry_s = INITIAL_RETRY_S
-
 
 async def _prepare_nothing() -> None:
     """Do nothing; the node installs the real callback."""
--- a/packages/node/src/lavendermountd/presets/republisher.py
+++ b/packages/node/src/lavendermountd/presets/republisher.py
@@ -71,7 +71,7 @@
             return
         if fold.in_force.revision == NO_REVISION or fold.snapshot_offset != seen_offset:
             return
-        if not self.follower.is_reachable:
+        if not self.follower.reachability.is_reachable:
             return
         await self.republish(fold)
 
