--- a/packages/node/src/lavendermountd/dialects/base.py
+++ b/packages/node/src/lavendermountd/dialects/base.py
@@ -76,6 +76,8 @@
         start; empty if not specified.
     :param idle_s: how long the target keeps an idle connection open; 0 if not
         specified.
+    :param limit_per_s: requests a second that the target accepts from all nodes
+        together; ``None`` if it names no limit.
     """
 
     __slots__ = (
@@ -86,6 +88,7 @@
         'load',
         'instance',
         'idle_s',
+        'limit_per_s',
     )
 
     def __init__(
@@ -97,6 +100,7 @@
         load: TargetLoad | None = None,
         instance: str = '',
         idle_s: float = 0,
+        limit_per_s: float | None = None,
     ) -> None:
         """Initialize the fields."""
         self.request_id = request_id
@@ -106,6 +110,7 @@
         self.load = load
         self.instance = instance
         self.idle_s = idle_s
+        self.limit_per_s = limit_per_s
 
 
 class Dialect(abc.ABC):
--- a/packages/node/src/lavendermountd/gate/gate.py
+++ b/packages/node/src/lavendermountd/gate/gate.py
@@ -212,6 +212,25 @@
         if self.target.is_slow:
             self.queue.refuse_waiting(is_limited_wait_only=True)
 
+    def record_limit(self, limit_per_s: float | None, evidence: str) -> None:
+        """Store the rate limit that an answer of the target names.
+
+        :param limit_per_s: requests a second; ``None`` if the answer names no limit.
+        :param evidence: kind of answer.
+        """
+        if limit_per_s == self.target.limit_per_s:
+            return
+        self.target.limit_per_s = limit_per_s
+        log.info(
+            'target-limit',
+            extra={
+                'instance': self.target.instance,
+                'limit_per_s': limit_per_s,
+                'evidence': evidence,
+                'in_flight': self.admission.in_flight,
+            },
+        )
+
     async def run(self, attempt: Attempt) -> AttemptResult:
         """Send the request of an attempt that holds a slot and await the reply.
 
@@ -274,6 +293,7 @@
         """Return the refusal that the headers of a reply imply, if any."""
         if metadata.load is not None:
             self.record_slowness(metadata.load)
+        self.record_limit(metadata.limit_per_s, 'reply')
         if metadata.is_other_target:
             self.on_other_target()
             detail = 'another target answered at this address'
--- a/packages/node/src/lavendermountd/gate/target_monitor.py
+++ b/packages/node/src/lavendermountd/gate/target_monitor.py
@@ -145,6 +145,7 @@
         metadata = self.gate.client.dialect.read_reply(reply.status, reply.headers)
         if metadata.load is not None:
             self.gate.record_slowness(metadata.load)
+        self.gate.record_limit(metadata.limit_per_s, 'health')
         is_valid_instance = bool(metadata.instance) and not target.history.has_departed(
             metadata.instance
         )
