Targets: the gate obeys the rate limit that its target names

What callers saw: a target got far more requests than the limit that it had named (LIMIT): 59 in 4 s at a limit of 3.6 a second, where 27 are allowed.

Cause: nothing decoded the header; the gate admitted what the slots of the target take.

Change: the gate is the only sender to its target, so one token bucket there counts for all nodes. Requests wait for a token in order of class and deadline; one that would be late is refused at once, as not run and with the time in which the queue empties. Senders learn the limit with load reports and count its wait as time; a target where the reply would be late comes last. Records read rows of earlier versions, which lack the two new fields, so earlier decisions still replay (seen red without that).

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -34,3 +34,21 @@
     Given a deployment of 3 nodes
     When every target fails and 100 requests are sent to node 1
     Then the targets received at most 121 requests
+
+  Scenario: No window holds more requests than a rate limit allows, whatever the pauses
+    Then on generated histories of arrivals, pauses and restarts no 4 s hold more than 1.5 times the limit and 5 requests
+
+  Scenario: A request that a rate limit would hold for too long is refused immediately
+    Given a queue whose target names a limit of 2 requests a second
+    When requests that are due in 3 s arrive at once
+    Then 5 or 6 of them start within 3 s, as the limit allows
+    And the others are refused within 0.1 s, and told to come back after the queue is empty
+
+  Scenario: Requests that wait for a rate limit start once it is lifted
+    Given a queue whose target names a limit of 0.5 requests a second
+    When 3 requests that are due in 20 s arrive at once
+    And the limit is lifted
+    Then all of them start within 0.1 s
+
+  Scenario: A target whose rate limit would make the reply late is chosen last
+    Then a request goes to the target that its limit would not make late, if there is one
--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -32,3 +32,6 @@
     And a batch that was sent again in a later era counts once and breaks no chain
     And a changed copy of a batch is a finding, whichever era it names
     And batches that were stored before the log had eras still form a chain
+
+  Scenario: Decisions that were recorded before targets could name rate limits can be replayed
+    Then a decision whose candidates have no rate limit is replayed without a difference
--- a/features/naive.py
+++ b/features/naive.py
@@ -181,6 +181,10 @@
             freshness * (candidate.slowness >= 4) + (1 - freshness) * 0.25
         )
         time_ms += failures * tuning.failure_ms
+        if candidate.limit_per_s:
+            passed_ms = min(candidate.age_ms, candidate.limit_wait_ms)
+            time_ms += candidate.limit_wait_ms - passed_ms
+            time_ms += candidate.sent_since / candidate.limit_per_s * 1000
         scored = (round(time_ms, 3), candidate.node_id)
         best = scored if best is None else min(best, scored)
     return best[1]
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -56,6 +56,8 @@
             draw(st.integers(0, 9000)),
             draw(st.integers(0, 9000)),
             draw(st.sampled_from((1.0, 1.5, 2.0, 4.0, 7.0))),
+            draw(st.sampled_from((0, 0.5, 3.0, 20.0))),
+            draw(st.integers(0, 2000)),
         )
         for number in range(draw(st.integers(1, 9)))
     ]
@@ -110,6 +112,24 @@
     )
 
 
+@then('a decision whose candidates have no rate limit is replayed without a difference')
+def earlier_decisions_replay(context: Any) -> None:
+    """Record a decision, and shorten the rows of its candidates to their former length."""
+
+    @generated(decision_inputs())
+    def check(inputs: DecisionInputs) -> None:
+        for candidate in inputs.candidates:
+            candidate.limit_per_s = 0
+        recorded = recorded_from(inputs, 'expected-time')
+        recorded.candidates = [row[:-2] for row in recorded.candidates]
+        decoded = DecisionRecord.from_row(unpack(pack(recorded.to_row())))
+        replay = Replay({})
+        replay.check(decoded)
+        assert not replay.report.differences, replay.report.differences
+
+    check()
+
+
 @then('recorded decisions replay without differences on generated inputs')
 def decisions_replay(context: Any) -> None:
     """Record, encode, decode and replay a decision, then replay a tampered copy."""
--- a/packages/core/src/lavendermount_core/models/loads.py
+++ b/packages/core/src/lavendermount_core/models/loads.py
@@ -35,6 +35,8 @@
         absent, down or draining, or if its node is stopping.
     :param slowness: current slowdown of the target's VM, as a multiple of the
         usual processing time; 1 if the target has not reported it recently.
+    :param limit_per_s: requests a second that the target accepts; 0 without a limit.
+    :param limit_wait_ms: time until that limit allows a further request.
     """
 
     __slots__ = (
@@ -49,6 +51,8 @@
         'warm_ms',
         'is_accepting',
         'slowness',
+        'limit_per_s',
+        'limit_wait_ms',
     )
 
     def __init__(
@@ -64,6 +68,8 @@
         warm_ms: int,
         is_accepting: bool,
         slowness: float = 1,
+        limit_per_s: float = 0,
+        limit_wait_ms: int = 0,
     ) -> None:
         """Initialize the fields."""
         self.node_id = node_id
@@ -77,6 +83,8 @@
         self.warm_ms = warm_ms
         self.is_accepting = is_accepting
         self.slowness = slowness
+        self.limit_per_s = limit_per_s
+        self.limit_wait_ms = limit_wait_ms
 
     @classmethod
     def from_row(cls, row: Any) -> Self:
--- a/packages/core/src/lavendermount_core/models/records.py
+++ b/packages/core/src/lavendermount_core/models/records.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from functools import cache
+from inspect import Parameter, signature
 from typing import Any, Self, get_type_hints
 
 import msgpack
@@ -43,11 +44,16 @@
     def from_row(cls, row: Any) -> Self:
         """Build a record from its row without checking the field types.
 
+        The last fields may be missing if they have defaults: an earlier version
+        wrote the row.
+
         :param row: list of fields in the order of the slots.
         :raises RecordError: if the row is not a list of the right length.
         :returns: the record.
         """
-        if not isinstance(row, (list, tuple)) or len(row) != len(cls.__slots__):
+        if not isinstance(row, (list, tuple)) or not (
+            required_fields(cls) <= len(row) <= len(cls.__slots__)  # type: ignore[arg-type]
+        ):
             raise RecordError(f'{cls.__name__}: row is not a list of the right length')
         return cls(*row)
 
@@ -72,6 +78,13 @@
         return [getattr(self, name) for name in self.__slots__]
 
 
+@cache
+def required_fields(record_class: type[Record]) -> int:
+    """Count the fields of a record that have no default."""
+    fields = signature(record_class).parameters.values()
+    return sum(field.default is Parameter.empty for field in fields)
+
+
 @cache
 def field_types(record_class: type[Record]) -> dict[str, type]:
     """Return the scalar field types that a record's constructor declares.
--- a/packages/core/src/lavendermount_core/routing/candidates.py
+++ b/packages/core/src/lavendermount_core/routing/candidates.py
@@ -49,6 +49,10 @@
         it then reported that it is warm.
     :param slowness: slowdown of the target's VM in the last report, as a
         multiple of the usual processing time.
+    :param limit_per_s: requests a second that the target accepts, in the last report;
+        0 without a limit.
+    :param limit_wait_ms: time until that limit allows a further request, as of the
+        last report.
     """
 
     __slots__ = (
@@ -64,6 +68,8 @@
         'age_ms',
         'warm_ms',
         'slowness',
+        'limit_per_s',
+        'limit_wait_ms',
     )
 
     def __init__(
@@ -80,6 +86,8 @@
         age_ms: int,
         warm_ms: int,
         slowness: float = 1,
+        limit_per_s: float = 0,
+        limit_wait_ms: int = 0,
     ) -> None:
         """Initialize the fields."""
         self.node_id = node_id
@@ -94,6 +102,8 @@
         self.age_ms = age_ms
         self.warm_ms = warm_ms
         self.slowness = slowness
+        self.limit_per_s = limit_per_s
+        self.limit_wait_ms = limit_wait_ms
 
 
 class Tuning(Record):
--- a/packages/core/src/lavendermount_core/routing/expected_time.py
+++ b/packages/core/src/lavendermount_core/routing/expected_time.py
@@ -16,6 +16,7 @@
 from statistics import fmean, median
 
 from lavendermount_core.routing.candidates import Candidate, Distance, Tuning
+from lavendermount_core.utils.units import MS_PER_S
 
 # Service time assumed while no candidate has reported one.
 DEFAULT_SERVICE_MS = 5.0
@@ -102,8 +103,10 @@
         1 + CONTENTION_FACTOR * load_per_slot + queue_wait_service_times
     )
     processing = loaded_service * _cold_start_factor(candidate, tuning)
-    overhead = network_ms(candidate, tuning, reply_kb) + slowness_penalty_ms(
-        candidate, tuning
+    overhead = (
+        network_ms(candidate, tuning, reply_kb)
+        + slowness_penalty_ms(candidate, tuning)
+        + limit_wait_ms(candidate)
     )
     return overhead + processing + failure_ratio * tuning.failure_ms
 
@@ -132,6 +135,20 @@
     return tuning.slow_ms * _blend(is_slow, UNKNOWN_SLOW_PROBABILITY, weight)
 
 
+def limit_wait_ms(candidate: Candidate) -> float:
+    """Estimate how long the rate limit of a target holds a request back.
+
+    The reported wait passes with the age of the report; each request that this node
+    sent since then takes its turn.
+
+    :returns: milliseconds; 0 without a limit.
+    """
+    if not candidate.limit_per_s:
+        return 0
+    left_ms = max(0, candidate.limit_wait_ms - candidate.age_ms)
+    return left_ms + candidate.sent_since * MS_PER_S / candidate.limit_per_s
+
+
 def _backlog_weight(candidate: Candidate, service_ms: float) -> float:
     """Weight of a reported backlog, which changes as fast as requests complete."""
     decay_ms = BACKLOG_DECAY_SERVICE_TIMES * service_ms
--- a/packages/node/src/lavendermountd/gate/admission.py
+++ b/packages/node/src/lavendermountd/gate/admission.py
@@ -11,6 +11,7 @@
 from itertools import count
 
 from lavendermount_core.config.preset import ClassOptions
+from lavendermountd.gate.rate_limit import RateLimit
 
 
 class Ticket:
@@ -105,6 +106,7 @@
 
     __slots__ = (
         'slots',
+        'rate_limit',
         'rules',
         'reserving_rules',
         'priorities',
@@ -117,6 +119,7 @@
     def __init__(self, slots: int) -> None:
         """Start with no classes and no requests."""
         self.slots = slots
+        self.rate_limit = RateLimit()
         self.rules: dict[str, ClassRule] = {}
         self.reserving_rules: list[ClassRule] = []
         self.priorities: dict[str, int] = {}
@@ -164,7 +167,7 @@
 
         :param ticket: the request.
         """
-        if self.exclusive is not None:
+        if self.exclusive is not None or not self.rate_limit.has_token():
             return False
         busy = self.in_flight
         if ticket.is_exclusive:
@@ -210,6 +213,7 @@
 
     def occupy(self, ticket: Ticket) -> None:
         """Mark a slot as taken by a request."""
+        self.rate_limit.take()
         self.running_by_class[ticket.call_class] += 1
         if ticket.is_exclusive:
             self.exclusive = ticket
--- a/packages/node/src/lavendermountd/gate/gate.py
+++ b/packages/node/src/lavendermountd/gate/gate.py
@@ -85,6 +85,7 @@
         """Create a report of the target's current load."""
         self.sequence += 1
         target = self.target
+        rate_limit = self.queue.rate_limit
         now = time.monotonic()
         return LoadReport(
             self.identity.node_id,
@@ -98,6 +99,8 @@
             target.warm_ms(now),
             target.is_accepting and not self.queue.is_closed,
             round(target.current_slowness(now), 2),
+            round(rate_limit.rate_per_s, 3) if rate_limit.is_active else 0,
+            round(rate_limit.wait_s(self.admission.queued + 1) * MS_PER_S),
         )
 
     async def execute(self, attempt: Attempt) -> AttemptResult:
@@ -163,7 +166,7 @@
         try:
             return await self.run_unless_slow(attempt)
         finally:
-            self.queue.release_slot(ticket)
+            self.queue.release_slot(ticket, attempt.is_sent)
 
     async def run_unless_slow(self, attempt: Attempt) -> AttemptResult:
         """Run an attempt that holds a slot, unless the target's VM is slow.
@@ -213,14 +216,14 @@
             self.queue.refuse_waiting(is_limited_wait_only=True)
 
     def record_limit(self, limit_per_s: float | None, evidence: str) -> None:
-        """Store the rate limit that an answer of the target names.
+        """Apply the rate limit that an answer of the target names, and tell senders.
 
         :param limit_per_s: requests a second; ``None`` if the answer names no limit.
         :param evidence: kind of answer.
         """
-        if limit_per_s == self.target.limit_per_s:
+        if limit_per_s == self.queue.rate_limit.limit_per_s:
             return
-        self.target.limit_per_s = limit_per_s
+        self.queue.change_limit(limit_per_s)
         log.info(
             'target-limit',
             extra={
@@ -230,6 +233,7 @@
                 'in_flight': self.admission.in_flight,
             },
         )
+        self.on_load_change()
 
     async def run(self, attempt: Attempt) -> AttemptResult:
         """Send the request of an attempt that holds a slot and await the reply.
@@ -293,13 +297,14 @@
         """Return the refusal that the headers of a reply imply, if any."""
         if metadata.load is not None:
             self.record_slowness(metadata.load)
-        self.record_limit(metadata.limit_per_s, 'reply')
         if metadata.is_other_target:
             self.on_other_target()
             detail = 'another target answered at this address'
             return not_run_refusal(
                 Reason.OTHER_TARGET, detail, TARGET_DOWN_RETRY_AFTER_S
             )
+        if metadata.is_genuine:
+            self.record_limit(metadata.limit_per_s, 'reply')
         if metadata.is_not_run:
             return self.queue.refuse(
                 Reason.TARGET_SHED, 'the target accepts no more work'
--- a/packages/node/src/lavendermountd/gate/queue.py
+++ b/packages/node/src/lavendermountd/gate/queue.py
@@ -22,6 +22,7 @@
 )
 from lavendermount_core.utils.units import MS_PER_S
 from lavendermountd.gate.admission import Admission, Ticket
+from lavendermountd.gate.rate_limit import RateLimit
 from lavendermountd.gate.target import Target
 from lavendermountd.gate.urgency import ClassServiceTime
 
@@ -37,7 +38,7 @@
     :param target: target that offers the slots.
     """
 
-    __slots__ = ('target', 'admission', 'class_times', 'is_closed')
+    __slots__ = ('target', 'admission', 'class_times', 'is_closed', 'token_timer')
 
     def __init__(self, target: Target) -> None:
         """Create a queue without slots."""
@@ -45,6 +46,12 @@
         self.admission = Admission(0)
         self.class_times = ClassServiceTime()
         self.is_closed = False
+        self.token_timer: asyncio.TimerHandle | None = None
+
+    @property
+    def rate_limit(self) -> RateLimit:
+        """Rate limit that the target names."""
+        return self.admission.rate_limit
 
     def effective_deadline(self, request: CallRequest) -> float:
         """Return the time by which a request must be answered to get a slot.
@@ -66,7 +73,7 @@
         :returns: the refusal if the request can't run; ``None`` if it holds a
             slot.
         """
-        if self.admission.try_start(ticket):
+        if self.try_start(ticket):
             return None
         if ticket.patience_s and self.is_too_busy(ticket):
             return self.refuse(Reason.BUSY, 'another target may answer sooner')
@@ -77,6 +84,7 @@
         if not self.admission.enqueue(ticket):
             return self.refuse(Reason.QUEUE_FULL, 'the queue of the class is full')
         ticket.slot_granted = asyncio.get_running_loop().create_future()
+        self.wait_for_token()
         give_up_at = ticket.deadline - self.target.service_ms / MS_PER_S
         if ticket.patience_s:
             give_up_at = min(give_up_at, time.monotonic() + ticket.patience_s)
@@ -92,6 +100,15 @@
             raise
         return None if has_slot else self.refuse_removed()
 
+    def try_start(self, ticket: Ticket) -> bool:
+        """Take a slot at once if there is one for the request.
+
+        Requests that wait for a token of the rate limit go first.
+        """
+        if self.rate_limit.is_active:
+            self.start_waiting()
+        return self.admission.try_start(ticket)
+
     def is_too_busy(self, ticket: Ticket) -> bool:
         """Whether the target is slow or the expected wait exceeds ``patience_s``."""
         position = self.admission.queued_ahead_of(ticket.call_class) + 1
@@ -111,15 +128,47 @@
     def estimated_time_s(self, request_count: int) -> float:
         """Estimate the time the target needs to process a number of requests.
 
+        :param request_count: number of requests; they have not started yet.
+        """
+        return max(
+            self.slots_time_s(request_count), self.rate_limit.wait_s(request_count)
+        )
+
+    def slots_time_s(self, request_count: int) -> float:
+        """Estimate the time that a number of requests needs in the target's slots.
+
         :param request_count: number of requests.
         """
         slots = max(self.target.slots, 1)
         return request_count * self.target.service_ms / slots / MS_PER_S
 
+    def change_limit(self, limit_per_s: float | None) -> None:
+        """Apply another rate limit, and start the requests that it allows.
+
+        :param limit_per_s: requests a second; ``None`` to lift the limit.
+        """
+        self.rate_limit.change(limit_per_s)
+        self.start_waiting()
+
+    def start_waiting(self) -> None:
+        """Start queued requests, and wait for a token if the rate limit holds them."""
+        self.grant_slots(self.admission.start_waiting())
+        self.wait_for_token()
+
+    def wait_for_token(self) -> None:
+        """Start queued requests once the rate limit allows the next one."""
+        if self.token_timer is not None:
+            self.token_timer.cancel()
+            self.token_timer = None
+        wait_s = self.rate_limit.wait_s()
+        if wait_s and self.admission.queued:
+            loop = asyncio.get_running_loop()
+            self.token_timer = loop.call_later(wait_s, self.start_waiting)
+
     def set_slots(self, slots: int) -> None:
         """Change the number of slots, and start queued requests in new ones."""
         self.admission.slots = slots
-        self.grant_slots(self.admission.start_waiting())
+        self.start_waiting()
 
     def refuse(self, reason: Reason, detail: str) -> Refusal:
         """Refuse a request that was not run.
@@ -127,8 +176,12 @@
         Its caller is told to retry after the estimated time to drain the queue,
         plus a random part so that callers don't return all at once.
         """
-        request_count = self.admission.in_flight + self.admission.queued
-        drain_s = max(self.estimated_time_s(request_count), MIN_RETRY_AFTER_S)
+        queued = self.admission.queued
+        drain_s = max(
+            self.slots_time_s(self.admission.in_flight + queued),
+            self.rate_limit.wait_s(queued + 1),
+            MIN_RETRY_AFTER_S,
+        )
         jitter = 1 + random.random() * MAX_JITTER_SHARE
         return not_run_refusal(reason, detail, drain_s * jitter)
 
@@ -164,9 +217,15 @@
         self.admission.remove(ticket)
         self.grant_slots(self.admission.start_waiting())
 
-    def release_slot(self, ticket: Ticket) -> None:
-        """Free a slot and start queued requests."""
+    def release_slot(self, ticket: Ticket, is_sent: bool = False) -> None:
+        """Free a slot and start queued requests.
+
+        :param is_sent: whether the request was sent to the target.
+        """
+        if not is_sent:
+            self.rate_limit.give_back()
         self.grant_slots(self.admission.release(ticket))
+        self.wait_for_token()
 
     def grant_slots(self, tickets: list[Ticket]) -> None:
         """Notify requests that they hold a slot.
--- a/packages/node/src/lavendermountd/gate/target.py
+++ b/packages/node/src/lavendermountd/gate/target.py
@@ -64,7 +64,6 @@
         'slowness_at',
         'last_above_normal_at',
         'consecutive_cancelled',
-        'limit_per_s',
     )
 
     def __init__(self) -> None:
@@ -89,8 +88,6 @@
         # Last time at which the slowness exceeded ``MAX_NORMAL_SLOWNESS``.
         self.last_above_normal_at: float = 0
         self.consecutive_cancelled = 0
-        # Requests a second that the target accepts; ``None`` without a limit.
-        self.limit_per_s: float | None = None
 
     @property
     def is_accepting(self) -> bool:
--- a/packages/node/src/lavendermountd/routing/load_view.py
+++ b/packages/node/src/lavendermountd/routing/load_view.py
@@ -10,6 +10,7 @@
 from lavendermount_core.models.loads import LoadReport
 from lavendermount_core.models.members import Member
 from lavendermount_core.routing.candidates import Candidate, Distance, distance_between
+from lavendermount_core.routing.expected_time import limit_wait_ms
 from lavendermount_core.utils.units import MS_PER_S
 from lavendermountd.identity import Identity
 
@@ -94,6 +95,17 @@
             return None
         return known
 
+    def is_in_time(self, member: Member, now: float, due: float) -> bool:
+        """Return whether the rate limit of a target allows a reply in time.
+
+        :param due: time by which the reply is due.
+        """
+        known = self.current_load(member)
+        if known is None or not known.report.limit_per_s:
+            return True
+        needed_ms = limit_wait_ms(self.candidate(member, now)) + known.report.service_ms
+        return now + needed_ms / MS_PER_S <= due
+
     def candidate(self, member: Member, now: float) -> Candidate:
         """Describe a target for a decision.
 
@@ -122,6 +134,8 @@
             max(0, int((now - known.reported_at) * MS_PER_S)),
             report.warm_ms,
             report.slowness,
+            report.limit_per_s,
+            report.limit_wait_ms,
         )
 
     def distance_to(self, member: Member) -> Distance:
--- a/packages/node/src/lavendermountd/routing/target_selector.py
+++ b/packages/node/src/lavendermountd/routing/target_selector.py
@@ -92,8 +92,9 @@
     ) -> list[Member]:
         """Return the members whose target may be chosen, ordered by node id.
 
-        Recently unreachable nodes are excluded while there are others. Other
-        regions are excluded once the request has used up its attempts there.
+        Recently unreachable nodes are excluded while there are others, and so are
+        targets whose rate limit would make the reply late. Other regions are excluded
+        once the request has used up its attempts there.
 
         :param state: the request; the targets that it tried are excluded.
         :param is_same_region: whether to exclude other regions.
@@ -112,7 +113,12 @@
         reachable = [
             member for member in members if not self.backoff.is_avoided(member.node_id)
         ]
-        return reachable or members
+        now = time.monotonic()
+        due = state.request.due or state.request.deadline
+        in_time = [
+            member for member in reachable if self.view.is_in_time(member, now, due)
+        ]
+        return in_time or reachable or members
 
     def record_reply_size(self, state: RequestState, size: int) -> None:
         """Update the average reply size of the request's class.
