Targets: an answer that says the target is leaving closes the gate

What callers see: once a target has said in an answer that it leaves, requests keep reaching it until its report arrives, if it ever does (DRAIN).

Cause: nothing decoded the header. A restarted node could forget what an answer had said: two late reports that arrived together, before its first health check, made the target ready again.

Change: a genuine answer of the current start with the header is a departure of that start. The second report that makes an unknown target ready must come 0.5 s after the first or later; targets report every 1.5 s. Two tests and the state machine of attempts sent both reports at once; they now send them 0.6 and 1.5 s apart, and check the same.

--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -40,3 +40,6 @@
 
   Scenario: A queued request starts as soon as the target offers more slots
     Then a request that waits for a slot gets one when the number of slots rises
+
+  Scenario: An answer that says the target is leaving closes the gate only to the start that answered
+    Then such an answer of the current start closes the gate, and one of an earlier start does not
--- a/features/state_machines.py
+++ b/features/state_machines.py
@@ -63,6 +63,7 @@
 NODE_COUNT = 3
 KEY = 'k'
 GOSSIP_S = 2.0
+REPORT_INTERVAL_S = 1.5
 SERVER_ERROR = 500
 STEPS_PER_HISTORY = 40
 DEFAULT_HISTORIES = 10000
@@ -110,6 +111,7 @@
         # The first report of an unknown target must be confirmed by a second one
         # of the same start.
         self.report_state(ReportedState.READY)
+        self.time.advance(REPORT_INTERVAL_S)
         self.report_state(ReportedState.READY)
 
     def teardown(self) -> None:
--- a/features/steps/stop_steps.py
+++ b/features/steps/stop_steps.py
@@ -6,20 +6,29 @@
 import logging
 import socket
 import time
+from collections.abc import Callable
 from typing import Any
 from unittest.mock import Mock
 
 from behave import then
-from builders import gate_with_target, gate_without_target
+from builders import call_request, gate_with_target, gate_without_target
 from tornado.iostream import IOStream
 
+from lavendermount_core.models.calls import CallReply
 from lavendermountd.caller import connection as connection_module
 from lavendermountd.caller.connection import CallerConnection
+from lavendermountd.dialects.base import ReplyMetadata
 from lavendermountd.gate.admission import Ticket
+from lavendermountd.gate.attempts import Attempt
+from lavendermountd.gate.gate import Gate
 from lavendermountd.gate.reports import ReportedState, TargetReport
 from lavendermountd.gate.target import TargetState
+from lavendermountd.gate.target_client import TargetAnswer
+from lavendermountd.gate.target_lifecycle import TargetLifecycle
 from lavendermountd.http1.request_parser import RequestLimits
 
+# Time between two reports of a target.
+REPORT_INTERVAL_S = 0.6
 REQUEST = b'POST /order HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n'
 
 
@@ -73,6 +82,13 @@
     return TargetReport('s', '127.0.0.1', 1, 2, 'i-1', state, started_at_ms, sequence)
 
 
+def confirm_ready(lifecycle: TargetLifecycle) -> None:
+    """Send the two reports, one after the other, that make an unknown target ready."""
+    lifecycle.handle_report(report_of(1000, 1))
+    time.sleep(REPORT_INTERVAL_S)
+    lifecycle.handle_report(report_of(1000, 2))
+
+
 @then(
     'a target that started again under its name stays up '
     'when its old departure is repeated'
@@ -80,8 +96,7 @@
 def repeated_departure(context: Any) -> None:
     """Let a target depart, start again, and repeat the report of its departure."""
     gate, lifecycle = gate_without_target(1)
-    lifecycle.handle_report(report_of(1000, 1))
-    lifecycle.handle_report(report_of(1000, 2))
+    confirm_ready(lifecycle)
     lifecycle.handle_report(report_of(1000, 3, ReportedState.DRAINING))
     assert gate.target.state == TargetState.DRAINING
     lifecycle.handle_report(report_of(2000, 1))
@@ -96,8 +111,7 @@
 def later_start(context: Any) -> None:
     """Report a later start of a target that was not seen to be down."""
     gate, lifecycle = gate_without_target(1)
-    lifecycle.handle_report(report_of(1000, 1))
-    lifecycle.handle_report(report_of(1000, 2))
+    confirm_ready(lifecycle)
     gate.target.observe(50, is_failure=True)
     starts = gate.target.start_number
     lifecycle.handle_report(report_of(2000, 1))
@@ -105,6 +119,54 @@
     assert gate.target.failure_ratio == 0
 
 
+class LeavingClient:
+    """Client of a target that says in its answer that it leaves, and names a limit."""
+
+    def __init__(self, gate: Gate, while_running: Callable[[], None]) -> None:
+        """Store what happens while the target works on a request."""
+        self.gate = gate
+        self.while_running = while_running
+
+    async def exchange(self, attempt: Attempt) -> TargetAnswer:
+        """Answer as the start to which the request was sent."""
+        attempt.target_start_number = self.gate.target.start_number
+        self.while_running()
+        metadata = ReplyMetadata(limit_per_s=1, is_leaving=True)
+        return TargetAnswer(CallReply(200, 'OK', [], b''), metadata)
+
+    def close_idle(self) -> None:
+        """Do nothing; there are no connections."""
+
+
+@then(
+    'such an answer of the current start closes the gate, '
+    'and one of an earlier start does not'
+)
+def leaving_answer(context: Any) -> None:
+    """Answer once without, and once with a new start of the target meanwhile."""
+    for is_restarted in (False, True):
+        gate = asyncio.run(_answer_leaving(is_restarted))
+        state = TargetState.UP if is_restarted else TargetState.DRAINING
+        assert gate.target.state == state, (is_restarted, gate.target.state)
+        assert gate.queue.rate_limit.is_active != is_restarted
+
+
+async def _answer_leaving(is_restarted: bool) -> Gate:
+    gate, lifecycle = gate_without_target(1)
+    gate.on_leaving = lifecycle.handle_leaving_answer
+    confirm_ready(lifecycle)
+
+    def restart() -> None:
+        if is_restarted:
+            lifecycle.handle_report(report_of(2000, 1))
+
+    gate.client = LeavingClient(gate, restart)
+    request = call_request()
+    request.deadline = time.monotonic() + 5
+    await gate.execute(Attempt('a-1', request, 'f'))
+    return gate
+
+
 @then('a request that waits for a slot gets one when the number of slots rises')
 def slots_rise(context: Any) -> None:
     """Fill all slots, let one more request wait, and add a slot."""
--- a/packages/node/src/lavendermountd/dialects/base.py
+++ b/packages/node/src/lavendermountd/dialects/base.py
@@ -78,6 +78,7 @@
         specified.
     :param limit_per_s: requests a second that the target accepts from all nodes
         together; ``None`` if it names no limit.
+    :param is_leaving: whether the target says that it is leaving.
     """
 
     __slots__ = (
@@ -89,6 +90,7 @@
         'instance',
         'idle_s',
         'limit_per_s',
+        'is_leaving',
     )
 
     def __init__(
@@ -101,6 +103,7 @@
         instance: str = '',
         idle_s: float = 0,
         limit_per_s: float | None = None,
+        is_leaving: bool = False,
     ) -> None:
         """Initialize the fields."""
         self.request_id = request_id
@@ -111,6 +114,7 @@
         self.instance = instance
         self.idle_s = idle_s
         self.limit_per_s = limit_per_s
+        self.is_leaving = is_leaving
 
 
 class Dialect(abc.ABC):
--- a/packages/node/src/lavendermountd/gate/gate.py
+++ b/packages/node/src/lavendermountd/gate/gate.py
@@ -75,6 +75,8 @@
         self.on_slowness_change: Callable[[], None] = _ignore_change
         self.refresh_load: Callable[[], Awaitable[None]] = _refresh_nothing
         self.on_other_target: Callable[[], None] = _ignore_change
+        # Called with the instance that says it is leaving, and the kind of answer.
+        self.on_leaving: Callable[[str, str], None] = _ignore_leaving
 
     @property
     def admission(self) -> Admission:
@@ -215,6 +217,14 @@
         if self.target.is_slow:
             self.queue.refuse_waiting(is_limited_wait_only=True)
 
+    def apply_state(self, metadata: ReplyMetadata) -> None:
+        """Apply what a genuine reply of the current start says about the target."""
+        if metadata.is_other_target or not metadata.is_genuine:
+            return
+        self.record_limit(metadata.limit_per_s, 'reply')
+        if metadata.is_leaving:
+            self.on_leaving(self.target.instance, 'reply')
+
     def record_limit(self, limit_per_s: float | None, evidence: str) -> None:
         """Apply the rate limit that an answer of the target names, and tell senders.
 
@@ -263,6 +273,8 @@
             self.record_end(attempt, started_at)
         self.suspects.clear(attempt.fingerprint)
         refusal = self.refusal_from(answer.metadata)
+        if attempt.target_start_number == self.target.start_number:
+            self.apply_state(answer.metadata)
         is_failed = refusal is not None or is_failure(answer.reply)
         self.observe(started_at, is_failure=is_failed)
         if refusal is not None:
@@ -303,8 +315,6 @@
             return not_run_refusal(
                 Reason.OTHER_TARGET, detail, TARGET_DOWN_RETRY_AFTER_S
             )
-        if metadata.is_genuine:
-            self.record_limit(metadata.limit_per_s, 'reply')
         if metadata.is_not_run:
             return self.queue.refuse(
                 Reason.TARGET_SHED, 'the target accepts no more work'
@@ -458,6 +468,10 @@
     """Do nothing; the node installs the real callback."""
 
 
+def _ignore_leaving(instance: str, evidence: str) -> None:
+    """Do nothing; the node installs the real callback."""
+
+
 async def _refresh_nothing() -> None:
     """Do nothing; the node installs the real callback."""
 
--- a/packages/node/src/lavendermountd/gate/reports.py
+++ b/packages/node/src/lavendermountd/gate/reports.py
@@ -2,7 +2,8 @@
 
 A start is one run of the target process.
 
-:units: milliseconds since the epoch for times; milliseconds for durations.
+:units: milliseconds since the epoch for times; milliseconds for durations, but
+    seconds where a name says so.
 """
 
 from __future__ import annotations
@@ -79,6 +80,8 @@
 
 
 NO_START = ('', 0)
+# Least time between two reports of which the second confirms the first.
+MIN_REPORT_INTERVAL_S = 0.5
 NOT_DEPARTED_MS = -1
 
 
@@ -89,7 +92,7 @@
     leaving never returns; only a later start can replace it.
     """
 
-    __slots__ = ('current', 'sequence', 'departed', 'unconfirmed')
+    __slots__ = ('current', 'sequence', 'departed', 'unconfirmed', 'unconfirmed_at')
 
     def __init__(self) -> None:
         """Create a history without reports."""
@@ -97,6 +100,7 @@
         self.sequence = 0
         self.departed: dict[tuple[str, int], int] = {}
         self.unconfirmed: TargetReport | None = None
+        self.unconfirmed_at: float = 0
 
     def confirm(self, report: TargetReport) -> bool:
         """Return whether a report of a ready target is known not to be outdated.
@@ -108,6 +112,9 @@
         target is leaving. It counts only after a second report of the same
         start with a higher sequence number.
 
+        The two must not arrive together, as late ones may: in the time between
+        them, health checks tell whether the target is leaving.
+
         The same holds after a departure without a start time, because reports
         can't be ordered relative to it.
 
@@ -116,11 +123,14 @@
         is_start_time_unknown = not self.current[1] and self.current in self.departed
         if self.current != NO_START and not is_start_time_unknown:
             return True
+        now = time.monotonic()
         previous = self.unconfirmed
-        self.unconfirmed = report
         if previous is None or previous.start != report.start:
+            self.unconfirmed = report
+            self.unconfirmed_at = now
             return False
-        return report.sequence > previous.sequence
+        is_later = now - self.unconfirmed_at >= MIN_REPORT_INTERVAL_S
+        return is_later and report.sequence > previous.sequence
 
     def is_late(self, report: TargetReport) -> bool:
         """Whether a report is outdated.
--- a/packages/node/src/lavendermountd/gate/target_lifecycle.py
+++ b/packages/node/src/lavendermountd/gate/target_lifecycle.py
@@ -95,6 +95,33 @@
         if report.instance in {target.instance, ''}:
             self.drain_target()
 
+    def handle_leaving_answer(self, instance: str, evidence: str) -> None:
+        """Record that an answer of the target says that it is leaving.
+
+        :param instance: name of the start that answered; the reports of another start
+            at the address are not affected.
+        :param evidence: kind of answer.
+        """
+        target = self.gate.target
+        current = target.history.current
+        started_at_ms = current[1] if instance == current[0] else 0
+        report = TargetReport(
+            target.service,
+            target.host,
+            target.port,
+            target.slots,
+            instance,
+            ReportedState.DRAINING,
+            started_at_ms,
+        )
+        if report.start in target.history.departed:
+            return
+        log.info(
+            'target-leaving',
+            extra={'instance': instance, 'evidence': evidence},
+        )
+        self.handle_departure(report)
+
     def mark_replaced(self) -> None:
         """Mark the target as down because another one answered at its address.
 
--- a/packages/node/src/lavendermountd/gate/target_monitor.py
+++ b/packages/node/src/lavendermountd/gate/target_monitor.py
@@ -146,6 +146,8 @@
         if metadata.load is not None:
             self.gate.record_slowness(metadata.load)
         self.gate.record_limit(metadata.limit_per_s, 'health')
+        if metadata.is_leaving and metadata.instance:
+            self.gate.on_leaving(metadata.instance, 'health')
         is_valid_instance = bool(metadata.instance) and not target.history.has_departed(
             metadata.instance
         )
--- a/packages/node/src/lavendermountd/node.py
+++ b/packages/node/src/lavendermountd/node.py
@@ -183,6 +183,7 @@
         self.gate.on_load_change = self.broadcast_load
         self.gate.on_suspect = self.broadcast_suspect
         self.gate.on_other_target = self.target_lifecycle.mark_replaced
+        self.gate.on_leaving = self.target_lifecycle.handle_leaving_answer
         self.gate.on_slowness_change = self.broadcast_slowness
         self.gate.refresh_load = self.target_monitor.refresh
         self.freeze_guard.on_freeze.append(self.reset_after_freeze)
