Presets: waits of reads begin short after news and double without; soak with silences

Cause: the rate has to be high only while the reads of all nodes coincide, which news and failures make them do. Afterwards they are spread over time, and a silence takes only those that arrive in it; the others are answered and their nodes tell the rest.

The waits of the first reads are as before, and so is their test.

The soak silences the log, switches presets, and checks that all nodes have the same one 3 s after the faults.

--- a/features/presets.feature
+++ b/features/presets.feature
@@ -111,9 +111,17 @@
     And all links between the regions are restored
     Then preset "peak" is in force on all running nodes
 
+  Scenario: A preset accepted right after the log was silent is in force in time
+    Given a deployment of 3 nodes
+    When preset "peak" is put in force
+    And the log answers nothing new for 9 s
+    And preset "ordinary" is accepted
+    Then 3 s later preset "ordinary" is in force on every node
+
   Scenario: However the reads of a region coincide, one of them ends soon after the log is back
     Then in regions of 2 to 1300 nodes whose reads all began at once, one ends within 3 s in 99 of 100 cases
     And a region of 1300 nodes makes no more than 60 reads a second
+    And after 6 reads without news, a region of 5 nodes makes no more than 0.5 reads a second
 
   Scenario: A read of the log that is never answered is given up soon after its wait ends
     When a follower reads from a log that answers nothing
--- a/features/steps/preset_reading_steps.py
+++ b/features/steps/preset_reading_steps.py
@@ -9,6 +9,7 @@
 
 from behave import then, when
 from builders import member, preset_snapshot
+from deployment_steps import status_of
 
 from lavendermount_core.exceptions import LogUnavailableError
 from lavendermount_core.log.adapter import LogBatch
@@ -57,6 +58,19 @@
     assert size / (sum(waits) / CASES) <= limit, sum(waits) / CASES
 
 
+@then(
+    'after {reads:d} reads without news, a region of {size:d} nodes makes no more than'
+    ' {limit:g} reads a second'
+)
+def quiet_reads_bounded(context: Any, reads: int, size: int, limit: float) -> None:
+    """Compare the mean wait after some reads with the time that the limit leaves."""
+    random.seed(SEED)
+    schedule = schedule_of(size)
+    schedule.reads_without_news = reads
+    waits = [schedule.wait_s() for _ in range(CASES)]
+    assert size / (sum(waits) / CASES) <= limit, sum(waits) / CASES
+
+
 class SilentLog:
     """A log that answers a first read, and then nothing."""
 
@@ -99,6 +113,25 @@
     assert context.elapsed_s < context.waits[1] + seconds, context.elapsed_s
 
 
+@when('the log answers nothing new for {seconds:g} s')
+def silence_log(context: Any, seconds: float) -> None:
+    """Drop what reaches the log; reads that already wait there are still answered."""
+    context.deployment.control_log(silent=True)
+    time.sleep(seconds)
+    context.deployment.control_log(silent=False)
+
+
+@then('{seconds:g} s later preset "{name}" is in force on every node')
+def in_force_later(context: Any, seconds: float, name: str) -> None:
+    """Wait, then read the preset of each node."""
+    time.sleep(seconds)
+    presets = {
+        instance.name: status_of(context, instance).get('preset')
+        for instance in context.deployment.instances.values()
+    }
+    assert set(presets.values()) == {name}, presets
+
+
 class FakeChannels:
     """Channels to peers, of which one never answers."""
 
--- a/features/steps/preset_steps.py
+++ b/features/steps/preset_steps.py
@@ -197,9 +197,10 @@
     assert 'log at' in context.operator.read_output(), context.operator.read_output()
 
 
+@when('preset "{name}" is accepted')
 @when('preset "{name}" is put in force while a node is suspended')
-def switch_without_suspended_node(context: Any, name: str) -> None:
-    """Publish and switch without waiting for the suspended node."""
+def switch_without_waiting(context: Any, name: str) -> None:
+    """Publish and switch without waiting until all nodes use the preset."""
     deployment = context.deployment
     path = deployment.process_manager.write_file(f'{name}.toml', preset_text(name))
     assert deployment.run_cli('preset', 'publish', str(path)).popen.returncode == 0
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -10,11 +10,14 @@
 
 from lavendermount_testbed.soak import Soak, kill_target, slow_target
 
+# Faults that the kept seeds did not draw from.
+LATER_FAULTS = ('log-restored', 'log-silent', 'switch-preset')
+
 
 @then('a soak test of {seconds:g} s with seed {seed:d} finds no violation')
 def check_soak(context: Any, seconds: float, seed: int) -> None:
     """Run real processes under load and the faults from which the seed drew."""
-    findings = Soak(seed, seconds, without=('log-restored',)).run()
+    findings = Soak(seed, seconds, without=LATER_FAULTS).run()
     assert not findings, findings
 
 
--- a/packages/node/src/lavendermountd/presets/poll_schedule.py
+++ b/packages/node/src/lavendermountd/presets/poll_schedule.py
@@ -4,8 +4,11 @@
 lost read from one that waits for news. The times are therefore drawn at random
 from exponential distributions, whose rate all nodes of a region share: however the
 reads of the nodes coincide, one of them ends soon after the log answers again,
-and its node tells the others. The number of reads hardly depends on the number of
-nodes.
+and its node tells the others.
+
+News and failures make the reads of all nodes coincide. After either, the waits begin
+short, and double with each read without news: by then the reads are spread over time,
+and a silence takes only a part of them.
 
 :units: seconds.
 """
@@ -15,9 +18,10 @@
 import random
 from collections.abc import Callable
 
-# Rates of reads that end without news, and of retries, of all nodes of a region.
+# Rates of the first reads after news, and of retries, of all nodes of a region.
 REGION_READS_PER_S = 2.5
 REGION_RETRIES_PER_S = 4.0
+MAX_DOUBLINGS = 10
 MIN_WAIT_S = 0.2
 MIN_RETRY_S = 0.1
 MAX_RETRY_S = 4.0
@@ -31,16 +35,23 @@
     :param max_wait_s: longest time that a read may wait for news.
     """
 
-    __slots__ = ('max_wait_s', 'region_size')
+    __slots__ = ('max_wait_s', 'region_size', 'reads_without_news')
 
     def __init__(self, max_wait_s: float) -> None:
         """Assume that the node is alone until its members are known."""
         self.max_wait_s = max_wait_s
         self.region_size: Callable[[], int] = _alone
+        self.reads_without_news = 0
+
+    def restart(self) -> None:
+        """Begin with short waits; the reads of all nodes may coincide."""
+        self.reads_without_news = 0
 
     def wait_s(self) -> float:
         """Return how long the next read may wait for news."""
-        drawn_s = random.expovariate(REGION_READS_PER_S / self.region_size())
+        doublings = min(self.reads_without_news, MAX_DOUBLINGS)
+        mean_s = self.region_size() / REGION_READS_PER_S * 2**doublings
+        drawn_s = random.expovariate(1 / mean_s)
         return min(max(drawn_s, MIN_WAIT_S), self.max_wait_s)
 
     def retry_s(self) -> float:
--- a/packages/node/src/lavendermountd/presets/reachability.py
+++ b/packages/node/src/lavendermountd/presets/reachability.py
@@ -67,6 +67,7 @@
         if not self.is_waiting:
             return
         self.is_lost_read_suspected = True
+        self.schedule.restart()
         log.info(
             'log-read-abandoned',
             extra={'waited_s': round(time.monotonic() - self.asked_at, 3)},
@@ -92,6 +93,10 @@
             self.is_waiting = False
         self.is_lost_read_suspected = False
         self.mark_answered()
+        if batch.records:
+            self.schedule.restart()
+        else:
+            self.schedule.reads_without_news += 1
         return batch
 
     def read_timeout_s(self, wait_s: float) -> float | None:
@@ -131,4 +136,5 @@
             )
         self.is_reachable = False
         self.failures += 1
+        self.schedule.restart()
         await asyncio.sleep(self.schedule.retry_s())
--- a/packages/testbed/src/lavendermount_testbed/deployment.py
+++ b/packages/testbed/src/lavendermount_testbed/deployment.py
@@ -313,17 +313,22 @@
     def run_cli(self, *arguments: str) -> Process:
         """Run a command of the operators' CLI and wait until it exits.
 
-        The first node, if there is one, is passed as ``--node``.
-
         :returns: the exited process.
         """
+        process = self.start_cli(*arguments)
+        process.wait()
+        return process
+
+    def start_cli(self, *arguments: str) -> Process:
+        """Start a command of the operators' CLI.
+
+        The first node, if there is one, is passed as ``--node``.
+        """
         name = f'operator-{len(self.process_manager.processes)}'
         first = next(iter(self.instances.values()), None)
         node = [] if first is None else ['--node', f'127.0.0.1:{first.control_port}']
         command = ['-m', 'lavendermount', '--log', self.log_url, *node, *arguments]
-        process = self.process_manager.start(name, command)
-        process.wait()
-        return process
+        return self.process_manager.start(name, command)
 
     def publish_and_switch(self, preset: str, *options: str) -> Process:
         """Publish a preset, switch to it and wait until all nodes use it.
--- a/packages/testbed/src/lavendermount_testbed/log_server.py
+++ b/packages/testbed/src/lavendermount_testbed/log_server.py
@@ -83,6 +83,10 @@
         return pack([self.oldest, next_offset, self.end, rows])
 
 
+# Longer than any client waits for a response.
+SILENCE_S = 3600
+
+
 class Faults:
     """Faults that are injected now; set by name through ``/control``.
 
@@ -92,9 +96,18 @@
         closed without a response.
     :param lose_claims: the same, for streams of claims only.
     :param retention_s: age at which records are evicted.
+    :param silent: requests that arrive are never answered; those that already wait
+        for a record are.
     """
 
-    __slots__ = ('outage', 'slow_ms', 'lose_answers', 'lose_claims', 'retention_s')
+    __slots__ = (
+        'outage',
+        'slow_ms',
+        'lose_answers',
+        'lose_claims',
+        'retention_s',
+        'silent',
+    )
 
     def __init__(self) -> None:
         """Start without faults."""
@@ -103,6 +116,7 @@
         self.lose_answers = 0
         self.lose_claims = 0
         self.retention_s = float('inf')
+        self.silent = False
 
     def should_fail_response(self, name: str) -> bool:
         """Whether to drop the response to an append that succeeded.
@@ -157,11 +171,13 @@
         self.state = state
 
     async def apply_faults(self) -> bool:
-        """Apply the delay and the outage.
+        """Apply the silence, the delay and the outage.
 
         :returns: whether an outage ends the request, with status 503.
         """
         faults = self.state.faults
+        if faults.silent:
+            await asyncio.sleep(SILENCE_S)
         self.set_header('Log-Era', str(self.state.era))
         if faults.slow_ms:
             await asyncio.sleep(faults.slow_ms / MS_PER_S)
--- a/packages/testbed/src/lavendermount_testbed/soak.py
+++ b/packages/testbed/src/lavendermount_testbed/soak.py
@@ -39,6 +39,10 @@
     ('desk-4', Placement('dealer-desk', 'south', 'hcm-b')),
 )
 PRESET_PATH = Path('examples/thanh-thuy/ordinary.toml')
+# The name in the file, and that of a second preset which is otherwise the same.
+PRESET_NAMES = ('ordinary', 'peak')
+# Time after the faults within which all nodes have the same preset in force.
+PRESET_PROPAGATION_S = 3.0
 SERVICE_MS = 40.0
 SLOTS = 6
 REQUESTS_PER_S = 25
@@ -80,6 +84,8 @@
             self.deployment.add(name, placement)
         self.run_counts: Counter[str] = Counter()
         self.faulty_instances: set[str] = set()
+        self.switch_count = 0
+        self.final_presets: dict[str, tuple[str, int]] = {}
 
     def run(self) -> list[str]:
         """Run the soak test.
@@ -99,6 +105,8 @@
         self.start()
         load = self.start_load()
         self.inject_faults(time.monotonic())
+        time.sleep(PRESET_PROPAGATION_S)
+        self.final_presets = self.presets_in_force()
         load.popen.wait(LOAD_TIMEOUT_S)
         for instance in self.deployment.instances.values():
             self.collect_run_counts(instance)
@@ -107,7 +115,10 @@
     def start(self) -> None:
         """Start all processes and put a preset in force."""
         self.deployment.start_all()
-        self.deployment.publish_and_switch(PRESET_PATH.read_text())
+        preset = PRESET_PATH.read_text()
+        for name in PRESET_NAMES:
+            renamed = preset.replace(f'name = "{PRESET_NAMES[0]}"', f'name = "{name}"')
+            self.deployment.publish_and_switch(renamed)
         self.deployment.wait_ready()
         self.deployment.wait_for_members()
 
@@ -171,6 +182,14 @@
             entry[2]()
             self.faulty_instances.discard(entry[1])
 
+    def presets_in_force(self) -> dict[str, tuple[str, int]]:
+        """Return the preset and revision in force on each node."""
+        presets = {}
+        for instance in self.deployment.instances.values():
+            status = self.deployment.fetch_status(instance)
+            presets[instance.name] = (status['preset'], status['revision'])
+        return presets
+
     def collect_run_counts(self, instance: Instance) -> None:
         """Collect and reset the execution counts of a target.
 
@@ -197,6 +216,7 @@
                 violations.append(
                     f'{run_id}: reported not-run but executed {run_count} times'
                 )
+        violations.extend(self.find_preset_violations())
         recovered_at = WARMUP_S + self.seconds + RECOVERY_S / 2
         final_rows = [row for row in rows if row[1] >= recovered_at]
         served_count = sum(1 for row in final_rows if row[4] == 'whole')
@@ -207,6 +227,12 @@
             )
         return violations
 
+    def find_preset_violations(self) -> list[str]:
+        """Compare the presets that the nodes had in force after the faults."""
+        if len(set(self.final_presets.values())) <= 1:
+            return []
+        return [f'{PRESET_PROPAGATION_S} s after the faults: {self.final_presets}']
+
 
 def announce_target(instance: Instance) -> None:
     """Announce a target to its node once the node is ready."""
@@ -310,6 +336,21 @@
     return lambda: soak.deployment.control_log(outage=False)
 
 
+@faults.register('log-silent')
+def silence_log(soak: Soak, instance: Instance) -> Undo:
+    """Drop what reaches the platform's log; reads that already wait are answered."""
+    soak.deployment.control_log(silent=True)
+    return lambda: soak.deployment.control_log(silent=False)
+
+
+@faults.register('switch-preset')
+def switch_preset(soak: Soak, instance: Instance) -> Undo:
+    """Switch between two presets; the operator may be told that it was not accepted."""
+    soak.switch_count += 1
+    name = PRESET_NAMES[soak.switch_count % len(PRESET_NAMES)]
+    return soak.deployment.start_cli('preset', 'switch', name).wait
+
+
 @faults.register('log-restored')
 def restore_log(soak: Soak, instance: Instance) -> Undo:
     """Copy the platform's log, and let it come back from the copy later."""
