--- a/packages/testbed/src/lavendermount_testbed/__main__.py
+++ b/packages/testbed/src/lavendermount_testbed/__main__.py
@@ -85,14 +85,21 @@
     default=10,
     help='How long faults are injected, in seconds.',
 )
-def soak(seed: int | None, count: int, seconds: float) -> None:
+@click.option(
+    '--logs',
+    'log_folder',
+    type=click.Path(path_type=Path),
+    help='Folder that gets the files of each run that failed.',
+)
+def soak(seed: int | None, count: int, seconds: float, log_folder: Path | None) -> None:
     """Run real processes under load and random faults and check the guarantees."""
     import random
 
     from lavendermount_testbed.soak import run_soak
 
     first_seed = random.randrange(10**6) if seed is None else seed
-    sys.exit(run_soak(list(range(first_seed, first_seed + count)), seconds))
+    seeds = list(range(first_seed, first_seed + count))
+    sys.exit(run_soak(seeds, seconds, log_folder))
 
 
 @cli.command()
--- a/packages/testbed/src/lavendermount_testbed/soak.py
+++ b/packages/testbed/src/lavendermount_testbed/soak.py
@@ -12,6 +12,7 @@
 
 import json
 import random
+import shutil
 import time
 from collections import Counter
 from collections.abc import Callable
@@ -87,16 +88,29 @@
         self.switch_count = 0
         self.final_presets: dict[str, tuple[str, int]] = {}
 
-    def run(self) -> list[str]:
+    def run(self, log_folder: Path | None = None) -> list[str]:
         """Run the soak test.
 
+        :param log_folder: folder that gets a copy of all files of a run that failed.
         :returns: violated guarantees; empty if all were kept.
         """
         try:
-            return self.find_violations(self.run_load_with_faults())
+            violations = self.collect_violations()
+            if violations and log_folder is not None:
+                files = self.deployment.process_manager.folder
+                shutil.copytree(files, log_folder / f'seed-{self.seed}')
+            return violations
         finally:
             self.deployment.close()
 
+    def collect_violations(self) -> list[str]:
+        """Run the load and the faults; a process that does not start is a violation."""
+        try:
+            rows = self.run_load_with_faults()
+        except TimeoutError as error:
+            return [str(error)]
+        return self.find_violations(rows)
+
     def run_load_with_faults(self) -> list[list[Any]]:
         """Inject faults under load.
 
@@ -358,14 +372,15 @@
     return lambda: soak.deployment.control_log(restore=True)
 
 
-def run_soak(seeds: list[int], seconds: float) -> int:
+def run_soak(seeds: list[int], seconds: float, log_folder: Path | None = None) -> int:
     """Run the soak test for each seed and print the violated guarantees.
 
+    :param log_folder: folder that gets a copy of all files of each run that failed.
     :returns: exit code.
     """
     failed_count = 0
     for seed in seeds:
-        violations = Soak(seed, seconds).run()
+        violations = Soak(seed, seconds).run(log_folder)
         failed_count += bool(violations)
         for violation in violations:
             click.echo(f'seed={seed} finding={violation!r}')
