Membership: regions whose nodes all start at the same moment find each other

Traced on a start whose logs were kept (1 of 11 in a row): all four started within 75 ms, and 30 s later each knew its neighbour alone.

Cause: the joiner of the project's own log reads the records before it writes its own, and reads again only while it knows no peer. All four read before any had written; then a seed gave each its neighbour, so none read again.

Change: the records are read once more after the first write, so the last one to write sees all. The test, four joiners that read at once, fails before (none knows more than its neighbour) and passes after.

--- a/features/membership.feature
+++ b/features/membership.feature
@@ -43,3 +43,7 @@
 
   Scenario: Nodes partitioned within a region rejoin
     Then a member that was declared dead refutes that and counts as alive again
+
+  Scenario: Regions whose nodes all start at the same moment find each other
+    When four nodes of two regions read the members at the same moment, and know a seed of their region
+    Then at least one of them knows all the others
--- a/packages/node/src/lavendermountd/membership/joining.py
+++ b/packages/node/src/lavendermountd/membership/joining.py
@@ -85,11 +85,16 @@
     async def step(self) -> None:
         """Read and write the records that are due.
 
-        While no peer is known, the seeds are contacted too.
+        After the first write the records are read once more: nodes that start at the
+        same moment read before any of them has written, and the seeds may lead only to
+        members of the own region. While no peer is known, the seeds are contacted too.
         """
         try:
             await self.read_if_due()
+            is_first_write = not self.written_at
             await self.write_if_due()
+            if is_first_write:
+                await self.read_all()
         except LogUnavailableError as error:
             log.info('join-delayed', extra={'cause': str(error)})
             self.is_log_unavailable = True
