Zones, regions and cold targets: constraints, evacuation, allowed regions, cold phase

Change: a registry of constraints on targets (strict ones and preferences) replaces the conditions in the target selector; allowed regions and evacuated zones are two of them. Decision records say which constraint excluded how many targets. Evacuations are read with the presets, spread by gossip, ordered by log position, and enforced at senders and gates. A cold target is a second cause of the gate's rate limit.

--- a/features/state_machines.py
+++ b/features/state_machines.py
@@ -56,6 +56,7 @@
 from lavendermountd.gate.target_monitor import TargetMonitor
 from lavendermountd.http1.messages import WireReply
 from lavendermountd.log_recovery import REWRITE_SPREAD_S
+from lavendermountd.membership.evacuations import EvacuationTable
 from lavendermountd.presets.holder import PresetHolder
 from lavendermountd.presets.keyed_follower import KeyedPresetFollower
 
@@ -469,6 +470,7 @@
             's',
             'config',
             decode_fake_record,  # type: ignore[arg-type]
+            EvacuationTable(),
         )
 
     @rule()
--- a/packages/core/src/lavendermount_core/config/node.py
+++ b/packages/core/src/lavendermount_core/config/node.py
@@ -129,6 +129,10 @@
     )
     key = opt.Text('', 'Key of the preset record.')
     decoder = opt.Text('', 'Name of the decoder for the preset record.')
+    evacuation_prefix = opt.Text(
+        '',
+        'Prefix of the keys of evacuated zones in the keyed stream; empty for none.',
+    )
 
 
 class EndpointOptions(opt.Schema):
--- a/packages/core/src/lavendermount_core/config/preset.py
+++ b/packages/core/src/lavendermount_core/config/preset.py
@@ -116,6 +116,9 @@
         'targets',
         high=100,
     )
+    allowed_regions = opt.TextList(
+        [], 'Regions whose targets may serve the requests; empty allows all regions.'
+    )
 
 
 class ChoosingOptions(opt.Schema):
@@ -300,6 +303,19 @@
         'connections',
         high=100000,
     )
+    warmup_ms = opt.Integer(
+        0,
+        'Time for which a target that has just started is cold, unless it says '
+        'otherwise; 0 if targets are never cold.',
+        'ms',
+        high=3600000,
+    )
+    cold_per_s = opt.Number(
+        0,
+        'Requests a second that a cold target may get; 0 for no limit.',
+        'requests/s',
+        high=10**6,
+    )
 
 
 class LimitOptions(opt.Schema):
--- a/packages/core/src/lavendermount_core/log/adapter.py
+++ b/packages/core/src/lavendermount_core/log/adapter.py
@@ -86,14 +86,18 @@
     :param end: offset of the next record to be appended; reading from there
         misses no record.
     :param bodies: newest record of each key.
+    :param offsets: offset of the newest record of each key, where the log names it.
     """
 
-    __slots__ = ('end', 'bodies')
+    __slots__ = ('end', 'bodies', 'offsets')
 
-    def __init__(self, end: int, bodies: dict[str, bytes]) -> None:
+    def __init__(
+        self, end: int, bodies: dict[str, bytes], offsets: dict[str, int] | None = None
+    ) -> None:
         """Initialize the fields."""
         self.end = end
         self.bodies = bodies
+        self.offsets = offsets or {}
 
 
 class KeyedRecord:
--- a/packages/core/src/lavendermount_core/models/calls.py
+++ b/packages/core/src/lavendermount_core/models/calls.py
@@ -56,6 +56,8 @@
     LOG_DOWN = 'log-down'
     # All connections to the target are in use.
     OVERLOADED = 'overloaded'
+    # The availability zone of the target has been evacuated.
+    EVACUATED = 'zone-evacuated'
     INTERNAL = 'internal-error'
 
 
@@ -99,6 +101,8 @@
         clock; 0 if the preset sets no such time.
     :param max_targets: maximum number of targets to try; 0 for the number in
         the preset.
+    :param allowed_regions: regions whose targets may serve the request; ``None``
+        for all.
     """
 
     __slots__ = (
@@ -111,6 +115,7 @@
         'deadline',
         'due',
         'max_targets',
+        'allowed_regions',
     )
 
     def __init__(
@@ -124,6 +129,7 @@
         deadline: float,
         due: float = 0,
         max_targets: int = 0,
+        allowed_regions: frozenset[str] | None = None,
     ) -> None:
         """Initialize the fields."""
         self.request_id = request_id
@@ -135,6 +141,7 @@
         self.deadline = deadline
         self.due = due
         self.max_targets = max_targets
+        self.allowed_regions = allowed_regions
 
 
 class CallReply(Record):
--- a/packages/core/src/lavendermount_core/replay/explain.py
+++ b/packages/core/src/lavendermount_core/replay/explain.py
@@ -47,6 +47,10 @@
     lines = [head, subject, inputs, count]
     scores = dict(recorded.scores)
     lines.extend(_candidate_line(row, scores) for row in recorded.candidates)
+    lines.extend(
+        f'  {count} more excluded by the constraint {name}'
+        for name, count in recorded.excluded
+    )
     lines.append(f'  {_chosen_line(recorded)}')
     lines.append(f'  outcome {recorded.outcome} after {recorded.elapsed_ms:g} ms')
     return lines
--- a/packages/core/src/lavendermount_core/replay/records.py
+++ b/packages/core/src/lavendermount_core/replay/records.py
@@ -9,7 +9,7 @@
 
 import hashlib
 import zlib
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import Any
 
 from lavendermount_core.exceptions import RecordError
@@ -56,6 +56,9 @@
         ``not-run:queue-full``.
     :param elapsed_ms: duration of the attempt.
     :param reply_kb: average reply size of the class in kilobytes.
+    :param is_abroad: whether only targets of other regions could serve the request.
+    :param excluded: names of the constraints that excluded targets of the service,
+        each with the number of targets.
     """
 
     __slots__ = (
@@ -78,9 +81,12 @@
         'outcome',
         'elapsed_ms',
         'reply_kb',
+        'is_abroad',
+        'excluded',
     )
 
-    def __init__(
+    # The constructor takes each field of the stored row.
+    def __init__(  # noqa: WPS211
         self,
         request_id: str,
         attempt: int,
@@ -101,6 +107,8 @@
         outcome: str,
         elapsed_ms: float,
         reply_kb: float = 0,
+        is_abroad: bool = False,
+        excluded: Sequence[Sequence[Any]] = (),
     ) -> None:
         """Initialize the fields."""
         self.request_id = request_id
@@ -122,6 +130,8 @@
         self.outcome = outcome
         self.elapsed_ms = elapsed_ms
         self.reply_kb = reply_kb
+        self.is_abroad = is_abroad
+        self.excluded = excluded
 
     def to_inputs(self) -> DecisionInputs:
         """Rebuild the inputs of the decision.
@@ -136,6 +146,7 @@
             self.is_link_allowed,
             [Candidate.from_row(row) for row in self.candidates],
             self.reply_kb,
+            self.is_abroad,
         )
 
     def to_decision(self) -> Decision:
--- a/packages/core/src/lavendermount_core/routing/candidates.py
+++ b/packages/core/src/lavendermount_core/routing/candidates.py
@@ -170,6 +170,7 @@
         covers the request's body.
     :param candidates: targets that may be chosen, ordered by node id.
     :param reply_kb: average reply size of the class in kilobytes.
+    :param is_abroad: whether only targets of other regions may serve the request.
     """
 
     __slots__ = (
@@ -180,6 +181,7 @@
         'is_link_allowed',
         'candidates',
         'reply_kb',
+        'is_abroad',
     )
 
     def __init__(
@@ -191,6 +193,7 @@
         is_link_allowed: bool,
         candidates: list[Candidate],
         reply_kb: float = 0,
+        is_abroad: bool = False,
     ) -> None:
         """Initialize the fields."""
         self.policy = policy
@@ -200,6 +203,7 @@
         self.is_link_allowed = is_link_allowed
         self.candidates = candidates
         self.reply_kb = reply_kb
+        self.is_abroad = is_abroad
 
 
 class Decision(Record):
--- a/packages/core/src/lavendermount_core/routing/policies.py
+++ b/packages/core/src/lavendermount_core/routing/policies.py
@@ -47,14 +47,16 @@
 
     The sample is taken from the node's own region. A smaller sample from other
     regions is added if the budget for traffic between regions allows it, or if
-    the node's own region has no candidate.
+    the node's own region has no candidate. If only other regions may serve the
+    request, the whole sample is taken from them.
     """
     same_region, other_region = _split_by_region(inputs.candidates)
     rng = random.Random(inputs.seed)
     size = min(inputs.tuning.sample, len(same_region))
     sample = rng.sample(same_region, size)
     if other_region and (inputs.is_link_allowed or not same_region):
-        other_size = max(1, inputs.tuning.sample // OTHER_REGION_DIVISOR)
+        divisor = 1 if inputs.is_abroad else OTHER_REGION_DIVISOR
+        other_size = max(1, inputs.tuning.sample // divisor)
         sample.extend(rng.sample(other_region, min(other_size, len(other_region))))
     baseline = CandidateBaseline(inputs.candidates)
     scores = [
--- a/packages/node/src/lavendermountd/caller/classification.py
+++ b/packages/node/src/lavendermountd/caller/classification.py
@@ -28,9 +28,17 @@
     :param target_ms: preferred response time; 0 if the route sets none.
     :param attempts: maximum number of targets to try; 0 for the default of the
         preset.
+    :param allowed_regions: regions whose targets may serve the request; ``None``
+        for all.
     """
 
-    __slots__ = ('call_class', 'deadline_ms', 'target_ms', 'attempts')
+    __slots__ = (
+        'call_class',
+        'deadline_ms',
+        'target_ms',
+        'attempts',
+        'allowed_regions',
+    )
 
     def __init__(
         self,
@@ -38,12 +46,14 @@
         deadline_ms: float,
         target_ms: float,
         attempts: int,
+        allowed_regions: frozenset[str] | None,
     ) -> None:
         """Initialize the fields."""
         self.call_class = call_class
         self.deadline_ms = deadline_ms
         self.target_ms = target_ms
         self.attempts = attempts
+        self.allowed_regions = allowed_regions
 
 
 def classify(
@@ -112,7 +122,13 @@
     )
     if route.timeout_ms:
         deadline_ms = min(deadline_ms, route.timeout_ms)
-    return Classification(call_class, deadline_ms, route.target_ms, route.attempts)
+    return Classification(
+        call_class,
+        deadline_ms,
+        route.target_ms,
+        route.attempts,
+        frozenset(route.allowed_regions) or None,
+    )
 
 
 def _is_repeatable(route: RouteOptions, method: str) -> bool:
--- a/packages/node/src/lavendermountd/caller/exchange.py
+++ b/packages/node/src/lavendermountd/caller/exchange.py
@@ -161,6 +161,7 @@
             self.arrived_at + classification.deadline_ms / MS_PER_S,
             due,
             classification.attempts,
+            classification.allowed_regions,
         )
 
     def record_metrics(self, call_class: CallClass, outcome: AttemptResult) -> None:
--- a/packages/node/src/lavendermountd/control/messages.py
+++ b/packages/node/src/lavendermountd/control/messages.py
@@ -14,6 +14,7 @@
 from lavendermount_core.models.records import Record
 from lavendermount_core.presets.records import PresetSnapshot
 from lavendermountd.control.generated import control_pb2
+from lavendermountd.membership.evacuations import ZoneState
 from lavendermountd.peer.frames import CrashSuspicion
 
 RecordType = TypeVar('RecordType', bound=Record)
@@ -63,6 +64,16 @@
     )
 
 
+def zone_message(state: ZoneState) -> control_pb2.ZoneState:
+    """Convert the state of a zone to a message."""
+    return control_pb2.ZoneState(**_record_fields(state))  # type: ignore[arg-type]
+
+
+def zone_record(message: control_pb2.ZoneState) -> ZoneState:
+    """Convert a message to the state of a zone."""
+    return _from_message(ZoneState, message)
+
+
 def preset_message(snapshot: PresetSnapshot) -> control_pb2.PresetReply:
     """Convert a snapshot of the preset in force to a message."""
     return control_pb2.PresetReply(
--- a/packages/node/src/lavendermountd/dialects/base.py
+++ b/packages/node/src/lavendermountd/dialects/base.py
@@ -79,6 +79,7 @@
     :param limit_per_s: requests a second that the target accepts from all nodes
         together; ``None`` if it names no limit.
     :param is_leaving: whether the target says that it is leaving.
+    :param cold_ms: how long the target stays cold; ``None`` if not reported.
     """
 
     __slots__ = (
@@ -91,6 +92,7 @@
         'idle_s',
         'limit_per_s',
         'is_leaving',
+        'cold_ms',
     )
 
     def __init__(
@@ -104,6 +106,7 @@
         idle_s: float = 0,
         limit_per_s: float | None = None,
         is_leaving: bool = False,
+        cold_ms: int | None = None,
     ) -> None:
         """Initialize the fields."""
         self.request_id = request_id
@@ -115,6 +118,7 @@
         self.idle_s = idle_s
         self.limit_per_s = limit_per_s
         self.is_leaving = is_leaving
+        self.cold_ms = cold_ms
 
 
 class Dialect(abc.ABC):
--- a/packages/node/src/lavendermountd/gate/gate.py
+++ b/packages/node/src/lavendermountd/gate/gate.py
@@ -39,6 +39,7 @@
 from lavendermountd.gate.suspects import SuspectTable, Verdict
 from lavendermountd.gate.target import Target, TargetState
 from lavendermountd.gate.target_client import TargetClient, TargetError
+from lavendermountd.gate.target_limits import TargetLimits
 from lavendermountd.identity import Identity
 from lavendermountd.peer.frames import CrashSuspicion
 
@@ -66,6 +67,7 @@
         self.target = Target()
         self.client = TargetClient(self.target, dialect)
         self.queue = SlotQueue(self.target)
+        self.limits = TargetLimits(self.target, self.queue)
         self.attempt_table = AttemptTable()
         self.concurrency_limit = ConcurrencyLimit()
         self.suspects = SuspectTable()
@@ -83,6 +85,12 @@
         """Slots of the target and the requests that hold or await them."""
         return self.queue.admission
 
+    @property
+    def is_accepting(self) -> bool:
+        """Whether the target may get new requests."""
+        is_open = not self.queue.is_closed and not self.queue.is_evacuated
+        return is_open and self.target.is_accepting
+
     def load(self) -> LoadReport:
         """Create a report of the target's current load."""
         self.sequence += 1
@@ -99,7 +107,7 @@
             round(target.current_service_ms(now), 2),
             round(target.current_failure_ratio(now), 3),
             target.warm_ms(now),
-            target.is_accepting and not self.queue.is_closed,
+            self.is_accepting,
             round(target.current_slowness(now), 2),
             round(rate_limit.rate_per_s, 3) if rate_limit.is_active else 0,
             round(rate_limit.wait_s(self.admission.queued + 1) * MS_PER_S),
@@ -187,6 +195,8 @@
 
     def refusal_before_queue(self, attempt: Attempt) -> Refusal | None:
         """Return the refusal of a request that can't run here; ``None`` if it may."""
+        if self.queue.is_evacuated:
+            return self.queue.refuse_evacuated()
         if self.queue.is_closed or self.target.state == TargetState.DRAINING:
             return self.queue.refuse_draining()
         if not self.target.is_accepting:
@@ -221,36 +231,19 @@
         """Apply what a genuine reply of the current start says about the target."""
         if metadata.is_other_target or not metadata.is_genuine:
             return
-        self.record_limit(metadata.limit_per_s, 'reply')
+        self.limits.record_named(metadata.limit_per_s, 'reply')
         if metadata.is_leaving:
             self.on_leaving(self.target.instance, 'reply')
 
-    def record_limit(self, limit_per_s: float | None, evidence: str) -> None:
-        """Apply the rate limit that an answer of the target names, and tell senders.
-
-        :param limit_per_s: requests a second; ``None`` if the answer names no limit.
-        :param evidence: kind of answer.
-        """
-        if limit_per_s == self.queue.rate_limit.limit_per_s:
-            return
-        self.queue.change_limit(limit_per_s)
-        log.info(
-            'target-limit',
-            extra={
-                'instance': self.target.instance,
-                'limit_per_s': limit_per_s,
-                'evidence': evidence,
-                'in_flight': self.admission.in_flight,
-            },
-        )
-        self.on_load_change()
-
     async def run(self, attempt: Attempt) -> AttemptResult:
         """Send the request of an attempt that holds a slot and await the reply.
 
         A request whose deadline has passed is not sent: the process may have been
-        frozen since the attempt was accepted.
+        frozen since the attempt was accepted. Nor is one whose zone was evacuated
+        since then.
         """
+        if self.queue.is_evacuated:
+            return Failure(self.queue.refuse_evacuated())
         started_at = time.monotonic()
         if started_at > attempt.request.deadline:
             detail = 'the deadline passed before the request was sent'
--- a/packages/node/src/lavendermountd/gate/queue.py
+++ b/packages/node/src/lavendermountd/gate/queue.py
@@ -22,7 +22,7 @@
 )
 from lavendermount_core.utils.units import MS_PER_S
 from lavendermountd.gate.admission import Admission, Ticket
-from lavendermountd.gate.rate_limit import RateLimit
+from lavendermountd.gate.rate_limit import NAMED, RateLimit
 from lavendermountd.gate.target import Target
 from lavendermountd.gate.urgency import ClassServiceTime
 
@@ -38,7 +38,14 @@
     :param target: target that offers the slots.
     """
 
-    __slots__ = ('target', 'admission', 'class_times', 'is_closed', 'token_timer')
+    __slots__ = (
+        'target',
+        'admission',
+        'class_times',
+        'is_closed',
+        'is_evacuated',
+        'token_timer',
+    )
 
     def __init__(self, target: Target) -> None:
         """Create a queue without slots."""
@@ -46,11 +53,12 @@
         self.admission = Admission(0)
         self.class_times = ClassServiceTime()
         self.is_closed = False
+        self.is_evacuated = False
         self.token_timer: asyncio.TimerHandle | None = None
 
     @property
     def rate_limit(self) -> RateLimit:
-        """Rate limit that the target names."""
+        """Rate limit of the target."""
         return self.admission.rate_limit
 
     def effective_deadline(self, request: CallRequest) -> float:
@@ -142,12 +150,13 @@
         slots = max(self.target.slots, 1)
         return request_count * self.target.service_ms / slots / MS_PER_S
 
-    def change_limit(self, limit_per_s: float | None) -> None:
+    def change_limit(self, limit_per_s: float | None, cause: str = NAMED) -> None:
         """Apply another rate limit, and start the requests that it allows.
 
         :param limit_per_s: requests a second; ``None`` to lift the limit.
+        :param cause: cause of the limit.
         """
-        self.rate_limit.change(limit_per_s)
+        self.rate_limit.change(limit_per_s, cause)
         self.start_waiting()
 
     def start_waiting(self) -> None:
@@ -188,12 +197,20 @@
     def refuse_removed(self) -> Refusal:
         """Build the refusal of a queued request that was removed from the queue.
 
-        The target is draining or down, its node is stopping, or its VM became slow.
+        The target is draining or down, its zone was evacuated, its node is stopping,
+        or its VM became slow.
         """
+        if self.is_evacuated:
+            return self.refuse_evacuated()
         if self.target.is_accepting and not self.is_closed:
             return self.refuse(Reason.BUSY, 'the VM of the target became slow')
         return self.refuse_draining()
 
+    def refuse_evacuated(self) -> Refusal:
+        """Build the refusal for a target in an evacuated zone."""
+        detail = 'the zone of the target has been evacuated'
+        return not_run_refusal(Reason.EVACUATED, detail, TARGET_DRAINING_RETRY_AFTER_S)
+
     def refuse_draining(self) -> Refusal:
         """Build the refusal for a target that is draining or whose node is stopping."""
         detail = 'the target is draining or its node is stopping'
--- a/packages/node/src/lavendermountd/gate/rate_limit.py
+++ b/packages/node/src/lavendermountd/gate/rate_limit.py
@@ -1,4 +1,6 @@
-"""Rate limit that a target in need names: requests a second from all nodes together.
+"""Rate limit of a target: requests a second from all nodes together.
+
+A target in need names a limit; a cold target has another. The lower one binds.
 
 Every request to a target passes through the gate beside it, so this one count is that
 of all nodes, whichever of them come, go, freeze or are cut off. It answers the load
@@ -15,25 +17,33 @@
 # that many, and the least number of them.
 BURST_S = 0.5
 MIN_BURST = 1.0
+# Causes of a limit.
+NAMED = 'named'
+COLD = 'cold'
 # Rate at which a target that accepts no requests is tried, so that it can answer
 # without a limit again.
 MIN_RATE_PER_S = 0.5
 
 
 class RateLimit:
-    """Token bucket with the rate that the target names."""
+    """Token bucket whose rate is the lowest limit in force."""
 
-    __slots__ = ('limit_per_s', 'tokens', 'refilled_at')
+    __slots__ = ('limits', 'limit_per_s', 'tokens', 'refilled_at')
 
     def __init__(self) -> None:
         """Start without a limit."""
+        self.limits: dict[str, float] = {}
         self.limit_per_s: float | None = None
         self.tokens: float = 0
         self.refilled_at: float = 0
 
+    def limit_of(self, cause: str) -> float | None:
+        """Return the limit of one cause; ``None`` if there is none."""
+        return self.limits.get(cause)
+
     @property
     def is_active(self) -> bool:
-        """Whether the target names a limit."""
+        """Whether a limit is in force."""
         return self.limit_per_s is not None
 
     @property
@@ -46,19 +56,23 @@
         """Requests that may follow each other at once."""
         return max(MIN_BURST, self.rate_per_s * BURST_S)
 
-    def change(self, limit_per_s: float | None) -> None:
+    def change(self, limit_per_s: float | None, cause: str = NAMED) -> None:
         """Apply another limit; the first one starts without tokens.
 
         The requests that are at the target already count for them.
 
         :param limit_per_s: requests a second; ``None`` to lift the limit.
+        :param cause: cause of the limit; the limits of other causes stay.
         """
         if self.is_active:
             self.refill()
         else:
             self.tokens = 0
             self.refilled_at = time.monotonic()
-        self.limit_per_s = limit_per_s
+        self.limits.pop(cause, None)
+        if limit_per_s is not None:
+            self.limits[cause] = limit_per_s
+        self.limit_per_s = min(self.limits.values(), default=None)
 
     def refill(self) -> None:
         """Add the tokens accrued since the last refill."""
--- a/packages/node/src/lavendermountd/gate/target.py
+++ b/packages/node/src/lavendermountd/gate/target.py
@@ -11,6 +11,7 @@
 
 from lavendermount_core.routing.expected_time import SLOWNESS_THRESHOLD
 from lavendermount_core.utils.units import MS_PER_S
+from lavendermountd.gate.cold_phase import ColdPhase
 from lavendermountd.gate.reports import StartHistory, TargetReport
 
 # Weights of a new sample in the moving averages.
@@ -64,6 +65,7 @@
         'slowness_at',
         'last_above_normal_at',
         'consecutive_cancelled',
+        'cold_phase',
     )
 
     def __init__(self) -> None:
@@ -88,6 +90,7 @@
         # Last time at which the slowness exceeded ``MAX_NORMAL_SLOWNESS``.
         self.last_above_normal_at: float = 0
         self.consecutive_cancelled = 0
+        self.cold_phase = ColdPhase()
 
     @property
     def is_accepting(self) -> bool:
@@ -109,7 +112,9 @@
         self.set_address(report)
         self.state = TargetState.UP
         if is_new:
-            self.mark_started(is_warm=report.cold_ms == 0)
+            self.mark_started(report.cold_ms)
+        elif report.cold_ms:
+            self.cold_phase.extend(report.cold_ms / MS_PER_S)
         return is_new
 
     def set_address(self, report: TargetReport) -> None:
@@ -127,19 +132,33 @@
         if report.instance == self.instance:
             self.state = TargetState.DRAINING
 
-    def mark_started(self, is_warm: bool = False) -> None:
+    def mark_started(self, cold_ms: int | None = None) -> None:
         """Mark the target as up after a start, count the start, reset the averages.
 
-        :param is_warm: whether the target reports that its slow phase after the
-            start is over; it is then treated as started ``WARM_UPTIME_S`` ago.
+        :param cold_ms: how long the target says that it stays cold; ``None`` if
+            unknown. A target that says it is warm is treated as started
+            ``WARM_UPTIME_S`` ago.
         """
+        is_warm = cold_ms == 0
         self.ready_at = time.monotonic() - is_warm * WARM_UPTIME_S
+        self.cold_phase.begin(None if cold_ms is None else cold_ms / MS_PER_S)
         self.start_number += 1
         self.state = TargetState.UP
         self.service_ms = 0
         self.replied_ms = 0
         self.failure_ratio = 0
 
+    def record_cold(self, cold_ms: int) -> None:
+        """Apply what a health answer says about the cold phase.
+
+        A target that turned cold again ramps up like one that has just started.
+
+        :param cold_ms: how long the target stays cold.
+        """
+        if cold_ms and not self.cold_phase.remaining_s:
+            self.ready_at = time.monotonic()
+        self.cold_phase.replace(cold_ms / MS_PER_S)
+
     def record_slowness(self, slowness: float, now: float) -> None:
         """Record the current slowness of the target's VM."""
         if max(slowness, self.current_slowness(now)) > MAX_NORMAL_SLOWNESS:
--- a/packages/node/src/lavendermountd/gate/target_lifecycle.py
+++ b/packages/node/src/lavendermountd/gate/target_lifecycle.py
@@ -76,7 +76,9 @@
             return
         if self.needs_confirmation and not target.history.confirm(report):
             return
-        if target.apply_ready_report(report):
+        is_new = target.apply_ready_report(report)
+        self.gate.limits.apply_cold_phase()
+        if is_new:
             self.publish_target()
 
     def handle_departure(self, report: TargetReport) -> None:
--- a/packages/node/src/lavendermountd/gate/target_monitor.py
+++ b/packages/node/src/lavendermountd/gate/target_monitor.py
@@ -11,6 +11,7 @@
 import logging
 import time
 
+from lavendermountd.dialects.base import ReplyMetadata
 from lavendermountd.gate.gate import Gate
 from lavendermountd.gate.reports import TargetReport
 from lavendermountd.gate.target import TargetState
@@ -85,6 +86,8 @@
         age_s = time.monotonic() - target.slowness_at
         if target.state != TargetState.UP or age_s < max_age_s:
             return
+        if self.gate.queue.is_evacuated:
+            return
         connection = self.gate.client.take_idle(is_repeatable=True)
         if connection is not None:
             await self.check_health(connection)
@@ -112,6 +115,7 @@
             return
         if self.gate.target.state == TargetState.DOWN:
             self.gate.target.mark_started()
+            self.gate.limits.apply_cold_phase()
             self.mark_up('connection')
 
     async def check_health(self, connection: HttpConnection) -> None:
@@ -143,11 +147,7 @@
         """
         target = self.gate.target
         metadata = self.gate.client.dialect.read_reply(reply.status, reply.headers)
-        if metadata.load is not None:
-            self.gate.record_slowness(metadata.load)
-        self.gate.record_limit(metadata.limit_per_s, 'health')
-        if metadata.is_leaving and metadata.instance:
-            self.gate.on_leaving(metadata.instance, 'health')
+        self.apply_evidence(metadata)
         is_valid_instance = bool(metadata.instance) and not target.history.has_departed(
             metadata.instance
         )
@@ -173,10 +173,25 @@
                 target.slots,
                 metadata.instance,
                 started_at_ms=started_at_ms,
+                cold_ms=metadata.cold_ms,
             ),
         )
+        self.gate.limits.apply_cold_phase()
         self.mark_up('health')
 
+    def apply_evidence(self, metadata: ReplyMetadata) -> None:
+        """Apply what a health reply says about load, limits and the cold phase."""
+        target = self.gate.target
+        if metadata.load is not None:
+            self.gate.record_slowness(metadata.load)
+        self.gate.limits.record_named(metadata.limit_per_s, 'health')
+        if metadata.is_leaving and metadata.instance:
+            self.gate.on_leaving(metadata.instance, 'health')
+        is_current = metadata.instance == target.instance
+        if metadata.cold_ms is not None and is_current and target.is_accepting:
+            target.record_cold(metadata.cold_ms)
+            self.gate.limits.apply_cold_phase()
+
     def mark_up(self, evidence: str) -> None:
         """Log that the target is up, set the number of slots and publish the load."""
         target = self.gate.target
--- a/packages/node/src/lavendermountd/gauges.py
+++ b/packages/node/src/lavendermountd/gauges.py
@@ -15,6 +15,8 @@
         node.metrics.measuring_bytes.set({'kind': kind, 'link': link}, size)
     node.metrics.measuring_budget.set({'link': 'local'}, node.budget.local.rate)
     node.metrics.measuring_budget.set({'link': 'paid'}, node.budget.paid.rate)
+    for name, count in node.selector.excluded_counts.items():
+        node.metrics.excluded.set({'constraint': name}, count)
     for name, amount in read_state(node).items():
         node.metrics.state.set({'name': name}, amount)
 
@@ -34,4 +36,6 @@
         'hedges': node.router.hedge_bucket.spent,
         'freezes': node.freeze_guard.freezes,
         'suspects': len(node.gate.suspects.suspects),
+        'evacuated_zones': len(node.evacuations.evacuated),
+        'cold_remaining_s': round(node.gate.target.cold_phase.remaining_s, 1),
     }
--- a/packages/node/src/lavendermountd/log_readers.py
+++ b/packages/node/src/lavendermountd/log_readers.py
@@ -9,6 +9,7 @@
 from lavendermount_core.config.node import KEYED, STREAM, NodeSchema
 from lavendermount_core.exceptions import ConfigurationError
 from lavendermount_core.log.adapter import KeyedLog, LogAdapter
+from lavendermountd.membership.evacuations import EvacuationTable
 from lavendermountd.membership.gossip import Gossip
 from lavendermountd.membership.joining import Joiner
 from lavendermountd.membership.keyed_joining import KeyedJoiner
@@ -34,6 +35,7 @@
     settings: NodeSchema,
     platform_log: LogAdapter,
     holder: PresetHolder,
+    evacuations: EvacuationTable,
 ) -> PresetFollower | KeyedPresetFollower:
     """Build the follower of the preset in force."""
     options = settings.presets
@@ -45,6 +47,7 @@
         options.stream,
         options.key,
         preset_decoders.find(options.decoder),
+        evacuations,
     )
 
 
--- a/packages/node/src/lavendermountd/membership/exchange.py
+++ b/packages/node/src/lavendermountd/membership/exchange.py
@@ -23,8 +23,11 @@
     member_record,
     suspicion_message,
     suspicion_record,
+    zone_message,
+    zone_record,
 )
 from lavendermountd.gate.gate import Gate
+from lavendermountd.membership.evacuations import EvacuationTable
 from lavendermountd.membership.table import MemberTable
 from lavendermountd.membership.updates import BUCKETS, MAX_BUCKET_MEMBERS, UpdateQueue
 from lavendermountd.routing.budgets import MeasuringBudget, TokenBucket
@@ -48,6 +51,7 @@
     :param view: load reports of the targets.
     :param gate: gate of this node.
     :param budget: byte budget for gossip and load reports.
+    :param evacuations: states of the zones, which every round carries.
     """
 
     def __init__(
@@ -56,12 +60,14 @@
         view: LoadView,
         gate: Gate,
         budget: MeasuringBudget,
+        evacuations: EvacuationTable,
     ) -> None:
         """Start tracking changes of the members."""
         self.table = table
         self.view = view
         self.gate = gate
         self.budget = budget
+        self.evacuations = evacuations
         self.updates = UpdateQueue(table)
         self.is_remote_out_of_sync = False
         self.revision: Callable[[], int] = _no_revision
@@ -111,6 +117,7 @@
             log_era=max(0, self.log_era()),
             loads=[load_message(self.gate.load(), 0)],
             suspicions=map(suspicion_message, suspicions),
+            zones=map(zone_message, self.evacuations.states.values()),
         )
         if receiver is not None and receiver.status != MemberStatus.ALIVE:
             message.members.append(member_message(receiver))
@@ -149,6 +156,8 @@
             self.take_load(aged)
         for suspicion in message.suspicions:
             self.gate.suspects.merge(suspicion_record(suspicion))
+        for zone in message.zones:
+            self.evacuations.merge(zone_record(zone), sender.node_id)
         if message.log_era > max(0, self.log_era()):
             self.on_log_era(message.log_era)
         if message.revision > self.revision():
--- a/packages/node/src/lavendermountd/metrics.py
+++ b/packages/node/src/lavendermountd/metrics.py
@@ -59,6 +59,11 @@
             'Bytes that measuring may cost, by link.',
             registry=self.registry,
         )
+        self.excluded = Gauge(
+            'lavendermount_excluded_targets',
+            'Targets that constraints excluded from selections, by constraint.',
+            registry=self.registry,
+        )
         self.state = Gauge(
             'lavendermount_node_state',
             'What the node holds, by name.',
--- a/packages/node/src/lavendermountd/node.py
+++ b/packages/node/src/lavendermountd/node.py
@@ -28,6 +28,7 @@
 from lavendermountd.identity import Identity
 from lavendermountd.log_readers import build_follower, build_joiner
 from lavendermountd.log_recovery import LogRecovery
+from lavendermountd.membership.evacuations import EvacuationTable
 from lavendermountd.membership.exchange import GossipExchange
 from lavendermountd.membership.gossip import Gossip
 from lavendermountd.membership.suspicion import SuspicionTimers
@@ -96,12 +97,14 @@
             TokenBucket(INITIAL_BUDGET_BYTES, INITIAL_BUDGET_BYTES),
         )
         self.table = MemberTable(self.identity.member)
+        evacuations = EvacuationTable(self.settings.presets.evacuation_prefix)
         timers = SuspicionTimers(self.table, membership.suspicion_ms / MS_PER_S)
         exchange = GossipExchange(
             self.table,
             self.view,
             self.gate,
             self.budget,
+            evacuations,
         )
         self.gossip = Gossip(
             exchange,
@@ -122,6 +125,7 @@
             self.view,
             self.link_bucket,
             self.links.backoff,
+            self.evacuations,
         )
         self.recorder = Recorder(
             self.identity,
@@ -145,7 +149,9 @@
     def build_presets(self) -> None:
         """Build the components that track the preset in force."""
         self.holder = PresetHolder()
-        self.follower = build_follower(self.settings, self.platform_log, self.holder)
+        self.follower = build_follower(
+            self.settings, self.platform_log, self.holder, self.evacuations
+        )
         self.catch_up = PresetCatchUp(self.holder, self.channels)
 
     def build_servers(self) -> None:
@@ -174,6 +180,7 @@
             self.settings.target.evidence == HEALTH,
         )
         self.holder.on_change.append(PresetApplier(self).apply)
+        self.evacuations.listeners.append(self.apply_evacuations)
         self.follower.reachability.schedule.region_size = self.gossip.region_size
         self.catch_up.on_adopted = self.follower.reachability.suspect_lost_read
         self.gossip.exchange.revision = self.current_revision
@@ -181,6 +188,7 @@
         self.gossip.exchange.log_era = self.current_log_era
         self.gossip.exchange.on_log_era = self.platform_log.note_era
         self.gate.on_load_change = self.broadcast_load
+        self.gate.limits.on_change = self.broadcast_load
         self.gate.on_suspect = self.broadcast_suspect
         self.gate.on_other_target = self.target_lifecycle.mark_replaced
         self.gate.on_leaving = self.target_lifecycle.handle_leaving_answer
@@ -208,6 +216,20 @@
         """Apply a load report received from another gate."""
         self.router.on_load_report(report)
 
+    @property
+    def evacuations(self) -> EvacuationTable:
+        """Zones that have been evacuated."""
+        return self.gossip.exchange.evacuations
+
+    def apply_evacuations(self) -> None:
+        """Close or open the gate as the state of its zone requires.
+
+        A change that was learned by gossip may be one that a lost read missed.
+        """
+        zone = self.identity.member.zone
+        self.gate.limits.set_evacuated(zone in self.evacuations.evacuated)
+        self.follower.reachability.suspect_lost_read()
+
     def current_revision(self) -> int:
         """Return the revision of the preset in force on this node."""
         return self.holder.revision
--- a/packages/node/src/lavendermountd/presets/announcer.py
+++ b/packages/node/src/lavendermountd/presets/announcer.py
@@ -34,6 +34,10 @@
 
     def note_change(self, preset: InForcePreset) -> None:
         """Request an announcement; changes in quick succession share one."""
+        self.request()
+
+    def request(self) -> None:
+        """Request an announcement of other news, such as an evacuated zone."""
         self.is_due.set()
 
     async def run(self) -> None:
--- a/packages/node/src/lavendermountd/presets/applier.py
+++ b/packages/node/src/lavendermountd/presets/applier.py
@@ -50,6 +50,10 @@
                 service.connections or schema.limits.connections
             )
             node.target_monitor.health_path = service.health_path
+            gate.target.cold_phase.configure(
+                service.cold_per_s, service.warmup_ms / MS_PER_S
+            )
+            gate.limits.apply_cold_phase()
         node.target_monitor.probe_s = schema.choosing.probe_ms / MS_PER_S
         gate.suspects.configure(
             schema.suspects.victims,
--- a/packages/node/src/lavendermountd/presets/keyed_follower.py
+++ b/packages/node/src/lavendermountd/presets/keyed_follower.py
@@ -17,8 +17,9 @@
     LogUnavailableError,
     RecordError,
 )
-from lavendermount_core.log.adapter import KeyedLog, KeyedRecord
+from lavendermount_core.log.adapter import KeyedLog, KeyedRecord, LogBatch
 from lavendermount_core.presets.records import PresetSnapshot
+from lavendermountd.membership.evacuations import EvacuationTable
 from lavendermountd.presets.decoders import PresetDecoder
 from lavendermountd.presets.holder import PresetHolder
 from lavendermountd.presets.reachability import LogReachability
@@ -34,11 +35,14 @@
 class KeyedPresetFollower:
     """Reads the newest record of a key at the start, and then each change.
 
+    Records of evacuated zones in the same stream are passed on.
+
     :param keyed_log: log that contains the records.
     :param holder: holder that adopts each preset newer than its own.
     :param stream: name of the keyed stream.
     :param key: key of the preset record.
     :param decode: decoder of the record.
+    :param evacuations: adopts the evacuations that the stream also holds.
     """
 
     def __init__(
@@ -48,6 +52,7 @@
         stream: str,
         key: str,
         decode: PresetDecoder,
+        evacuations: EvacuationTable,
     ) -> None:
         """Create a follower that has not read any records."""
         self.keyed_log = keyed_log
@@ -55,6 +60,7 @@
         self.stream = stream
         self.key = key
         self.decode = decode
+        self.evacuations = evacuations
         self.offset = UNKNOWN_OFFSET
         self.reachability = LogReachability(LONG_POLL_S)
         self.is_caught_up = asyncio.Event()
@@ -97,6 +103,7 @@
             if not self.has_read:
                 await self.prepare_first_preset()
                 self.has_read = True
+            self.evacuations.read_newest(newest)
             body = newest.bodies.get(self.key)
             if body is not None:
                 self.adopt_if_newer(body)
@@ -107,14 +114,26 @@
             lambda wait_s: self.keyed_log.read(self.stream, self.offset, wait_s)
         )
         self.offset = batch.next_offset
+        body = self.read_batch(batch)
+        if body:
+            self.adopt_if_newer(body)
+            await asyncio.sleep(COALESCE_S)
+
+    def read_batch(self, batch: LogBatch) -> bytes:
+        """Pass on the records of zones, and return the last one of the preset.
+
+        :returns: body of the preset's record; empty if there is none.
+        """
         newest_body = b''
         for record in batch.records:
             keyed = self.try_split_key(record.body)
-            if keyed is not None and keyed.key == self.key:
+            if keyed is None:
+                continue
+            if keyed.key == self.key:
                 newest_body = keyed.body
-        if newest_body:
-            self.adopt_if_newer(newest_body)
-            await asyncio.sleep(COALESCE_S)
+            else:
+                self.evacuations.read_record(keyed.key, keyed.body, record.offset)
+        return newest_body
 
     def try_split_key(self, body: bytes) -> KeyedRecord | None:
         """Split a record into key and body; log and skip malformed records."""
--- a/packages/node/src/lavendermountd/routing/outbound_attempt.py
+++ b/packages/node/src/lavendermountd/routing/outbound_attempt.py
@@ -92,4 +92,6 @@
         '',
         0,
         inputs.reply_kb,
+        inputs.is_abroad,
+        selection.excluded,
     )
--- a/packages/node/src/lavendermountd/routing/request_state.py
+++ b/packages/node/src/lavendermountd/routing/request_state.py
@@ -136,20 +136,23 @@
     :param inputs: inputs of the decision.
     :param decision: the decision.
     :param member: node of the selected target; ``None`` if there is none.
+    :param excluded: constraints that excluded targets, each with their number.
     """
 
-    __slots__ = ('inputs', 'decision', 'member')
+    __slots__ = ('inputs', 'decision', 'member', 'excluded')
 
     def __init__(
         self,
         inputs: DecisionInputs,
         decision: Decision,
         member: Member | None,
+        excluded: list[tuple[str, int]],
     ) -> None:
         """Initialize the fields."""
         self.inputs = inputs
         self.decision = decision
         self.member = member
+        self.excluded = excluded
 
     def is_slow(self) -> bool:
         """Return whether the selected target was slow in its last report."""
--- a/packages/node/src/lavendermountd/routing/router.py
+++ b/packages/node/src/lavendermountd/routing/router.py
@@ -347,7 +347,7 @@
 
     def has_untried_target(self, state: RequestState) -> bool:
         """Return whether there is a target left to try."""
-        return bool(self.selector.eligible_members(state))
+        return bool(self.selector.eligible_targets(state).members)
 
 
 def _has_last_attempt_missed_deadline(
--- a/packages/node/src/lavendermountd/routing/target_selector.py
+++ b/packages/node/src/lavendermountd/routing/target_selector.py
@@ -12,9 +12,15 @@
 from lavendermount_core.models.members import Member
 from lavendermount_core.routing.candidates import DecisionInputs, Distance
 from lavendermount_core.routing.policies import decide
+from lavendermountd.membership.evacuations import EvacuationTable
 from lavendermountd.membership.table import MemberTable
 from lavendermountd.peer.backoff import NodeBackoff
 from lavendermountd.routing.budgets import TokenBucket
+from lavendermountd.routing.constraints import (
+    ConstraintContext,
+    EligibleTargets,
+    apply_constraints,
+)
 from lavendermountd.routing.load_view import LoadView
 from lavendermountd.routing.request_state import RequestState, Selection
 
@@ -22,9 +28,6 @@
 # Weight of a new reply in the moving average of reply sizes.
 REPLY_SIZE_WEIGHT = 0.05
 BYTES_PER_KB = 1000
-# Refused attempts in other regions cost link bandwidth, so their number per
-# request is limited.
-MAX_OTHER_REGION_ATTEMPTS = 1
 
 
 class TargetSelector:
@@ -35,6 +38,7 @@
     :param link_bucket: budget in bytes for requests and replies between
         regions.
     :param backoff: nodes that were recently unreachable.
+    :param evacuations: zones that have been evacuated.
     """
 
     __slots__ = (
@@ -42,6 +46,8 @@
         'view',
         'link_bucket',
         'backoff',
+        'evacuations',
+        'excluded_counts',
         'seed_generator',
         'decision_counts',
         'mean_reply_kb',
@@ -53,12 +59,16 @@
         view: LoadView,
         link_bucket: TokenBucket,
         backoff: NodeBackoff,
+        evacuations: EvacuationTable,
     ) -> None:
         """Seed the random number generator from the operating system."""
         self.table = table
         self.view = view
         self.link_bucket = link_bucket
         self.backoff = backoff
+        self.evacuations = evacuations
+        # Targets that each constraint has excluded, over all selections.
+        self.excluded_counts: dict[str, int] = defaultdict(int)
         self.seed_generator = random.Random()
         self.decision_counts: dict[str, int] = defaultdict(int)
         self.mean_reply_kb: dict[str, float] = defaultdict(float)
@@ -71,9 +81,11 @@
         :returns: the decision with its inputs.
         """
         service = state.request.call_class.service
-        members = self.eligible_members(state, is_same_region)
-        now = time.monotonic()
-        candidates = [self.view.candidate(member, now) for member in members]
+        context = self.context_of(state, is_same_region)
+        eligible = apply_constraints(self.table.members_of(service), context)
+        candidates = [
+            self.view.candidate(member, context.now) for member in eligible.members
+        ]
         self.decision_counts[service] += 1
         inputs = DecisionInputs(
             state.preset.schema.choosing.policy,
@@ -83,42 +95,37 @@
             self.is_link_allowed(state),
             candidates,
             round(self.mean_reply_kb[state.class_key], 1),
+            context.is_abroad,
         )
         decision = decide(inputs)
-        return Selection(inputs, decision, self.table.find(decision.chosen))
+        for name, count in eligible.excluded:
+            self.excluded_counts[name] += count
+        member = self.table.find(decision.chosen)
+        return Selection(inputs, decision, member, eligible.excluded)
 
-    def eligible_members(
+    def eligible_targets(
         self, state: RequestState, is_same_region: bool = False
-    ) -> list[Member]:
+    ) -> EligibleTargets:
         """Return the members whose target may be chosen, ordered by node id.
 
-        Recently unreachable nodes are excluded while there are others, and so are
-        targets whose rate limit would make the reply late. Other regions are excluded
-        once the request has used up its attempts there.
-
-        :param state: the request; the targets that it tried are excluded.
+        :param state: the request.
         :param is_same_region: whether to exclude other regions.
         """
-        is_same_region_only = (
-            is_same_region
-            or len(state.tried_nodes_in_other_regions) >= MAX_OTHER_REGION_ATTEMPTS
+        members = self.table.members_of(state.request.call_class.service)
+        return apply_constraints(members, self.context_of(state, is_same_region))
+
+    def context_of(
+        self, state: RequestState, is_same_region: bool = False
+    ) -> ConstraintContext:
+        """Collect what the constraints know about a request and the cluster."""
+        return ConstraintContext(
+            state,
+            self.view,
+            self.backoff,
+            self.evacuations,
+            is_same_region,
+            time.monotonic(),
         )
-        members = [
-            member
-            for member in self.table.members_of(state.request.call_class.service)
-            if member.node_id not in state.tried_nodes
-            and self.view.is_accepting(member)
-            and not (is_same_region_only and self.is_in_other_region(member))
-        ]
-        reachable = [
-            member for member in members if not self.backoff.is_avoided(member.node_id)
-        ]
-        now = time.monotonic()
-        due = state.request.due or state.request.deadline
-        in_time = [
-            member for member in reachable if self.view.is_in_time(member, now, due)
-        ]
-        return in_time or reachable or members
 
     def record_reply_size(self, state: RequestState, size: int) -> None:
         """Update the average reply size of the request's class.
--- a/packages/node/src/lavendermountd/supervisor_tree.py
+++ b/packages/node/src/lavendermountd/supervisor_tree.py
@@ -80,6 +80,7 @@
         node = self.node
         announcer = PresetAnnouncer(node.gossip)
         node.holder.on_change.append(announcer.note_change)
+        node.evacuations.listeners.append(announcer.request)
         return self.supervisor(
             'members',
             [
--- a/packages/testbed/src/lavendermount_testbed/emulator/node.py
+++ b/packages/testbed/src/lavendermount_testbed/emulator/node.py
@@ -40,6 +40,7 @@
 from lavendermountd.gate.reports import TargetReport
 from lavendermountd.gate.target_client import TargetClient
 from lavendermountd.identity import Identity
+from lavendermountd.membership.evacuations import EvacuationTable
 from lavendermountd.membership.table import MemberTable
 from lavendermountd.peer.backoff import NodeBackoff
 from lavendermountd.presets.holder import InForcePreset
@@ -242,7 +243,11 @@
     def build_router(self) -> None:
         """Build the router and its emulated dependencies."""
         selector = TargetSelector(
-            self.fleet.table, self.view, self.link_bucket, NodeBackoff()
+            self.fleet.table,
+            self.view,
+            self.link_bucket,
+            NodeBackoff(),
+            EvacuationTable(),
         )
         selector.seed_generator = self.rng
         self.recorder = CountingRecorder()
