Tenants: keys identify the tenant of each request; interfaces of the parts to come

A preset may hold tenants with keys, a priority, an allotment and allowed regions. The entry node decides the tenant of each request; an unknown key is refused (401 on the platform), the key is not passed to targets, and the target gets the tenant's name. Presets without tenants are served as before. Keys do not appear in findings.

--- a/packages/core/src/lavendermount_core/config/node.py
+++ b/packages/core/src/lavendermount_core/config/node.py
@@ -162,6 +162,7 @@
     node_id = opt.Text(about='Unique name of the node.')
     region = opt.Text(about='Region of the VM.')
     zone = opt.Text(about='Availability zone of the VM.')
+    zones = opt.TextList([], 'All availability zones of the deployment.')
     log_level = opt.Text('info', 'Minimum level of logged events.', _log_levels)
     drain_s = opt.Number(10, 'Maximum duration of a graceful shutdown.', 's', high=3600)
     listen_s = opt.Number(
--- a/packages/core/src/lavendermount_core/config/options.py
+++ b/packages/core/src/lavendermount_core/config/options.py
@@ -187,6 +187,36 @@
         return raw, [Finding(location, f'must be a list of strings, not {raw!r}')]
 
 
+class SecretList(TextList):
+    """A list of strings that findings must not show."""
+
+    def check_value(self, raw: Any, location: str) -> tuple[Any, list[Finding]]:
+        """Validate the types; the finding does not contain the value."""
+        checked, findings = super().check_value(raw, location)
+        if findings:
+            findings = [Finding(location, 'must be a list of strings')]
+        return checked, findings
+
+
+class Flag(Option[bool]):
+    """True or false; false by default.
+
+    :param about: description of the flag.
+    """
+
+    kind = 'true or false'
+
+    def __init__(self, about: str = '') -> None:
+        """Use false as the default."""
+        super().__init__(False, about)
+
+    def check_value(self, raw: Any, location: str) -> tuple[Any, list[Finding]]:
+        """Validate that the value is a boolean."""
+        if isinstance(raw, bool):
+            return raw, []
+        return False, [Finding(location, f'must be true or false, not {raw!r}')]
+
+
 class OpenTable(Option[dict[str, Any]]):
     """A table with any keys, whose contents are validated elsewhere.
 
--- a/packages/core/src/lavendermount_core/config/preset.py
+++ b/packages/core/src/lavendermount_core/config/preset.py
@@ -19,6 +19,8 @@
 NEVER = 'never'
 ALONE = 'alone'
 FREE = 'free'
+PRIORITY_ORDER = 'priority'
+COST_ORDER = 'cost'
 
 
 def _matching_modes() -> list[str]:
@@ -33,6 +35,10 @@
     return [ALONE, FREE]
 
 
+def _queue_orders() -> list[str]:
+    return [PRIORITY_ORDER, COST_ORDER]
+
+
 class ClassOptions(opt.Schema):
     """Request class with its own priority, reserved slots, queue and deadline."""
 
@@ -119,6 +125,45 @@
     allowed_regions = opt.TextList(
         [], 'Regions whose targets may serve the requests; empty allows all regions.'
     )
+    public = opt.Flag('Whether requests need no key, although the preset has tenants.')
+
+
+class TenantOptions(opt.Schema):
+    """Customer, its keys and what it may use."""
+
+    name = opt.Text(about='Name that targets and metrics get.')
+    keys = opt.SecretList([], 'Keys that identify its requests.')
+    priority = opt.Integer(
+        0,
+        'Priority of its requests, instead of that of their class; lower values are '
+        'served first.',
+        high=9,
+    )
+    rate_per_s = opt.Number(
+        0,
+        'Requests a second that all nodes together accept; 0 for no limit.',
+        'requests/s',
+        high=10**6,
+    )
+    burst = opt.Number(
+        0,
+        'Requests that may follow each other at once, in addition to the rate.',
+        'requests',
+        high=10**6,
+    )
+    allowed_regions = opt.TextList(
+        [], 'Regions whose targets may serve the requests; empty allows all regions.'
+    )
+
+
+class OverloadOptions(opt.Schema):
+    """What waits or is refused when a target has too little room."""
+
+    order = opt.Text(
+        PRIORITY_ORDER,
+        'Order of the queue: by priority and deadline, or by the cost of delay.',
+        _queue_orders,
+    )
 
 
 class ChoosingOptions(opt.Schema):
@@ -380,6 +425,8 @@
     class_ = opt.TableList(ClassOptions, 'Request classes.')
     service = opt.TableList(ServiceOptions, 'Settings of services; optional.')
     route = opt.TableList(RouteOptions, 'Routing rules.')
+    tenant = opt.TableList(TenantOptions, 'Customers and their keys; optional.')
+    overload = opt.Table(OverloadOptions, 'Handling of too little room.')
     choosing = opt.Table(ChoosingOptions, 'Selection of targets.')
     retry = opt.Table(RetryOptions, 'Retry limits.')
     hedge = opt.Table(HedgeOptions, 'Hedging of idempotent requests.')
@@ -390,8 +437,9 @@
     def check_consistency(self, location: str) -> list[Finding]:
         """Check classes and routes.
 
-        Class names must be unique, every route needs a defined class and a
-        service, and there must be at least one route.
+        Class and tenant names must be unique, every route needs a defined class
+        and a service, there must be at least one route, and a key identifies one
+        tenant.
         """
         names = [entry.name for entry in self.class_]
         findings = [
@@ -417,12 +465,40 @@
             for index, route in enumerate(self.route)
             if not route.service and not any(part.weight for part in route.split)
         )
+        findings.extend(self.check_tenants(location))
         if not self.route:
             findings.append(
                 Finding(f'{location}route', 'at least one route is required'),
             )
         return findings
 
+    def check_tenants(self, location: str) -> list[Finding]:
+        """Check that names are unique and that a key identifies one tenant.
+
+        The findings do not contain keys.
+        """
+        names = [tenant.name for tenant in self.tenant]
+        findings = [
+            Finding(
+                f'{location}tenant[{index}].name', f'{name!r} is used more than once'
+            )
+            for index, name in enumerate(names)
+            if name in names[:index]
+        ]
+        return findings + self.check_keys(location)
+
+    def check_keys(self, location: str) -> list[Finding]:
+        """Check that each key identifies one tenant."""
+        findings = []
+        holders: dict[str, str] = {'': 'nobody, because it is empty'}
+        for index, tenant in enumerate(self.tenant):
+            for number, key in enumerate(tenant.keys):
+                holder = holders.setdefault(key, tenant.name)
+                if holder != tenant.name:
+                    where = f'{location}tenant[{index}].keys[{number}]'
+                    findings.append(Finding(where, f'is a key of {holder}'))
+        return findings
+
 
 def parse_preset(text: str, source: str) -> PresetSchema:
     """Parse and validate a preset.
--- a/packages/core/src/lavendermount_core/models/calls.py
+++ b/packages/core/src/lavendermount_core/models/calls.py
@@ -11,6 +11,7 @@
 
 MIN_SERVER_ERROR_STATUS = 500
 TOO_MANY_REQUESTS = 429
+CLASS_PRIORITY = -1
 
 Headers = list[tuple[str, str]]
 
@@ -56,6 +57,10 @@
     LOG_DOWN = 'log-down'
     # All connections to the target are in use.
     OVERLOADED = 'overloaded'
+    # The request names no key, or one that no tenant has.
+    UNKNOWN_KEY = 'unknown-key'
+    # The tenant has used up its allotment.
+    OVER_ALLOTMENT = 'over-allotment'
     # The availability zone of the target has been evacuated.
     EVACUATED = 'zone-evacuated'
     INTERNAL = 'internal-error'
@@ -68,9 +73,11 @@
     :param tenant: customer that the request belongs to.
     :param name: name of the traffic class.
     :param is_repeatable: whether the request is idempotent.
+    :param priority: priority of the tenant, which replaces that of the class;
+        ``CLASS_PRIORITY`` for that of the class.
     """
 
-    __slots__ = ('service', 'tenant', 'name', 'is_repeatable')
+    __slots__ = ('service', 'tenant', 'name', 'is_repeatable', 'priority')
 
     def __init__(
         self,
@@ -78,12 +85,14 @@
         tenant: str,
         name: str,
         is_repeatable: bool,
+        priority: int = CLASS_PRIORITY,
     ) -> None:
         """Initialize the fields."""
         self.service = service
         self.tenant = tenant
         self.name = name
         self.is_repeatable = is_repeatable
+        self.priority = priority
 
 
 class CallRequest(Record):
--- a/packages/node/src/lavendermountd/caller/classification.py
+++ b/packages/node/src/lavendermountd/caller/classification.py
@@ -10,9 +10,19 @@
     BY_METHOD,
     LONGEST_PREFIX,
     RouteOptions,
+    TenantOptions,
+)
+from lavendermount_core.models.calls import (
+    CLASS_PRIORITY,
+    CallClass,
+    Headers,
+    Reason,
+    Refusal,
+    not_run_refusal,
 )
-from lavendermount_core.models.calls import CallClass, Headers
 from lavendermountd.caller.splitting import choose_service
+from lavendermountd.caller.tenancy import identify_tenant, intersect_regions
+from lavendermountd.dialects.base import CallMetadata
 from lavendermountd.http1.messages import WireRequest, find_header
 from lavendermountd.presets.holder import InForcePreset
 from lavendermountd.presets.route_index import matches
@@ -30,6 +40,7 @@
         preset.
     :param allowed_regions: regions whose targets may serve the request; ``None``
         for all.
+    :param tenant: tenant that the request's key identifies; ``None`` without one.
     """
 
     __slots__ = (
@@ -38,6 +49,7 @@
         'target_ms',
         'attempts',
         'allowed_regions',
+        'tenant',
     )
 
     def __init__(
@@ -47,6 +59,7 @@
         target_ms: float,
         attempts: int,
         allowed_regions: frozenset[str] | None,
+        tenant: TenantOptions | None,
     ) -> None:
         """Initialize the fields."""
         self.call_class = call_class
@@ -54,25 +67,29 @@
         self.target_ms = target_ms
         self.attempts = attempts
         self.allowed_regions = allowed_regions
+        self.tenant = tenant
 
 
 def classify(
     preset: InForcePreset,
     request: WireRequest,
-    requested_ms: float | None,
-) -> Classification | None:
-    """Classify a request by its matching route.
+    metadata: CallMetadata,
+) -> Classification | Refusal:
+    """Classify a request by its matching route and its key.
 
     :param preset: preset in force.
     :param request: the request.
-    :param requested_ms: time limit that the caller requested; ``None`` if it
-        requested none.
-    :returns: the classification, or ``None`` if no route matches.
+    :param metadata: time limit and key that the caller names.
+    :returns: the classification, or a refusal if no route matches or the key is
+        not valid.
     """
     route = find_route(preset, request)
     if route is None:
-        return None
-    return _apply_route(preset, route, request, requested_ms)
+        return not_run_refusal(Reason.NO_ROUTE, 'no route matches')
+    tenancy = identify_tenant(preset.tenants, route, metadata.key)
+    if tenancy.refusal is not None:
+        return tenancy.refusal
+    return _apply_route(preset, route, request, metadata.deadline_ms, tenancy.tenant)
 
 
 def find_route(preset: InForcePreset, request: WireRequest) -> RouteOptions | None:
@@ -105,15 +122,14 @@
     route: RouteOptions,
     request: WireRequest,
     requested_ms: float | None,
+    tenant: TenantOptions | None,
 ) -> Classification:
-    tenant = ''
-    if route.tenant_header:
-        tenant = find_header(request.headers, route.tenant_header.lower())
     call_class = CallClass(
         choose_service(route, preset.split_weights),
-        tenant or route.tenant,
+        _tenant_name(route, request, tenant),
         route.class_,
         _is_repeatable(route, request.method),
+        CLASS_PRIORITY if tenant is None else tenant.priority,
     )
     options = preset.class_options(route.class_)
     default_ms = route.deadline_ms or options.deadline_ms
@@ -127,10 +143,22 @@
         deadline_ms,
         route.target_ms,
         route.attempts,
-        frozenset(route.allowed_regions) or None,
+        intersect_regions(route, tenant),
+        tenant,
     )
 
 
+def _tenant_name(
+    route: RouteOptions, request: WireRequest, tenant: TenantOptions | None
+) -> str:
+    if tenant is not None:
+        return tenant.name
+    named = ''
+    if route.tenant_header:
+        named = find_header(request.headers, route.tenant_header.lower())
+    return named or route.tenant
+
+
 def _is_repeatable(route: RouteOptions, method: str) -> bool:
     if route.repeat == BY_METHOD:
         return method in route.repeatable
--- a/packages/node/src/lavendermountd/caller/exchange.py
+++ b/packages/node/src/lavendermountd/caller/exchange.py
@@ -32,6 +32,7 @@
 from lavendermountd.caller.service import CallService
 from lavendermountd.gate.attempts import AttemptResult
 from lavendermountd.http1.messages import WireRequest
+from lavendermountd.presets.holder import InForcePreset
 
 log = logging.getLogger(__name__)
 
@@ -118,12 +119,12 @@
         refusal = self.validate_request()
         if refusal is not None or preset is None:
             return self.refuse(refusal or _no_preset_refusal())
-        classification = classify(preset, self.request, self.metadata.deadline_ms)
-        if classification is None:
-            return self.refuse(not_run_refusal(Reason.NO_ROUTE, 'no route matches'))
+        classification = classify(preset, self.request, self.metadata)
+        if isinstance(classification, Refusal):
+            return self.refuse(classification)
         self.call_class = classification.call_class
         outcome = await self.service.handle_request(
-            self.to_request(classification), preset
+            self.to_request(classification, preset), preset
         )
         self.record_metrics(classification.call_class, outcome)
         if isinstance(outcome, Success):
@@ -140,7 +141,9 @@
             return not_run_refusal(Reason.MALFORMED, 'the path is malformed')
         return None
 
-    def to_request(self, classification: Classification) -> CallRequest:
+    def to_request(
+        self, classification: Classification, preset: InForcePreset
+    ) -> CallRequest:
         """Build the request to route."""
         dialect = self.service.dialect
         due = (
@@ -155,6 +158,7 @@
                 drop_hop_by_hop(self.request.headers),
                 self.request_id,
                 self.service.origin,
+                _forwarded_tenant(classification, preset),
             ),
             self.request.body,
             classification.call_class,
@@ -191,6 +195,15 @@
         return self.service.dialect.refusal_reply(refusal, self.request_id)
 
 
+def _forwarded_tenant(
+    classification: Classification, preset: InForcePreset
+) -> str | None:
+    """Return the tenant to name to the target; ``None`` without tenants."""
+    if preset.tenants.is_empty:
+        return None
+    return '' if classification.tenant is None else classification.tenant.name
+
+
 def _no_preset_refusal() -> Refusal:
     return not_run_refusal(
         Reason.NO_PRESET, 'no preset is in force yet', NO_PRESET_RETRY_S
--- a/packages/node/src/lavendermountd/dialects/base.py
+++ b/packages/node/src/lavendermountd/dialects/base.py
@@ -24,14 +24,18 @@
     :param request_id: identifier that the caller assigned; empty if none.
     :param deadline_ms: how long the caller waits for the reply; ``None`` if not
         specified.
+    :param key: key of the caller's tenant; empty if none. It must not be logged.
     """
 
-    __slots__ = ('request_id', 'deadline_ms')
+    __slots__ = ('request_id', 'deadline_ms', 'key')
 
-    def __init__(self, request_id: str, deadline_ms: float | None) -> None:
+    def __init__(
+        self, request_id: str, deadline_ms: float | None, key: str = ''
+    ) -> None:
         """Initialize the fields."""
         self.request_id = request_id
         self.deadline_ms = deadline_ms
+        self.key = key
 
 
 class TargetLoad:
@@ -130,13 +134,19 @@
 
     @abc.abstractmethod
     def forwarded_headers(
-        self, headers: Headers, request_id: str, origin: str
+        self,
+        headers: Headers,
+        request_id: str,
+        origin: str,
+        tenant: str | None = None,
     ) -> Headers:
         """Build the headers to forward to the target with a request.
 
         :param headers: end-to-end headers of the caller.
         :param request_id: identifier of the request.
         :param origin: service on the VM where the request originated.
+        :param tenant: tenant that the request's key identifies; empty without a key,
+            ``None`` if the preset has no tenants.
         """
 
     @abc.abstractmethod
--- a/packages/node/src/lavendermountd/dialects/native.py
+++ b/packages/node/src/lavendermountd/dialects/native.py
@@ -33,7 +33,11 @@
         return CallMetadata('', int(text) if is_decimal(text) else None)
 
     def forwarded_headers(
-        self, headers: Headers, request_id: str, origin: str
+        self,
+        headers: Headers,
+        request_id: str,
+        origin: str,
+        tenant: str | None = None,
     ) -> Headers:
         """Add the request identifier, and ``traceparent`` if it is missing."""
         kept = drop_headers(headers, DIALECT_HEADERS)
--- a/packages/node/src/lavendermountd/presets/holder.py
+++ b/packages/node/src/lavendermountd/presets/holder.py
@@ -13,6 +13,7 @@
 from lavendermount_core.presets.records import NO_REVISION, PresetSnapshot
 from lavendermount_core.routing.tuning import tuning_from
 from lavendermountd.presets.route_index import RouteIndex
+from lavendermountd.presets.tenant_index import TenantIndex
 
 log = logging.getLogger(__name__)
 
@@ -34,6 +35,7 @@
         'services',
         'tuning',
         'index',
+        'tenants',
         'split_weights',
     )
 
@@ -46,6 +48,7 @@
         self.services = {entry.name: entry for entry in self.schema.service}
         self.tuning = tuning_from(self.schema)
         self.index = RouteIndex(self.schema)
+        self.tenants = TenantIndex(self.schema)
         self.split_weights: dict[int, dict[str, float]] = {}
 
     def class_options(self, name: str) -> ClassOptions:
