--- a/features/steps/tenant_steps.py
+++ b/features/steps/tenant_steps.py
@@ -37,7 +37,8 @@
 
 def in_force(*tenants: str) -> InForcePreset:
     """Build the preset in force with these tenants and a public route."""
-    text = preset_text() + PUBLIC_ROUTE + ''.join(tenants)
+    matching = 'matching = "longest-prefix"\n'
+    text = matching + preset_text() + PUBLIC_ROUTE + ''.join(tenants)
     return InForcePreset(PresetSnapshot(1, 2, 'ordinary', '1', text))
 
 
