--- a/packages/node/src/lavendermountd/control/server.py
+++ b/packages/node/src/lavendermountd/control/server.py
@@ -20,6 +20,7 @@
 from lavendermountd.control.messages import (
     load_message,
     member_message,
+    member_record,
     preset_message,
 )
 from lavendermountd.membership.gossip import RPC_OVERHEAD_BYTES
@@ -53,6 +54,7 @@
         is_paid = request.sender.region != self.node.identity.member.region
         size = response.ByteSize() + RPC_OVERHEAD_BYTES
         self.node.budget.charge('gossip', size, is_paid)
+        self.node.gossip.meter.add_gossip(member_record(request.sender), size)
         return response
 
     async def Probe(  # noqa: N802
--- a/packages/node/src/lavendermountd/gauges.py
+++ b/packages/node/src/lavendermountd/gauges.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from lavendermountd.traffic_meter import DISTANCE_LABELS
+
 if TYPE_CHECKING:
     from lavendermountd.node import Node
 
@@ -15,6 +17,9 @@
         node.metrics.measuring_bytes.set({'kind': kind, 'link': link}, size)
     node.metrics.measuring_budget.set({'link': 'local'}, node.budget.local.rate)
     node.metrics.measuring_budget.set({'link': 'paid'}, node.budget.paid.rate)
+    for (kind, distance), size in node.gossip.meter.sent.items():
+        labels = {'kind': kind, 'distance': DISTANCE_LABELS[distance]}
+        node.metrics.sent_bytes.set(labels, size)
     for name, count in node.selector.excluded_counts.items():
         node.metrics.excluded.set({'constraint': name}, count)
     for name, amount in read_state(node).items():
--- a/packages/node/src/lavendermountd/membership/gossip.py
+++ b/packages/node/src/lavendermountd/membership/gossip.py
@@ -22,6 +22,7 @@
 from lavendermountd.membership.exchange import GossipExchange
 from lavendermountd.membership.relays import is_relay, relays_of
 from lavendermountd.membership.suspicion import SuspicionTimers
+from lavendermountd.traffic_meter import TrafficMeter
 
 log = logging.getLogger(__name__)
 
@@ -64,6 +65,7 @@
         self.probe_order: list[str] = []
         self.round_count = 0
         self.region_turn = 0
+        self.meter = TrafficMeter(self.table)
 
     async def run(self) -> None:
         """Gossip until cancelled."""
@@ -247,6 +249,7 @@
         """Charge the bytes of a message that this node sends to the budget."""
         is_paid = member.region != self.table.own.region
         self.exchange.budget.charge('gossip', size + RPC_OVERHEAD_BYTES, is_paid)
+        self.meter.add_gossip(member, size + RPC_OVERHEAD_BYTES)
 
     async def exchange_with_some(self, count: int) -> None:
         """Exchange rounds with some members, of the own region if there are any."""
--- a/packages/node/src/lavendermountd/metrics.py
+++ b/packages/node/src/lavendermountd/metrics.py
@@ -59,6 +59,11 @@
             'Bytes that measuring may cost, by link.',
             registry=self.registry,
         )
+        self.sent_bytes = Gauge(
+            'lavendermount_sent_bytes',
+            'Bytes sent to other nodes, by kind of message and distance.',
+            registry=self.registry,
+        )
         self.excluded = Gauge(
             'lavendermount_excluded_targets',
             'Targets that constraints excluded from selections, by constraint.',
--- a/packages/node/src/lavendermountd/node.py
+++ b/packages/node/src/lavendermountd/node.py
@@ -200,6 +200,8 @@
         if isinstance(self.follower, KeyedPresetFollower):
             self.follower.prepare_first_preset = recovery.ask_neighbours
         self.links.on_ping_sent = self.charge_ping
+        self.links.meter = self.gossip.meter
+        self.peer_server.meter = self.gossip.meter
         self.table.listeners.append(self.forget_if_dead)
         static = self.settings.target
         if static.service:
--- a/packages/node/src/lavendermountd/peer/frame_stream.py
+++ b/packages/node/src/lavendermountd/peer/frame_stream.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import socket
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 
 import msgpack
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
@@ -36,7 +36,7 @@
     :param stream: an open connection.
     """
 
-    __slots__ = ('stream', 'unpacker', 'bytes_sent', 'bytes_received')
+    __slots__ = ('stream', 'unpacker', 'bytes_sent', 'bytes_received', 'on_sent')
 
     def __init__(self, stream: IOStream) -> None:
         """Take ownership of the connection and set its socket options."""
@@ -50,6 +50,8 @@
         self.unpacker = msgpack.Unpacker(max_buffer_size=MAX_FRAME_BYTES)
         self.bytes_sent = 0
         self.bytes_received = 0
+        # Called with each frame and its size, to meter the traffic.
+        self.on_sent: Callable[[Record, int], None] | None = None
 
     async def receive(self) -> Record:
         """Wait for the next frame.
@@ -102,6 +104,8 @@
         """
         encoded = encode_frame(frame)
         self.bytes_sent += len(encoded)
+        if self.on_sent is not None:
+            self.on_sent(frame, len(encoded))
         try:
             return self.stream.write(encoded)
         except (StreamClosedError, StreamBufferFullError) as error:
--- a/packages/node/src/lavendermountd/peer/link.py
+++ b/packages/node/src/lavendermountd/peer/link.py
@@ -74,6 +74,7 @@
         'on_load',
         'on_suspect',
         'on_ping_sent',
+        'on_sent',
     )
 
     def __init__(
@@ -99,6 +100,7 @@
         self.reader: asyncio.Task[None] | None = None
         self.frames: FrameStream = None  # type: ignore[assignment]
         self.on_ping_sent: Callable[[Member, int], None] | None = None
+        self.on_sent: Callable[[Record, int], None] | None = None
 
     @property
     def is_open(self) -> bool:
@@ -121,6 +123,7 @@
                 f'cannot connect to node {self.member.node_id}: {error!r}'
             ) from error
         self.frames = FrameStream(stream)
+        self.frames.on_sent = self.on_sent
         self.reader = asyncio.create_task(self.receive_frames())
 
     async def receive_frames(self) -> None:
--- a/packages/node/src/lavendermountd/peer/link_pool.py
+++ b/packages/node/src/lavendermountd/peer/link_pool.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 from collections.abc import Callable
+from functools import partial
 
 from lavendermount_core.exceptions import PeerLinkError
 from lavendermount_core.models.loads import LoadReport
@@ -18,6 +19,7 @@
 from lavendermountd.peer.backoff import NodeBackoff
 from lavendermountd.peer.frames import CrashSuspicion
 from lavendermountd.peer.link import PeerLink
+from lavendermountd.traffic_meter import TrafficMeter
 
 
 class LinkPool:
@@ -44,6 +46,7 @@
         self.max_body = DEFAULT_MAX_BODY_BYTES
         self.silence_timeout_s = 0.3
         self.on_ping_sent: Callable[[Member, int], None] | None = None
+        self.meter: TrafficMeter | None = None
 
     def on_load_report(self, report: LoadReport) -> None:
         """Pass a load report on and end the backoff of its node, which is reachable."""
@@ -85,6 +88,9 @@
             self.silence_timeout_s,
         )
         link.on_ping_sent = self.on_ping_sent
+        if self.meter is not None:
+            distance = self.meter.distance_to(member)
+            link.on_sent = partial(self.meter.add_frame, distance=distance)
         try:
             await link.open()
         except PeerLinkError:
--- a/packages/node/src/lavendermountd/peer/server.py
+++ b/packages/node/src/lavendermountd/peer/server.py
@@ -9,6 +9,7 @@
 import logging
 import time
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 from returns.result import Result, Success
 from tornado.iostream import IOStream, StreamClosedError
@@ -44,6 +45,7 @@
     Refused,
 )
 from lavendermountd.supervision.freeze import FreezeGuard
+from lavendermountd.traffic_meter import TrafficMeter
 
 log = logging.getLogger(__name__)
 
@@ -256,10 +258,16 @@
         self.guard = guard
         self.max_body = DEFAULT_MAX_BODY_BYTES
         self.sessions: set[PeerSession] = set()
+        self.meter: TrafficMeter | None = None
 
     async def handle_stream(self, stream: IOStream, address: object) -> None:
         """Serve one connection until it closes."""
-        session = PeerSession(FrameStream(stream), self.gate, self.max_body)
+        frames = FrameStream(stream)
+        if self.meter is not None:
+            host = str(stream.socket.getpeername()[0])
+            distance = self.meter.distance_to_host(host)
+            frames.on_sent = partial(self.meter.add_frame, distance=distance)
+        session = PeerSession(frames, self.gate, self.max_body)
         self.sessions.add(session)
         try:
             await session.run(self.guard)
