Choosing: a cost of leaving the zone; gossip and load reports stay in the zone

Gossip rounds now stay in the zone but for about one a round and zone, and requests leave it only for a gain.

--- a/features/naive.py
+++ b/features/naive.py
@@ -136,9 +136,17 @@
     near = [candidate for candidate in inputs.candidates if candidate.distance != 3]
     far = [candidate for candidate in inputs.candidates if candidate.distance == 3]
     rng = random.Random(inputs.seed)
-    sample = rng.sample(near, min(tuning.sample, len(near)))
+    if tuning.zone_cost_ms:
+        inside = [candidate for candidate in near if candidate.distance < 2]
+        outside = [candidate for candidate in near if candidate.distance == 2]
+        sample = rng.sample(inside, min(tuning.sample, len(inside)))
+        size = max(1, tuning.sample // 2 if inside else tuning.sample)
+        sample += rng.sample(outside, min(size, len(outside)))
+    else:
+        sample = rng.sample(near, min(tuning.sample, len(near)))
     if far and (inputs.is_link_allowed or not near):
-        sample += rng.sample(far, min(max(1, tuning.sample // 3), len(far)))
+        size = tuning.sample if inputs.is_abroad else max(1, tuning.sample // 3)
+        sample += rng.sample(far, min(size, len(far)))
     candidates = inputs.candidates
     known = [candidate.service_ms for candidate in candidates if candidate.service_ms]
     typical_service_ms = median(known) if known else 5.0
@@ -176,6 +184,7 @@
         time_ms += (
             network_ms[candidate.distance]
             + per_kb_ms[candidate.distance] * inputs.reply_kb
+            + (tuning.zone_cost_ms if candidate.distance > 1 else 0)
         )
         time_ms += tuning.slow_ms * (
             freshness * (candidate.slowness >= 4) + (1 - freshness) * 0.25
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -35,6 +35,7 @@
 IMMEDIATE_S = 1.5
 TUNING = Tuning(3, 1000, 5000, 1, 20, 1000)
 FULL_TUNING = Tuning(7, 1000, 5000, 1, 20, 1000, 400, 3, 12)
+ZONE_TUNING = Tuning(4, 1000, 5000, 1, 20, 1000, 400, 3, 12, 50)
 COUNTS = st.integers(0, 12)
 TIMES = st.floats(0, 500, allow_nan=False).map(lambda number: round(number, 2))
 
@@ -64,12 +65,13 @@
     seed = draw(st.integers(0, 2**48))
     return DecisionInputs(
         'expected-time',
-        draw(st.sampled_from((TUNING, FULL_TUNING))),
+        draw(st.sampled_from((TUNING, FULL_TUNING, ZONE_TUNING))),
         seed,
         1,
         draw(st.booleans()),
         candidates,
         draw(TIMES),
+        draw(st.booleans()),
     )
 
 
--- a/packages/core/src/lavendermount_core/config/preset.py
+++ b/packages/core/src/lavendermount_core/config/preset.py
@@ -225,6 +225,13 @@
         'ms/kB',
         high=1000,
     )
+    zone_cost_ms = opt.Number(
+        0,
+        'Expected time that must be saved for a request to leave its availability '
+        'zone; if set, targets of the own zone are compared first.',
+        'ms',
+        high=60000,
+    )
     probe_ms = opt.Integer(
         0,
         'Age of a load report after which the node probes its target; 0 for never.',
--- a/packages/core/src/lavendermount_core/routing/candidates.py
+++ b/packages/core/src/lavendermount_core/routing/candidates.py
@@ -120,6 +120,8 @@
     :param slow_ms: delay of a request on a VM that is currently slow.
     :param zone_kb_ms: cost of sending a kilobyte between zones, as time.
     :param region_kb_ms: cost of sending a kilobyte between regions, as time.
+    :param zone_cost_ms: cost of leaving the zone, as time; 0 to treat the zones of a
+        region alike.
     """
 
     __slots__ = (
@@ -132,6 +134,7 @@
         'slow_ms',
         'zone_kb_ms',
         'region_kb_ms',
+        'zone_cost_ms',
     )
 
     def __init__(
@@ -145,6 +148,7 @@
         slow_ms: float = 0,
         zone_kb_ms: float = 0,
         region_kb_ms: float = 0,
+        zone_cost_ms: float = 0,
     ) -> None:
         """Initialize the fields."""
         self.sample = sample
@@ -156,6 +160,7 @@
         self.slow_ms = slow_ms
         self.zone_kb_ms = zone_kb_ms
         self.region_kb_ms = region_kb_ms
+        self.zone_cost_ms = zone_cost_ms
 
 
 class DecisionInputs:
--- a/packages/core/src/lavendermount_core/routing/expected_time.py
+++ b/packages/core/src/lavendermount_core/routing/expected_time.py
@@ -119,8 +119,10 @@
     if candidate.distance <= Distance.SAME_ZONE:
         return 0
     if candidate.distance == Distance.SAME_REGION:
-        return tuning.zone_ms * ROUND_TRIP_LEGS + tuning.zone_kb_ms * reply_kb
-    return tuning.region_ms * ROUND_TRIP_LEGS + tuning.region_kb_ms * reply_kb
+        delay_ms = tuning.zone_ms * ROUND_TRIP_LEGS + tuning.zone_kb_ms * reply_kb
+    else:
+        delay_ms = tuning.region_ms * ROUND_TRIP_LEGS + tuning.region_kb_ms * reply_kb
+    return delay_ms + tuning.zone_cost_ms
 
 
 def slowness_penalty_ms(candidate: Candidate, tuning: Tuning) -> float:
--- a/packages/core/src/lavendermount_core/routing/policies.py
+++ b/packages/core/src/lavendermount_core/routing/policies.py
@@ -13,6 +13,7 @@
     Decision,
     DecisionInputs,
     Distance,
+    Tuning,
 )
 from lavendermount_core.routing.expected_time import CandidateBaseline, expected_ms
 from lavendermount_core.utils.registry import Registry
@@ -23,6 +24,8 @@
 SCORE_DECIMALS = 3
 # The sample from other regions is this many times smaller.
 OTHER_REGION_DIVISOR = 3
+# The sample from other zones, where leaving the zone has a cost, is smaller too.
+OTHER_ZONE_DIVISOR = 2
 
 
 def policy_names() -> list[str]:
@@ -45,15 +48,15 @@
 def choose_expected_time(inputs: DecisionInputs) -> Decision:
     """Select the lowest expected response time of a random sample.
 
-    The sample is taken from the node's own region. A smaller sample from other
-    regions is added if the budget for traffic between regions allows it, or if
+    The sample is taken from the node's own region; if leaving the zone has a cost,
+    from the own zone, with a smaller one from the other zones. A smaller sample from
+    other regions is added if the budget for traffic between regions allows it, or if
     the node's own region has no candidate. If only other regions may serve the
     request, the whole sample is taken from them.
     """
     same_region, other_region = _split_by_region(inputs.candidates)
     rng = random.Random(inputs.seed)
-    size = min(inputs.tuning.sample, len(same_region))
-    sample = rng.sample(same_region, size)
+    sample = _sample_region(same_region, inputs.tuning, rng)
     if other_region and (inputs.is_link_allowed or not same_region):
         divisor = 1 if inputs.is_abroad else OTHER_REGION_DIVISOR
         other_size = max(1, inputs.tuning.sample // divisor)
@@ -99,5 +102,22 @@
     return same_region, other_region
 
 
+def _sample_region(
+    candidates: list[Candidate], tuning: Tuning, rng: random.Random
+) -> list[Candidate]:
+    """Sample the targets of the own region.
+
+    :param candidates: targets of the own region.
+    """
+    if not tuning.zone_cost_ms:
+        return rng.sample(candidates, min(tuning.sample, len(candidates)))
+    own_zone = [entry for entry in candidates if entry.distance <= Distance.SAME_ZONE]
+    other_zones = [entry for entry in candidates if entry.distance > Distance.SAME_ZONE]
+    sample = rng.sample(own_zone, min(tuning.sample, len(own_zone)))
+    other_size = tuning.sample // OTHER_ZONE_DIVISOR if own_zone else tuning.sample
+    sample.extend(rng.sample(other_zones, min(max(1, other_size), len(other_zones))))
+    return sample
+
+
 def _score_key(score: tuple[str, float]) -> tuple[float, str]:
     return score[1], score[0]
--- a/packages/core/src/lavendermount_core/routing/tuning.py
+++ b/packages/core/src/lavendermount_core/routing/tuning.py
@@ -22,4 +22,5 @@
         choosing.slow_ms,
         choosing.zone_kb_ms,
         choosing.region_kb_ms,
+        choosing.zone_cost_ms,
     )
--- a/packages/node/src/lavendermountd/membership/gossip.py
+++ b/packages/node/src/lavendermountd/membership/gossip.py
@@ -34,6 +34,8 @@
 DEAD_PROBE_PROBABILITY = 0.1
 RPC_OVERHEAD_BYTES = 150
 PROBE_TIMEOUT_RATIO = 0.5
+# Members of other zones that all nodes of a zone together probe in each round.
+ZONE_ROUNDS = 1
 REMOTE_TIMEOUT_S = 1.0
 
 
@@ -66,6 +68,8 @@
         self.round_count = 0
         self.region_turn = 0
         self.meter = TrafficMeter(self.table)
+        # Whether traffic to other zones is kept low.
+        self.is_zone_local = False
 
     async def run(self) -> None:
         """Gossip until cancelled."""
@@ -95,7 +99,7 @@
         if dead and random.random() < DEAD_PROBE_PROBABILITY:
             return random.choice(dead)
         if not self.probe_order:
-            self.probe_order = [member.node_id for member in self.living_in_region()]
+            self.probe_order = [member.node_id for member in self.probed_members()]
             random.shuffle(self.probe_order)
         while self.probe_order:
             member = self.table.find(self.probe_order.pop())
@@ -103,6 +107,24 @@
                 return member
         return None
 
+    def probed_members(self) -> list[Member]:
+        """List the members that this node probes in its next rounds.
+
+        These are the others of the own region. Where traffic between zones is kept
+        low, they are those of the own zone and a few others, so that the nodes of a
+        zone together probe ``ZONE_ROUNDS`` members of other zones in each round. While
+        one of these is suspected, as many are probed as in the own zone.
+        """
+        members = self.living_in_region()
+        if not self.is_zone_local:
+            return members
+        own_zone = [member for member in members if member.zone == self.table.own.zone]
+        others = [member for member in members if member.zone != self.table.own.zone]
+        count = ZONE_ROUNDS
+        if any(member.status == MemberStatus.SUSPECT for member in others):
+            count = max(count, len(own_zone))
+        return own_zone + random.sample(others, min(count, len(others)))
+
     def living_in_region(self) -> list[Member]:
         """List the other members of the own region that are not dead."""
         region = self.table.own.region
--- a/packages/node/src/lavendermountd/node.py
+++ b/packages/node/src/lavendermountd/node.py
@@ -8,7 +8,6 @@
 import asyncio
 import logging
 import random
-import time
 
 from lavendermount_core.config.node import HEALTH, NodeSchema
 from lavendermount_core.log.adapter import open_log
@@ -280,8 +279,7 @@
             extra={'slowness': load.slowness, 'in_flight': load.in_flight},
         )
         self.router.on_load_report(load)
-        since = time.monotonic() - RECENT_SENDER_S
-        self.peer_server.broadcast(Pong(0, load.to_row()), since)
+        self.peer_server.broadcast_recent(Pong(0, load.to_row()), RECENT_SENDER_S)
 
     def broadcast_suspect(self, suspicion: CrashSuspicion) -> None:
         """Report a suspected request to all connected nodes immediately.
--- a/packages/node/src/lavendermountd/peer/server.py
+++ b/packages/node/src/lavendermountd/peer/server.py
@@ -25,6 +25,7 @@
     not_run_refusal,
 )
 from lavendermount_core.models.records import Record
+from lavendermount_core.routing.candidates import Distance
 from lavendermount_core.utils.registry import Registry
 from lavendermount_core.utils.units import DEFAULT_MAX_BODY_BYTES, MS_PER_S
 from lavendermountd.gate.attempts import Attempt, AttemptResult
@@ -61,7 +62,14 @@
     :param max_body: largest accepted body in bytes.
     """
 
-    __slots__ = ('frames', 'gate', 'bodies', 'tasks', 'last_dispatch_at')
+    __slots__ = (
+        'frames',
+        'gate',
+        'bodies',
+        'tasks',
+        'last_dispatch_at',
+        'is_distant',
+    )
 
     def __init__(self, stream: FrameStream, gate: Gate, max_body: int) -> None:
         """Take ownership of the connection."""
@@ -70,6 +78,15 @@
         self.bodies = BodyAssembler(max_body)
         self.tasks: set[asyncio.Task[None]] = set()
         self.last_dispatch_at: float = 0
+        # Whether the other node is in another zone.
+        self.is_distant = False
+
+    def send_or_close(self, frame: Record) -> None:
+        """Send a frame; close the connection if that fails."""
+        try:
+            self.frames.send(frame)
+        except PeerLinkError:
+            self.frames.close()
 
     async def run(self, guard: FreezeGuard) -> None:
         """Serve frames until the connection closes.
@@ -259,15 +276,17 @@
         self.max_body = DEFAULT_MAX_BODY_BYTES
         self.sessions: set[PeerSession] = set()
         self.meter: TrafficMeter | None = None
+        # Whether traffic to other zones is kept low.
+        self.is_zone_local = False
 
     async def handle_stream(self, stream: IOStream, address: object) -> None:
         """Serve one connection until it closes."""
-        frames = FrameStream(stream)
+        session = PeerSession(FrameStream(stream), self.gate, self.max_body)
         if self.meter is not None:
             host = str(stream.socket.getpeername()[0])
             distance = self.meter.distance_to_host(host)
-            frames.on_sent = partial(self.meter.add_frame, distance=distance)
-        session = PeerSession(frames, self.gate, self.max_body)
+            session.frames.on_sent = partial(self.meter.add_frame, distance=distance)
+            session.is_distant = distance > Distance.SAME_ZONE
         self.sessions.add(session)
         try:
             await session.run(self.guard)
@@ -282,18 +301,26 @@
         finally:
             self.stop()
 
-    def broadcast(self, frame: Record, active_since: float = 0) -> None:
-        """Send a frame on every open connection.
+    def broadcast(self, frame: Record) -> None:
+        """Send a frame on every open connection."""
+        for session in tuple(self.sessions):
+            session.send_or_close(frame)
+
+    def broadcast_recent(self, frame: Record, recent_s: float) -> None:
+        """Send a frame to the nodes that sent requests recently.
 
-        :param active_since: skip connections that sent no request since this time.
+        Where leaving the zone has a cost, nodes of other zones get it only while
+        a request of theirs is at this gate.
+
+        :param recent_s: how long ago the last request may be.
         """
+        since = time.monotonic() - recent_s
         for session in tuple(self.sessions):
-            if session.last_dispatch_at < active_since:
+            if session.last_dispatch_at < since:
+                continue
+            if self.is_zone_local and session.is_distant and not session.tasks:
                 continue
-            try:
-                session.frames.send(frame)
-            except PeerLinkError:
-                session.frames.close()
+            session.send_or_close(frame)
 
     def close_all(self) -> None:
         """Close every open connection; stored outcomes stay in the attempt table."""
