Tests: the reference policy knows the cost of leaving the zone

Generated decisions with and without that cost are compared with the policy, and decisions that were recorded before the new fields are replayed without a difference.

--- a/features/naive.py
+++ b/features/naive.py
@@ -130,23 +130,30 @@
         return None
 
 
-def naive_expected_time(inputs: Any) -> str:
-    """Choose the target with the least expected time, every term written out."""
+def naive_sample(inputs: Any, near: list[Any], far: list[Any]) -> list[Any]:
+    """Draw the targets to compare: the own zone first if leaving it has a cost."""
     tuning = inputs.tuning
-    near = [candidate for candidate in inputs.candidates if candidate.distance != 3]
-    far = [candidate for candidate in inputs.candidates if candidate.distance == 3]
     rng = random.Random(inputs.seed)
+    first, others = near, []
+    if tuning.zone_cost_ms:
+        first = [candidate for candidate in near if candidate.distance < 2]
+        others = [candidate for candidate in near if candidate.distance == 2]
+    sample = rng.sample(first, min(tuning.sample, len(first)))
     if tuning.zone_cost_ms:
-        inside = [candidate for candidate in near if candidate.distance < 2]
-        outside = [candidate for candidate in near if candidate.distance == 2]
-        sample = rng.sample(inside, min(tuning.sample, len(inside)))
-        size = max(1, tuning.sample // 2 if inside else tuning.sample)
-        sample += rng.sample(outside, min(size, len(outside)))
-    else:
-        sample = rng.sample(near, min(tuning.sample, len(near)))
+        size = max(1, tuning.sample // 2) if first else tuning.sample
+        sample += rng.sample(others, min(size, len(others)))
     if far and (inputs.is_link_allowed or not near):
         size = tuning.sample if inputs.is_abroad else max(1, tuning.sample // 3)
         sample += rng.sample(far, min(size, len(far)))
+    return sample
+
+
+def naive_expected_time(inputs: Any) -> str:
+    """Choose the target with the least expected time, every term written out."""
+    tuning = inputs.tuning
+    near = [candidate for candidate in inputs.candidates if candidate.distance != 3]
+    far = [candidate for candidate in inputs.candidates if candidate.distance == 3]
+    sample = naive_sample(inputs, near, far)
     candidates = inputs.candidates
     known = [candidate.service_ms for candidate in candidates if candidate.service_ms]
     typical_service_ms = median(known) if known else 5.0
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -111,6 +111,7 @@
         'whole:200',
         1,
         inputs.reply_kb,
+        inputs.is_abroad,
     )
 
 
@@ -122,9 +123,13 @@
     def check(inputs: DecisionInputs) -> None:
         for candidate in inputs.candidates:
             candidate.limit_per_s = 0
+        inputs.is_abroad = False
+        inputs.tuning = FULL_TUNING
         recorded = recorded_from(inputs, 'expected-time')
         recorded.candidates = [row[:-2] for row in recorded.candidates]
-        decoded = DecisionRecord.from_row(unpack(pack(recorded.to_row())))
+        recorded.tuning = recorded.tuning[:-1]
+        row = recorded.to_row()[:-2]
+        decoded = DecisionRecord.from_row(unpack(pack(row)))
         replay = Replay({})
         replay.check(decoded)
         assert not replay.report.differences, replay.report.differences
