--- a/features/naive.py
+++ b/features/naive.py
@@ -191,7 +191,7 @@
         time_ms += (
             network_ms[candidate.distance]
             + per_kb_ms[candidate.distance] * inputs.reply_kb
-            + (tuning.zone_cost_ms if candidate.distance > 1 else 0)
+            + tuning.zone_cost_ms * (candidate.distance > 1)
         )
         time_ms += tuning.slow_ms * (
             freshness * (candidate.slowness >= 4) + (1 - freshness) * 0.25
