Presets: two nodes of each zone wait at the log

Two nodes of each zone now wait and announce changes; the others check the log, together once a second in each region.

--- a/packages/node/src/lavendermountd/node.py
+++ b/packages/node/src/lavendermountd/node.py
@@ -8,6 +8,7 @@
 import asyncio
 import logging
 import random
+from functools import partial
 
 from lavendermount_core.config.node import HEALTH, NodeSchema
 from lavendermount_core.log.adapter import open_log
@@ -41,6 +42,7 @@
 from lavendermountd.presets.catchup import PresetCatchUp
 from lavendermountd.presets.holder import PresetHolder
 from lavendermountd.presets.keyed_follower import KeyedPresetFollower
+from lavendermountd.presets.log_readers import is_log_reader
 from lavendermountd.recorder.recorder import Recorder
 from lavendermountd.routing.budgets import MeasuringBudget, TokenBucket
 from lavendermountd.routing.load_view import LoadView
@@ -180,7 +182,8 @@
         )
         self.holder.on_change.append(PresetApplier(self).apply)
         self.evacuations.listeners.append(self.apply_evacuations)
-        self.follower.reachability.schedule.region_size = self.gossip.region_size
+        schedule = self.follower.reachability.schedule
+        schedule.region_size = self.gossip.region_size
         self.catch_up.on_adopted = self.follower.reachability.suspect_lost_read
         self.gossip.exchange.revision = self.current_revision
         self.gossip.exchange.on_revision = self.catch_up.note_revision
@@ -198,6 +201,7 @@
         self.platform_log.era_listeners.append(recovery.start)
         if isinstance(self.follower, KeyedPresetFollower):
             self.follower.prepare_first_preset = recovery.ask_neighbours
+            schedule.is_reader = partial(is_log_reader, self.table)
         self.links.on_ping_sent = self.charge_ping
         self.links.meter = self.gossip.meter
         self.peer_server.meter = self.gossip.meter
--- /dev/null
+++ b/packages/node/src/lavendermountd/presets/log_readers.py
@@ -0,0 +1,41 @@
+"""Which nodes wait at the log for news.
+
+If every node waited there, each change would cost as many reads as there are nodes.
+So a few nodes of each zone wait, and tell the others by gossip. The others read
+only now and then, in case all of these are cut off from the log.
+
+:shapes: chosen by rendezvous hash, so that nodes with the same members choose alike.
+"""
+
+from __future__ import annotations
+
+import zlib
+from heapq import nsmallest
+
+from lavendermount_core.models.members import Member, MemberStatus
+from lavendermountd.membership.table import MemberTable
+
+READERS_PER_ZONE = 2
+
+
+def is_log_reader(table: MemberTable) -> bool:
+    """Return whether this node waits at the log.
+
+    A node that knows no other member of its zone does.
+
+    :param table: known members.
+    """
+    own = table.own
+    zone_members = [
+        member
+        for member in table.members.values()
+        if member.zone == own.zone and member.status <= MemberStatus.SUSPECT
+    ]
+    readers = nsmallest(READERS_PER_ZONE, zone_members, key=_selection_key)
+    return len(zone_members) <= READERS_PER_ZONE or any(
+        reader.node_id == own.node_id for reader in readers
+    )
+
+
+def _selection_key(member: Member) -> tuple[int, str]:
+    return zlib.crc32(f'{member.node_id}/log-reader'.encode()), member.node_id
--- a/packages/node/src/lavendermountd/presets/poll_schedule.py
+++ b/packages/node/src/lavendermountd/presets/poll_schedule.py
@@ -21,6 +21,8 @@
 # Rates of the first reads after news, and of retries, of all nodes of a region.
 REGION_READS_PER_S = 2.5
 REGION_RETRIES_PER_S = 4.0
+# Rate of the reads of all nodes of a region that do not wait at the log.
+REGION_CHECKS_PER_S = 1.0
 MAX_DOUBLINGS = 10
 MIN_WAIT_S = 0.2
 MIN_RETRY_S = 0.1
@@ -35,12 +37,14 @@
     :param max_wait_s: longest time that a read may wait for news.
     """
 
-    __slots__ = ('max_wait_s', 'region_size', 'reads_without_news')
+    __slots__ = ('max_wait_s', 'region_size', 'is_reader', 'reads_without_news')
 
     def __init__(self, max_wait_s: float) -> None:
         """Assume that the node is alone until its members are known."""
         self.max_wait_s = max_wait_s
         self.region_size: Callable[[], int] = _alone
+        # Whether this node waits at the log; the others only check it at times.
+        self.is_reader: Callable[[], bool] = _always
         self.reads_without_news = 0
 
     def restart(self) -> None:
@@ -54,12 +58,26 @@
         drawn_s = random.expovariate(1 / mean_s)
         return min(max(drawn_s, MIN_WAIT_S), self.max_wait_s)
 
+    def check_interval_s(self) -> float:
+        """Return how long a node that does not wait at the log lets pass.
+
+        The others tell it of news meanwhile. The rate does not fall over time, because
+        these reads matter when all nodes that wait there are cut off.
+        """
+        drawn_s = random.expovariate(REGION_CHECKS_PER_S / self.region_size())
+        return min(max(drawn_s, MIN_WAIT_S), self.max_wait_s)
+
     def retry_s(self) -> float:
         """Return how long to wait after a failed read."""
         drawn_s = random.expovariate(REGION_RETRIES_PER_S / self.region_size())
         return min(max(drawn_s, MIN_RETRY_S), MAX_RETRY_S)
 
 
+def _always() -> bool:
+    """Wait at the log; replaced when the node's components are connected."""
+    return True
+
+
 def _alone() -> int:
     """Count only this node; replaced when the node's components are connected."""
     return 1
--- a/packages/node/src/lavendermountd/presets/reachability.py
+++ b/packages/node/src/lavendermountd/presets/reachability.py
@@ -80,9 +80,7 @@
         :param call: makes the read, given how long it may wait for news.
         :raises LogUnavailableError: if there is no answer in time.
         """
-        wait_s: float = 0
-        if self.is_reachable and not self.is_lost_read_suspected:
-            wait_s = self.schedule.wait_s()
+        wait_s = await self.wait_until_due()
         self.is_waiting = wait_s > 0
         try:
             async with asyncio.timeout(self.read_timeout_s(wait_s)):
@@ -99,6 +97,18 @@
             self.schedule.reads_without_news += 1
         return batch
 
+    async def wait_until_due(self) -> float:
+        """Let time pass before the read if this node does not wait at the log.
+
+        :returns: how long the read may wait for news.
+        """
+        if not self.is_reachable or self.is_lost_read_suspected:
+            return 0
+        if self.schedule.is_reader():
+            return self.schedule.wait_s()
+        await asyncio.sleep(self.schedule.check_interval_s())
+        return 0
+
     def read_timeout_s(self, wait_s: float) -> float | None:
         """Return the timeout of a read; ``None`` for that of the log's client.
 
