--- a/features/presets.feature
+++ b/features/presets.feature
@@ -130,3 +130,11 @@
   Scenario: A peer that does not answer keeps no node from the preset of another
     When gossip names two peers with newer presets, and the newest does not answer
     Then the preset of the other is in force within 1.5 s
+
+  Scenario: A change costs as many reads of the log as there are readers, not as there are nodes
+    Given 87 nodes in 4 zones that know each other
+    Then 2 nodes of each zone wait at the log, and all nodes agree which
+    When the readers of a zone are dead
+    Then 2 other nodes of that zone wait at the log
+    And the nodes of a region that do not wait check the log once a second together, however many they are
+    And a node that knows no other waits at the log
--- /dev/null
+++ b/features/steps/log_reader_steps.py
@@ -0,0 +1,97 @@
+"""Steps for the nodes that wait at the log for news."""
+
+from __future__ import annotations
+
+import random
+from statistics import fmean
+from typing import Any
+
+from behave import given, then, when
+from builders import member
+
+from lavendermount_core.models.members import Member, MemberStatus
+from lavendermountd.membership.table import MemberTable
+from lavendermountd.presets.log_readers import is_log_reader
+from lavendermountd.presets.poll_schedule import PollSchedule
+
+LONGEST_WAIT_S = 10_000
+DRAWS = 20_000
+RATE_TOLERANCE = 0.1
+
+
+def tables_of(members: list[Member]) -> list[MemberTable]:
+    """Build the table of each living node, filled in another order for each."""
+    tables = []
+    for number, own in enumerate(members):
+        if own.status == MemberStatus.DEAD:
+            continue
+        table = MemberTable(own)
+        shuffled = list(members)
+        random.Random(number).shuffle(shuffled)
+        for other in shuffled:
+            table.merge(other)
+        tables.append(table)
+    return tables
+
+
+def readers_by_zone(members: list[Member]) -> dict[str, list[str]]:
+    """Ask each node whether it waits at the log."""
+    readers: dict[str, list[str]] = {}
+    for table in tables_of(members):
+        names = readers.setdefault(table.own.zone, [])
+        if is_log_reader(table):
+            names.append(table.own.node_id)
+    return readers
+
+
+@given('{count:d} nodes in {zones:d} zones that know each other')
+def many_nodes(context: Any, count: int, zones: int) -> None:
+    """Build their member records."""
+    context.members = [
+        member(f'node-{number}', zone=f'zone-{number % zones}')
+        for number in range(count)
+    ]
+
+
+@then('{count:d} nodes of each zone wait at the log, and all nodes agree which')
+def readers_agree(context: Any, count: int) -> None:
+    """Count the readers by zone; each node decides by its own table."""
+    context.readers = readers_by_zone(context.members)
+    assert {len(names) for names in context.readers.values()} == {count}
+
+
+@when('the readers of a zone are dead')
+def kill_readers(context: Any) -> None:
+    """Mark the readers of one zone as dead."""
+    context.dead = context.readers['zone-0']
+    context.members = [
+        entry.with_status(MemberStatus.DEAD) if entry.node_id in context.dead else entry
+        for entry in context.members
+    ]
+
+
+@then('{count:d} other nodes of that zone wait at the log')
+def readers_replaced(context: Any, count: int) -> None:
+    """Check the new readers."""
+    names = readers_by_zone(context.members)['zone-0']
+    assert len(names) == count
+    assert not set(names) & set(context.dead)
+
+
+@then(
+    'the nodes of a region that do not wait check the log once a second together,'
+    ' however many they are'
+)
+def checks_are_bounded(context: Any) -> None:
+    """Compare the mean interval with the size of the region."""
+    for size in (40, 400, 4000):
+        schedule = PollSchedule(LONGEST_WAIT_S)
+        schedule.region_size = lambda size=size: size
+        mean_s = fmean(schedule.check_interval_s() for _ in range(DRAWS))
+        assert abs(mean_s / size - 1) < RATE_TOLERANCE, (size, mean_s)
+
+
+@then('a node that knows no other waits at the log')
+def alone_waits(context: Any) -> None:
+    """Check a table that holds only its own node."""
+    assert is_log_reader(MemberTable(member('alone')))
