Recorder: a batch that exceeds the largest record no longer blocks the later ones

A batch held up to 2,000 decisions, whatever their size, and was sent again each 30 s, so the node stored no further decision. A batch that is too large is now halved. The test fails without it.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -35,3 +35,8 @@
 
   Scenario: Decisions that were recorded before targets could name rate limits can be replayed
     Then a decision whose candidates have no rate limit is replayed without a difference
+
+  Scenario: A batch of decisions that the log would refuse as too large does not hold back the later ones
+    Given a log that refuses records of more than 65536 bytes
+    When 2000 decisions that hardly compress are recorded and flushed
+    Then all of them are on the log, in a chain without a gap
--- a/packages/core/src/lavendermount_core/config/node.py
+++ b/packages/core/src/lavendermount_core/config/node.py
@@ -66,6 +66,9 @@
         low=1,
         high=10**8,
     )
+    record_bytes = opt.Integer(
+        262144, 'Largest record that the log accepts.', 'bytes', low=65536, high=10**9
+    )
 
 
 class TargetOptions(opt.Schema):
--- a/packages/node/src/lavendermountd/node.py
+++ b/packages/node/src/lavendermountd/node.py
@@ -132,6 +132,7 @@
             self.identity,
             self.platform_log,
             self.settings.recorder.buffer,
+            self.settings.log.record_bytes,
         )
         self.router = Router(
             self.selector,
--- a/packages/node/src/lavendermountd/recorder/recorder.py
+++ b/packages/node/src/lavendermountd/recorder/recorder.py
@@ -24,6 +24,8 @@
 log = logging.getLogger(__name__)
 
 MAX_BATCH_DECISIONS = 2000
+# Room in a record for the fields of a batch besides its rows.
+BATCH_HEAD_BYTES = 1024
 
 
 class Recorder:
@@ -32,6 +34,7 @@
     :param identity: identity of the node that makes the decisions.
     :param platform_log: log that the batches are appended to.
     :param max_buffered: maximum number of decisions kept while the log is down.
+    :param max_record_bytes: largest record that the log accepts.
     """
 
     def __init__(
@@ -39,12 +42,14 @@
         identity: Identity,
         platform_log: LogAdapter,
         max_buffered: int,
+        max_record_bytes: int,
     ) -> None:
         """Start with an empty buffer."""
         self.identity = identity
         self.platform_log = platform_log
         self.buffer: deque[bytes] = deque()
         self.max_buffered = max_buffered
+        self.max_rows_bytes = max_record_bytes - BATCH_HEAD_BYTES
         self.sequence = 0
         self.previous_digest = NO_PREVIOUS_DIGEST
         self.recorded = 0
@@ -102,12 +107,20 @@
         to an append is lost, the batch is on the log twice; readers skip the
         duplicate, which has the sequence number of the batch before it.
 
+        A batch that would exceed the largest record is halved: the log would refuse
+        it each time, and all later ones would wait behind it.
+
         Compression runs in a thread, because it would block the event loop
         and delay requests.
         """
         size = min(len(self.buffer), MAX_BATCH_DECISIONS)
         packed = [self.buffer.popleft() for _ in range(size)]
         rows = await asyncio.to_thread(compress_rows, packed)
+        while len(rows) > self.max_rows_bytes and len(packed) > 1:
+            middle = len(packed) // 2
+            self.buffer.extendleft(reversed(packed[middle:]))
+            packed = packed[:middle]
+            rows = await asyncio.to_thread(compress_rows, packed)
         batch = DecisionBatch(
             self.identity.node_id,
             self.identity.incarnation,
