--- a/packages/node/src/lavendermountd/routing/constraints.py
+++ b/packages/node/src/lavendermountd/routing/constraints.py
@@ -25,6 +25,9 @@
 # Refused attempts in other regions cost link bandwidth, so their number per
 # request is limited.
 MAX_OTHER_REGION_ATTEMPTS = 1
+# Each attempt sends the body over the link between regions. Under overload, more
+# attempts of requests that must go to another region would fill that link.
+MAX_ABROAD_ATTEMPTS = 2
 
 
 class ConstraintContext:
@@ -152,12 +155,12 @@
 def within_region_limit(context: ConstraintContext) -> Predicate | None:
     """Exclude other regions once the request has used up its attempts there.
 
-    A request that may not be served in the own region has no such limit.
+    A request that may not be served in the own region has more of them.
     """
-    if not context.is_same_region:
-        attempt_count = len(context.state.tried_nodes_in_other_regions)
-        if context.is_abroad or attempt_count < MAX_OTHER_REGION_ATTEMPTS:
-            return None
+    limit = MAX_ABROAD_ATTEMPTS if context.is_abroad else MAX_OTHER_REGION_ATTEMPTS
+    attempt_count = len(context.state.tried_nodes_in_other_regions)
+    if not context.is_same_region and attempt_count < limit:
+        return None
     view = context.view
     return lambda member: view.distance_to(member) != Distance.OTHER_REGION
 
