--- a/packages/core/src/lavendermount_core/config/preset.py
+++ b/packages/core/src/lavendermount_core/config/preset.py
@@ -225,12 +225,13 @@
         'ms/kB',
         high=1000,
     )
-    zone_cost_ms = opt.Number(
+    zone_cost_ratio = opt.Number(
         0,
-        'Expected time that must be saved for a request to leave its availability '
-        'zone; if set, targets of the own zone are compared first.',
-        'ms',
-        high=60000,
+        'Share of the time left until a reply is due that must be saved for a request '
+        'to leave its availability zone; if set, targets of the own zone are compared '
+        'first, and gossip stays in the zone.',
+        'share',
+        high=1,
     )
     probe_ms = opt.Integer(
         0,
--- a/packages/node/src/lavendermountd/presets/applier.py
+++ b/packages/node/src/lavendermountd/presets/applier.py
@@ -54,8 +54,8 @@
                 service.cold_per_s, service.warmup_ms / MS_PER_S
             )
             gate.limits.apply_cold_phase()
-        node.peer_server.is_zone_local = schema.choosing.zone_cost_ms > 0
-        node.gossip.is_zone_local = schema.choosing.zone_cost_ms > 0
+        node.peer_server.is_zone_local = schema.choosing.zone_cost_ratio > 0
+        node.gossip.is_zone_local = schema.choosing.zone_cost_ratio > 0
         node.target_monitor.probe_s = schema.choosing.probe_ms / MS_PER_S
         gate.suspects.configure(
             schema.suspects.victims,
--- a/packages/node/src/lavendermountd/routing/target_selector.py
+++ b/packages/node/src/lavendermountd/routing/target_selector.py
@@ -10,8 +10,10 @@
 from collections import defaultdict
 
 from lavendermount_core.models.members import Member
-from lavendermount_core.routing.candidates import DecisionInputs, Distance
+from lavendermount_core.routing.candidates import DecisionInputs, Distance, Tuning
 from lavendermount_core.routing.policies import decide
+from lavendermount_core.routing.tuning import with_zone_cost
+from lavendermount_core.utils.units import MS_PER_S
 from lavendermountd.membership.evacuations import EvacuationTable
 from lavendermountd.membership.table import MemberTable
 from lavendermountd.peer.backoff import NodeBackoff
@@ -89,7 +91,7 @@
         self.decision_counts[service] += 1
         inputs = DecisionInputs(
             state.preset.schema.choosing.policy,
-            state.preset.tuning,
+            _tuning_for(state, context.now),
             self.seed_generator.getrandbits(SEED_BITS),
             self.decision_counts[service],
             self.is_link_allowed(state),
@@ -162,3 +164,16 @@
         """Return whether the budget between regions covers the request's body."""
         self.link_bucket.refill()
         return self.link_bucket.tokens > len(state.request.body)
+
+
+def _tuning_for(state: RequestState, now: float) -> Tuning:
+    """Return the policy parameters, with the cost of leaving the zone if it has one.
+
+    Time that is left is of no use to the caller, so the less of it there is, the less
+    must be saved.
+    """
+    ratio = state.preset.schema.choosing.zone_cost_ratio
+    if not ratio:
+        return state.preset.tuning
+    left_s = max(0, (state.request.due or state.request.deadline) - now)
+    return with_zone_cost(state.preset.tuning, round(ratio * left_s * MS_PER_S, 1))
