--- a/packages/node/src/lavendermountd/membership/exchange.py
+++ b/packages/node/src/lavendermountd/membership/exchange.py
@@ -31,11 +31,12 @@
 from lavendermountd.membership.table import MemberTable
 from lavendermountd.membership.updates import BUCKETS, MAX_BUCKET_MEMBERS, UpdateQueue
 from lavendermountd.routing.budgets import MeasuringBudget, TokenBucket
-from lavendermountd.routing.load_view import LoadView
+from lavendermountd.routing.load_view import LoadView, ReportedLoad
 
 log = logging.getLogger(__name__)
 
 LOADS_PER_ROUND = 8
+DISTANT_LOADS_PER_ROUND = 3
 SUSPICIONS_PER_ROUND = 8
 MAX_LOAD_AGE_S = 5.0
 ESTIMATED_MEMBER_BYTES = 100
@@ -70,6 +71,8 @@
         self.evacuations = evacuations
         self.updates = UpdateQueue(table)
         self.is_remote_out_of_sync = False
+        # Whether traffic to other zones is kept low.
+        self.is_zone_local = False
         self.revision: Callable[[], int] = _no_revision
         self.on_revision: Callable[[Member, int], None] = _ignore_revision
         self.log_era: Callable[[], int] = _no_era
@@ -126,7 +129,9 @@
     def recent_loads(self) -> list[control_pb2.AgedLoad]:
         """Return the most recent load reports that this node holds.
 
-        That of its own target may be among them.
+        That of its own target may be among them. Where traffic to other zones is kept
+        low, few reports come from there; some of them are always included, so that
+        they spread in the zone.
         """
         now = time.monotonic()
         fresh = sorted(
@@ -137,11 +142,21 @@
             ),
             key=lambda reported: reported.reported_at,
         )
+        chosen = fresh[-LOADS_PER_ROUND:]
+        if self.is_zone_local:
+            distant = [reported for reported in fresh if self.is_distant(reported)]
+            chosen = chosen[DISTANT_LOADS_PER_ROUND:]
+            chosen.extend(distant[-DISTANT_LOADS_PER_ROUND:])
         return [
             load_message(reported.report, (now - reported.reported_at) * MS_PER_S)
-            for reported in fresh[-LOADS_PER_ROUND:]
+            for reported in chosen
         ]
 
+    def is_distant(self, reported: ReportedLoad) -> bool:
+        """Return whether a load report is of a target in another zone."""
+        member = self.table.find(reported.report.node_id)
+        return member is not None and member.zone != self.table.own.zone
+
     def merge(self, message: control_pb2.GossipRound) -> list[Member]:
         """Merge a received round.
 
--- a/packages/node/src/lavendermountd/presets/applier.py
+++ b/packages/node/src/lavendermountd/presets/applier.py
@@ -8,10 +8,13 @@
 from lavendermount_core.utils.units import MS_PER_S
 from lavendermountd.gate.admission import ClassRule
 from lavendermountd.presets.holder import InForcePreset
+from lavendermountd.routing.load_view import NEVER_S
 
 if TYPE_CHECKING:
     from lavendermountd.node import Node
 
+CLOSED_EXPIRY_S = 3.0
+
 
 class PresetApplier:
     """Configures the node with each preset that is put in force.
@@ -56,6 +59,11 @@
             gate.limits.apply_cold_phase()
         node.peer_server.is_zone_local = schema.choosing.zone_cost_ratio > 0
         node.gossip.is_zone_local = schema.choosing.zone_cost_ratio > 0
+        node.gossip.exchange.is_zone_local = schema.choosing.zone_cost_ratio > 0
+        # Reports of other zones are rare there, so a target may have opened again.
+        node.view.closed_expiry_s = (
+            CLOSED_EXPIRY_S if schema.choosing.zone_cost_ratio else NEVER_S
+        )
         node.target_monitor.probe_s = schema.choosing.probe_ms / MS_PER_S
         gate.suspects.configure(
             schema.suspects.victims,
--- a/packages/node/src/lavendermountd/routing/load_view.py
+++ b/packages/node/src/lavendermountd/routing/load_view.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 
 from lavendermount_core.models.loads import LoadReport
@@ -18,6 +19,7 @@
 # counts as warm.
 UNKNOWN_AGE_MS = 3_600_000
 UNKNOWN_WARM_MS = 3_600_000
+NEVER_S = math.inf
 
 
 class ReportedLoad:
@@ -41,13 +43,15 @@
     :param identity: identity of this node, with its region and zone.
     """
 
-    __slots__ = ('identity', 'loads', 'active_attempts')
+    __slots__ = ('identity', 'loads', 'active_attempts', 'closed_expiry_s')
 
     def __init__(self, identity: Identity) -> None:
         """Start without reports."""
         self.identity = identity
         self.loads: dict[str, ReportedLoad] = {}
         self.active_attempts: dict[str, dict[str, float]] = {}
+        # Age from which a report that a target is closed no longer counts.
+        self.closed_expiry_s = NEVER_S
 
     def take_report(self, report: LoadReport, age_ms: float = 0) -> bool:
         """Store a report if it is newer than the known one.
@@ -78,11 +82,16 @@
         self.active_attempts.get(node_id, {}).pop(attempt_id, None)
 
     def is_accepting(self, member: Member) -> bool:
-        """Return whether a target accepts new requests, as far as known."""
+        """Return whether a target accepts new requests, as far as known.
+
+        A closed gate refuses at once, so a target that may have opened again is tried.
+        """
         if not member.is_available:
             return False
         known = self.current_load(member)
-        return known is None or known.report.is_accepting
+        if known is None or known.report.is_accepting:
+            return True
+        return time.monotonic() - known.reported_at > self.closed_expiry_s
 
     def current_load(self, member: Member) -> ReportedLoad | None:
         """Return the newest report of a node if its incarnation is not outdated.
