--- a/features/membership.feature
+++ b/features/membership.feature
@@ -47,3 +47,12 @@
   Scenario: Regions whose nodes all start at the same moment find each other
     When four nodes of two regions read the members at the same moment, and know a seed of their region
     Then at least one of them knows all the others
+
+  Scenario: Where traffic between zones is kept low, a zone as a whole still probes others and learns their loads
+    Given a region of 2 zones with 20 nodes each, whose gossip stays in the zone
+    Then the nodes of a zone together probe about one member of the other zone in each round
+    And each of them probes all of its own zone
+    When a member of the other zone is suspected
+    Then they probe as many members there as in their own zone
+    And a round carries some reports of the other zone, however many newer ones there are
+    And a closed target of the other zone is tried again after 3 s
