Preset check: warnings, differences and JSON output

Warnings end with exit code 1, errors with 2 as before.

A finding about a table of the wrong type names the type instead of the value, because [tenant] in place of [[tenant]] showed the keys.

--- a/packages/client/src/lavendermount/__main__.py
+++ b/packages/client/src/lavendermount/__main__.py
@@ -1,8 +1,8 @@
 """Command line for operators; commands import their implementation lazily.
 
-:errors: exit codes: 0 success, 1 failure, 2 invalid input, 3 log or node
-    unreachable, 4 not accepted, 5 replay found differences, 6 not in force on
-    all nodes in time.
+:errors: exit codes: 0 success, 1 failure or warnings of a check, 2 invalid
+    input, 3 log or node unreachable, 4 not accepted, 5 replay found differences,
+    6 not in force on all nodes in time.
 """
 
 from __future__ import annotations
@@ -52,11 +52,23 @@
 
 @preset.command()
 @click.argument('files', nargs=-1, required=True, type=FILE_PATH)
-def check(files: tuple[Path, ...]) -> None:
-    """Check preset files and report every finding."""
+@click.option(
+    '--against',
+    metavar='FILE|in-force',
+    help='Version to compare with; in-force asks the log or else the node.',
+)
+@click.option('--json', 'is_json', is_flag=True, help='Print JSON.')
+@click.pass_obj
+def check(
+    context: CliContext, files: tuple[Path, ...], against: str | None, is_json: bool
+) -> None:
+    """Review preset files: errors, entries without effect, and differences."""
     from lavendermount.commands.check import check_presets
 
-    check_presets(files)
+    check_presets(context, files, against, is_json)
+
+
+cli.add_command(check)
 
 
 @preset.command()
--- a/packages/client/src/lavendermount/commands/listing.py
+++ b/packages/client/src/lavendermount/commands/listing.py
@@ -38,13 +38,13 @@
 
 def show_preset(context: CliContext, reference: str | None) -> None:
     """Print a preset; without a reference, the one in force."""
-    click.echo(asyncio.run(_read_body(context, reference)), nl=False)
+    click.echo(asyncio.run(read_body(context, reference)), nl=False)
 
 
 def diff_presets(context: CliContext, first: str, second: str | None) -> None:
     """Print a diff of two presets; the second defaults to the one in force."""
-    old = asyncio.run(_read_body(context, second))
-    new = asyncio.run(_read_body(context, first))
+    old = asyncio.run(read_body(context, second))
+    new = asyncio.run(read_body(context, first))
     lines = difflib.unified_diff(
         old.splitlines(keepends=True),
         new.splitlines(keepends=True),
@@ -95,7 +95,13 @@
     return stream
 
 
-async def _read_body(context: CliContext, reference: str | None) -> str:
+async def read_body(context: CliContext, reference: str | None) -> str:
+    """Read a preset from the log.
+
+    :param reference: ``NAME`` or ``NAME@VERSION``; ``None`` for the one in force.
+    :raises PresetNotAcceptedError: if there is no such preset.
+    :returns: its TOML source.
+    """
     stream = await _read_stream(context)
     assert stream.fold is not None
     if reference is not None:
--- a/packages/core/src/lavendermount_core/config/findings.py
+++ b/packages/core/src/lavendermount_core/config/findings.py
@@ -1,10 +1,13 @@
-"""Validation errors in settings and presets.
+"""Validation errors and warnings about settings and presets.
 
 :shapes: a finding is a location and an actionable message.
 """
 
 from __future__ import annotations
 
+SEVERITY_ERROR = 'error'
+SEVERITY_WARNING = 'warning'
+
 
 class Finding:
     """A validation error and its location.
@@ -23,3 +26,37 @@
     def __str__(self) -> str:
         """Format the finding as one line."""
         return f'{self.location}: {self.message}'
+
+
+class ReviewFinding(Finding):
+    """A finding with a severity, from the review of a preset.
+
+    :param severity: ``error`` if nodes reject the preset, else ``warning``.
+    :param location: file and key path.
+    :param message: what is wrong.
+    :param expected: what is expected; empty if the message says it.
+    """
+
+    __slots__ = ('severity', 'expected')
+
+    def __init__(
+        self, severity: str, location: str, message: str, expected: str = ''
+    ) -> None:
+        """Initialize the fields."""
+        super().__init__(location, message)
+        self.severity = severity
+        self.expected = expected
+
+    def __str__(self) -> str:
+        """Format the finding as one line."""
+        suffix = f'; expected: {self.expected}' if self.expected else ''
+        return f'{self.severity}: {super().__str__()}{suffix}'
+
+    def to_row(self) -> dict[str, str]:
+        """Return the fields for JSON."""
+        return {
+            'severity': self.severity,
+            'place': self.location,
+            'message': self.message,
+            'expected': self.expected,
+        }
--- a/packages/core/src/lavendermount_core/config/options.py
+++ b/packages/core/src/lavendermount_core/config/options.py
@@ -233,7 +233,7 @@
         """Validate that the value is a table."""
         if isinstance(raw, Mapping):
             return raw, []
-        return {}, [Finding(location, f'must be a table, not {raw!r}')]
+        return {}, [Finding(location, f'must be a table, not {_type_name(raw)}')]
 
 
 class Table(Option[TableSchema]):
@@ -272,7 +272,9 @@
     def check_value(self, raw: Any, location: str) -> tuple[Any, list[Finding]]:
         """Validate each table; findings contain its index."""
         if not isinstance(raw, list):
-            return [], [Finding(location, f'must be a list of tables, not {raw!r}')]
+            return [], [
+                Finding(location, f'must be a list of tables, not {_type_name(raw)}')
+            ]
         tables = []
         findings: list[Finding] = []
         for index, row in enumerate(raw):
@@ -312,7 +314,9 @@
         :returns: the validated table and all findings in it.
         """
         if not isinstance(raw, Mapping):
-            return cls({}), [Finding(location, f'must be a table, not {raw!r}')]
+            return cls({}), [
+                Finding(location, f'must be a table, not {_type_name(raw)}')
+            ]
         options = cls.options()
         findings = _unknown_keys(raw, options, location)
         checked = {}
@@ -348,6 +352,11 @@
     return f'{location}.{key}'
 
 
+def _type_name(raw: Any) -> str:
+    # A table may hold keys of tenants, so findings show its type only.
+    return 'a table' if isinstance(raw, Mapping) else type(raw).__name__
+
+
 def _unknown_keys(
     raw: Mapping[str, Any],
     options: Mapping[str, Option[Any]],
--- a/packages/core/src/lavendermount_core/exceptions.py
+++ b/packages/core/src/lavendermount_core/exceptions.py
@@ -33,6 +33,17 @@
         self.findings = tuple(findings)
 
 
+class PresetWarningsError(LavendermountError):
+    """The review of a preset found warnings but no errors.
+
+    :param findings: the warnings.
+    """
+
+    def __init__(self, findings: Sequence[Finding]) -> None:
+        """Join the findings into a message with one line per finding."""
+        super().__init__('\n'.join(str(finding) for finding in findings))
+
+
 class LogUnavailableError(LavendermountError):
     """The platform's log did not respond to a request, or refused it."""
 
