Recorder: a flush no longer chases the decisions that are added meanwhile

A flush went on until the buffer was empty, and under load a decision was added during each append. It now stops after those that were buffered at its start. The test fails without it (4 appends in place of 1).

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -40,3 +40,10 @@
     Given a log that refuses records of more than 65536 bytes
     When 2000 decisions that hardly compress are recorded and flushed
     Then all of them are on the log, in a chain without a gap
+
+  Scenario: Decisions that are recorded during a flush don't cost an append each
+    Given a log that records a decision during each append
+    When 10 decisions are recorded and flushed
+    Then the log got one append
+    When the decisions that were added meanwhile are flushed
+    Then all of them are on the log, in a chain without a gap
--- a/features/steps/recorder_steps.py
+++ b/features/steps/recorder_steps.py
@@ -18,6 +18,8 @@
 from lavendermountd.recorder.recorder import Recorder
 
 MAX_BUFFERED = 20_000
+MAX_RECORD_BYTES = 262_144
+MAX_ADDED = 3
 
 
 class StrictLog:
@@ -89,3 +91,53 @@
     assert [batch.sequence for batch in batches] == list(range(len(batches)))
     for previous, batch in itertools.pairwise(batches):
         assert batch.previous == previous.digest()
+
+
+class BusyLog(StrictLog):
+    """A log whose node records another decision while it appends a batch."""
+
+    recorder: Recorder
+
+    def __init__(self, context: Any) -> None:
+        """Accept records of any size."""
+        super().__init__(MAX_RECORD_BYTES)
+        self.context = context
+        self.added = 0
+
+    async def append(self, stream: str, body: bytes) -> int:
+        """Append a record, and record one more decision."""
+        if self.added < MAX_ADDED:
+            self.recorder.add(decision(self.context.recorded_count + self.added))
+            self.added += 1
+        return await super().append(stream, body)
+
+
+@given('a log that records a decision during each append')
+def busy_log(context: Any) -> None:
+    """Build the log and its recorder."""
+    context.strict_log = BusyLog(context)
+    identity = Identity(load_text(NodeSchema, NODE_SETTINGS, 'test'))
+    context.recorder = Recorder(
+        identity, context.strict_log, MAX_BUFFERED, MAX_RECORD_BYTES
+    )
+    context.strict_log.recorder = context.recorder
+
+
+@when('{count:d} decisions are recorded and flushed')
+def record_some(context: Any, count: int) -> None:
+    """Record the decisions and flush once."""
+    record_and_flush(context, count)
+
+
+@then('the log got one append')
+def one_append(context: Any) -> None:
+    """Count the records."""
+    assert len(context.strict_log.records) == 1, len(context.strict_log.records)
+
+
+@when('the decisions that were added meanwhile are flushed')
+def flush_rest(context: Any) -> None:
+    """Flush until nothing is left."""
+    while context.recorder.buffer:
+        context.is_flushed = asyncio.run(context.recorder.flush())
+    context.recorded_count += context.strict_log.added
--- a/packages/node/src/lavendermountd/recorder/recorder.py
+++ b/packages/node/src/lavendermountd/recorder/recorder.py
@@ -53,6 +53,8 @@
         self.sequence = 0
         self.previous_digest = NO_PREVIOUS_DIGEST
         self.recorded = 0
+        # Decisions that were taken from the buffer into batches.
+        self.taken = 0
         self.dropped = 0
         self.reported_dropped = 0
         self.pending_batch: DecisionBatch | None = None
@@ -73,19 +75,34 @@
             await self.flush()
 
     async def flush(self) -> bool:
-        """Append all buffered decisions to the log.
+        """Append the decisions that are buffered now to the log.
 
-        :returns: whether the buffer is empty; ``False`` while the log is down.
+        Those that are added meanwhile wait for the next flush. Under load there is
+        always one, and each would cost an append of its own.
+
+        :returns: whether the log accepted them; ``False`` while it is down.
         """
         async with self.lock:
-            while self.pending_batch or self.buffer:
-                if self.pending_batch is None:
-                    self.pending_batch = await self.take_batch()
-                if not await self.try_append(self.pending_batch):
+            if self.pending_batch is not None and not await self.append_pending():
+                return False
+            last_number = self.taken + len(self.buffer)
+            while self.buffer and self.taken < last_number:
+                self.pending_batch = await self.take_batch()
+                if not await self.append_pending():
                     return False
-                self.pending_batch = None
             return True
 
+    async def append_pending(self) -> bool:
+        """Append the batch that is due.
+
+        :returns: whether the log accepted it.
+        """
+        assert self.pending_batch is not None
+        if not await self.try_append(self.pending_batch):
+            return False
+        self.pending_batch = None
+        return True
+
     async def try_append(self, batch: DecisionBatch) -> bool:
         """Append a batch to the log, marked with the current era of the log.
 
@@ -121,6 +138,7 @@
             self.buffer.extendleft(reversed(packed[middle:]))
             packed = packed[:middle]
             rows = await asyncio.to_thread(compress_rows, packed)
+        self.taken += len(packed)
         batch = DecisionBatch(
             self.identity.node_id,
             self.identity.incarnation,
