Gate: fair shares among the tenants of a class

Requests of one class and priority are queued by tenant and served by deficit round robin, weighted by the run times measured for each tenant. The priority of a tenant replaces that of the class. A full queue gives the place of the tenant with the most requests to one with fewer. Without tenants the order is unchanged.

--- a/packages/node/src/lavendermountd/gate/admission.py
+++ b/packages/node/src/lavendermountd/gate/admission.py
@@ -5,53 +5,15 @@
 
 from __future__ import annotations
 
-import asyncio
-import heapq
 from collections import defaultdict
-from itertools import count
 
 from lavendermount_core.config.preset import ClassOptions
+from lavendermountd.gate.fair_queue import FairQueue
 from lavendermountd.gate.rate_limit import RateLimit
+from lavendermountd.gate.ticket import Ticket
 
-
-class Ticket:
-    """A request that asks for a slot.
-
-    :param call_class: name of the request's class.
-    :param deadline: time after which a reply is useless to the caller.
-    :param is_exclusive: whether the request must run alone on the target.
-    :param patience_s: longest wait for a slot while another target may accept
-        the request; 0 to wait until the deadline.
-    """
-
-    __slots__ = (
-        'call_class',
-        'deadline',
-        'is_exclusive',
-        'patience_s',
-        'is_removed',
-        'slot_granted',
-    )
-
-    def __init__(
-        self,
-        call_class: str,
-        deadline: float,
-        is_exclusive: bool = False,
-        patience_s: float = 0,
-    ) -> None:
-        """Create a ticket that is not queued."""
-        self.call_class = call_class
-        self.deadline = deadline
-        self.is_exclusive = is_exclusive
-        self.patience_s = patience_s
-        self.is_removed = False
-        # Set to ``True`` once the queued request holds a slot, or to ``False`` if it
-        # is refused.
-        self.slot_granted: asyncio.Future[bool] | None = None
-
-
-HeapEntry = tuple[float, int, Ticket]
+# Class of queued requests, and their priority if it is not that of the class.
+LaneKey = tuple[str, int | None]
 
 
 class ClassRule:
@@ -98,8 +60,9 @@
 class Admission:
     """Assigns the target's slots and queues requests that find none free.
 
-    Classes are served in order of priority. Within a class, the request with
-    the earliest deadline is served first.
+    Requests are queued in lanes, one for each class and priority. Lanes are served in
+    order of priority. Within a lane, tenants are served in turn, and of one tenant
+    the request with the earliest deadline is served first.
 
     :param slots: requests the target processes concurrently.
     """
@@ -111,9 +74,9 @@
         'reserving_rules',
         'priorities',
         'running_by_class',
-        'waiting',
+        'lanes',
+        'queued_by_class',
         'exclusive',
-        'tie_breaker',
     )
 
     def __init__(self, slots: int) -> None:
@@ -124,9 +87,9 @@
         self.reserving_rules: list[ClassRule] = []
         self.priorities: dict[str, int] = {}
         self.running_by_class: dict[str, int] = defaultdict(int)
-        self.waiting: dict[str, list[HeapEntry]] = {}
+        self.lanes: dict[LaneKey, FairQueue] = {}
+        self.queued_by_class: dict[str, int] = defaultdict(int)
         self.exclusive: Ticket | None = None
-        self.tie_breaker = count()
 
     @property
     def in_flight(self) -> int:
@@ -136,20 +99,23 @@
     @property
     def queued(self) -> int:
         """Number of requests that wait for a slot."""
-        return sum(self.queued_in_class(name) for name in self.waiting)
+        return sum(self.queued_by_class.values())
 
-    def queued_in_class(self, call_class: str) -> int:
-        """Count the queued requests of one class."""
-        heap = self.waiting.get(call_class, ())
-        return sum(1 for entry in heap if not entry[2].is_removed)
+    def queued_ahead_of(self, ticket: Ticket) -> int:
+        """Count the queued requests that are served before a new one.
 
-    def queued_ahead_of(self, call_class: str) -> int:
-        """Count the queued requests that are served before a new one of a class."""
-        priority = self.rule_of(call_class).priority
-        return sum(
-            self.queued_in_class(name)
-            for name in self.waiting
-            if self.rule_of(name).priority <= priority
+        :param ticket: a request that is not queued.
+        """
+        own_key = lane_key(ticket)
+        own_priority = self.priority_of(own_key)
+        ahead = sum(
+            len(lane)
+            for key, lane in self.lanes.items()
+            if key != own_key and self.priority_of(key) <= own_priority
+        )
+        own_lane = self.lanes.get(own_key)
+        return (
+            ahead if own_lane is None else ahead + own_lane.ahead_of_new(ticket.tenant)
         )
 
     def replace_rules(self, rules: list[ClassRule]) -> None:
@@ -207,8 +173,8 @@
         return True
 
     def is_exclusive_waiting(self) -> bool:
-        """Whether the first queued request of any class is exclusive."""
-        heads = (self.first_waiting(name) for name in self.waiting)
+        """Whether the first queued request of any lane is exclusive."""
+        heads = (lane.first() for lane in self.lanes.values())
         return any(head is not None and head.is_exclusive for head in heads)
 
     def occupy(self, ticket: Ticket) -> None:
@@ -218,22 +184,65 @@
         if ticket.is_exclusive:
             self.exclusive = ticket
 
+    def is_full_for(self, ticket: Ticket) -> bool:
+        """Whether the queue of the class has no place for another request."""
+        name = ticket.call_class
+        return self.queued_by_class.get(name, 0) >= self.rule_of(name).queue_limit
+
     def enqueue(self, ticket: Ticket) -> bool:
-        """Add a request to the queue of its class unless the queue is full.
+        """Add a request to the queue unless that of its class is full.
 
         :param ticket: a request that found no free slot.
         :returns: whether the request was queued.
         """
-        name = ticket.call_class
-        if self.queued_in_class(name) >= self.rule_of(name).queue_limit:
+        if self.is_full_for(ticket):
             return False
-        heap = self.waiting.setdefault(name, [])
-        heapq.heappush(heap, (ticket.deadline, next(self.tie_breaker), ticket))
+        self.lanes.setdefault(lane_key(ticket), FairQueue()).add(ticket)
+        self.queued_by_class[ticket.call_class] += 1
         return True
 
+    def displace_for(self, ticket: Ticket) -> Ticket | None:
+        """Remove a queued request that must give its place to a new one.
+
+        It belongs to the same class and has a lower priority, or to a tenant that
+        has at least two more queued requests: that tenant would otherwise keep the
+        others out of a full queue.
+
+        :param ticket: a request for whose class the queue is full.
+        :returns: the removed request; ``None`` if there is none.
+        """
+        own_key = lane_key(ticket)
+        last_key = max(
+            (key for key in self.lanes if key[0] == ticket.call_class),
+            key=self.sort_key_of,
+            default=own_key,
+        )
+        lane = self.lanes.get(last_key)
+        if lane is None or self.priority_of(last_key) < self.priority_of(own_key):
+            return None
+        is_lower = self.priority_of(last_key) > self.priority_of(own_key)
+        if not is_lower and lane.longest < lane.length_of(ticket.tenant) + 2:
+            return None
+        victim = lane.last_of_longest()
+        if victim is not None:
+            self.remove(victim)
+        return victim
+
     def remove(self, ticket: Ticket) -> None:
         """Remove a request from the queue before it got a slot."""
         ticket.is_removed = True
+        key = lane_key(ticket)
+        lane = self.lanes.get(key)
+        if lane is not None and lane.remove(ticket):
+            self.record_dequeued(key, lane)
+
+    def record_dequeued(self, key: LaneKey, lane: FairQueue) -> None:
+        """Count a request that has left a lane, and drop an empty lane."""
+        self.queued_by_class[key[0]] -= 1
+        if not self.queued_by_class[key[0]]:
+            self.queued_by_class.pop(key[0])
+        if not lane:
+            self.lanes.pop(key)
 
     def remove_waiting(self, is_limited_wait_only: bool = False) -> list[Ticket]:
         """Remove queued requests.
@@ -242,11 +251,11 @@
             until their deadline.
         :returns: the removed requests.
         """
-        entries = [entry for heap in self.waiting.values() for entry in heap]
         removed = [
             ticket
-            for _, _, ticket in entries
-            if not ticket.is_removed and (ticket.patience_s or not is_limited_wait_only)
+            for lane in self.lanes.values()
+            for ticket in lane
+            if ticket.patience_s or not is_limited_wait_only
         ]
         for ticket in removed:
             self.remove(ticket)
@@ -279,27 +288,36 @@
     def pop_next(self) -> Ticket | None:
         """Remove and return the next queued request that may take a slot.
 
-        An exclusive request that has to wait blocks all classes after its own,
+        An exclusive request that has to wait blocks all lanes after its own,
         because it can start only once every slot is free.
         """
-        for name in sorted(self.waiting, key=self.sort_key_of):
-            head = self.first_waiting(name)
+        for key in self.lanes_in_order():
+            lane = self.lanes[key]
+            head = lane.first()
             if head is None:
                 continue
             if self.has_room(head):
-                heapq.heappop(self.waiting[name])
+                lane.pop_first()
+                self.record_dequeued(key, lane)
                 return head
             if head.is_exclusive:
                 return None
         return None
 
-    def sort_key_of(self, call_class: str) -> tuple[int, str]:
-        """Sort key that orders classes by priority, then by name."""
-        return self.rule_of(call_class).priority, call_class
+    def lanes_in_order(self) -> list[LaneKey]:
+        """List the lanes that have queued requests; the first is served first."""
+        return sorted(self.lanes, key=self.sort_key_of)
+
+    def sort_key_of(self, key: LaneKey) -> tuple[int, str]:
+        """Sort key that orders lanes by priority, then by the name of the class."""
+        return self.priority_of(key), key[0]
+
+    def priority_of(self, key: LaneKey) -> int:
+        """Return the priority of a lane."""
+        name, priority = key
+        return self.rule_of(name).priority if priority is None else priority
+
 
-    def first_waiting(self, call_class: str) -> Ticket | None:
-        """Return the first queued request of a class, dropping removed ones."""
-        heap = self.waiting[call_class]
-        while heap and heap[0][2].is_removed:
-            heapq.heappop(heap)
-        return heap[0][2] if heap else None
+def lane_key(ticket: Ticket) -> LaneKey:
+    """Return the key of the lane that a request waits in."""
+    return ticket.call_class, ticket.priority
--- a/packages/node/src/lavendermountd/gate/gate.py
+++ b/packages/node/src/lavendermountd/gate/gate.py
@@ -27,7 +27,7 @@
 from lavendermount_core.models.loads import LoadReport
 from lavendermount_core.utils.units import MS_PER_S
 from lavendermountd.dialects.base import Dialect, ReplyMetadata, TargetLoad
-from lavendermountd.gate.admission import Admission, Ticket
+from lavendermountd.gate.admission import Admission
 from lavendermountd.gate.attempt_table import (
     ID_RETENTION_S,
     AttemptTable,
@@ -162,13 +162,9 @@
         refusal = self.refusal_before_queue(attempt)
         if refusal is not None:
             return Failure(refusal)
-        request = attempt.request
         verdict = self.suspects.verdict(attempt.fingerprint)
-        ticket = Ticket(
-            request.call_class.name,
-            self.queue.effective_deadline(request),
-            verdict == Verdict.EXCLUSIVE,
-            attempt.patience_s,
+        ticket = self.queue.tickets.build(
+            attempt.request, verdict == Verdict.EXCLUSIVE, attempt.patience_s
         )
         refusal = await self.queue.acquire_slot(ticket)
         if refusal is not None:
@@ -280,22 +276,23 @@
         """Record that a request has ended at the target."""
         now = time.monotonic()
         self.target.end(attempt.attempt_id, now)
-        self.queue.class_times.add(
-            attempt.request.call_class.name, now - started_at, now
-        )
+        self.queue.tickets.record_end(attempt.request.call_class, now - started_at, now)
 
     def update_concurrency_limit(
         self, attempt: Attempt, started_at: float, in_flight: int
     ) -> None:
-        """Update the concurrency limit with the run time of a completed request.
+        """Update run times and the concurrency limit with a completed request.
 
-        Requests that ran while the target's VM was slow are not counted.
+        For the limit, requests that ran while the target's VM was slow are not counted.
         """
+        call_class = attempt.request.call_class
+        ran_s = time.monotonic() - started_at
+        self.queue.tickets.record_completed(call_class, ran_s)
         if self.target.is_slow or self.target.last_above_normal_at > started_at:
             return
-        ran_ms = (time.monotonic() - started_at) * MS_PER_S
-        name = attempt.request.call_class.name
-        self.concurrency_limit.observe(name, in_flight, self.target.slots, ran_ms)
+        self.concurrency_limit.observe(
+            call_class.name, in_flight, self.target.slots, ran_s * MS_PER_S
+        )
         self.queue.set_slots(self.concurrency_limit.slots_to_use(self.target.slots))
 
     def refusal_from(self, metadata: ReplyMetadata) -> Refusal | None:
--- a/packages/node/src/lavendermountd/gate/queue.py
+++ b/packages/node/src/lavendermountd/gate/queue.py
@@ -15,16 +15,16 @@
 import time
 
 from lavendermount_core.models.calls import (
-    CallRequest,
     Reason,
     Refusal,
     not_run_refusal,
 )
 from lavendermount_core.utils.units import MS_PER_S
-from lavendermountd.gate.admission import Admission, Ticket
+from lavendermountd.gate.admission import Admission
 from lavendermountd.gate.rate_limit import NAMED, RateLimit
 from lavendermountd.gate.target import Target
-from lavendermountd.gate.urgency import ClassServiceTime
+from lavendermountd.gate.ticket import Ticket
+from lavendermountd.gate.ticket_builder import TicketBuilder
 
 MIN_RETRY_AFTER_S = 0.05
 # Largest random part of the retry delay, as a share of the time to drain the queue.
@@ -41,7 +41,7 @@
     __slots__ = (
         'target',
         'admission',
-        'class_times',
+        'tickets',
         'is_closed',
         'is_evacuated',
         'token_timer',
@@ -51,7 +51,7 @@
         """Create a queue without slots."""
         self.target = target
         self.admission = Admission(0)
-        self.class_times = ClassServiceTime()
+        self.tickets = TicketBuilder(self.admission)
         self.is_closed = False
         self.is_evacuated = False
         self.token_timer: asyncio.TimerHandle | None = None
@@ -61,20 +61,6 @@
         """Rate limit of the target."""
         return self.admission.rate_limit
 
-    def effective_deadline(self, request: CallRequest) -> float:
-        """Return the time by which a request must be answered to get a slot.
-
-        That is its due time, or its deadline if it has no due time or belongs to
-        the most urgent class.
-        """
-        is_urgent = self.class_times.is_most_urgent(
-            request.call_class.name,
-            self.admission.priorities,
-        )
-        if is_urgent or not request.due:
-            return request.deadline
-        return request.due
-
     async def acquire_slot(self, ticket: Ticket) -> Refusal | None:
         """Take a slot, waiting in the queue if necessary.
 
@@ -89,7 +75,7 @@
             return self.refuse(
                 Reason.DEADLINE, 'the queue is too long to answer in time'
             )
-        if not self.admission.enqueue(ticket):
+        if not self.enqueue(ticket):
             return self.refuse(Reason.QUEUE_FULL, 'the queue of the class is full')
         ticket.slot_granted = asyncio.get_running_loop().create_future()
         self.wait_for_token()
@@ -106,7 +92,18 @@
         except asyncio.CancelledError:
             self.cancel_wait(ticket)
             raise
-        return None if has_slot else self.refuse_removed()
+        return None if has_slot else self.refuse_removed(ticket)
+
+    def enqueue(self, ticket: Ticket) -> bool:
+        """Add a request to the queue, if necessary in the place of another one.
+
+        :returns: whether the request was queued.
+        """
+        if self.admission.is_full_for(ticket):
+            victim = self.admission.displace_for(ticket)
+            if victim is not None:
+                self.notify_removed([victim], is_displaced=True)
+        return self.admission.enqueue(ticket)
 
     def try_start(self, ticket: Ticket) -> bool:
         """Take a slot at once if there is one for the request.
@@ -119,7 +116,7 @@
 
     def is_too_busy(self, ticket: Ticket) -> bool:
         """Whether the target is slow or the expected wait exceeds ``patience_s``."""
-        position = self.admission.queued_ahead_of(ticket.call_class) + 1
+        position = self.admission.queued_ahead_of(ticket) + 1
         return (
             self.target.is_slow or self.estimated_time_s(position) > ticket.patience_s
         )
@@ -129,7 +126,7 @@
 
         With n slots, a slot is expected to become free every ``service_ms / n``.
         """
-        position = self.admission.queued_ahead_of(ticket.call_class) + 1
+        position = self.admission.queued_ahead_of(ticket) + 1
         needed_s = self.estimated_time_s(position) + self.target.service_ms / MS_PER_S
         return time.monotonic() + needed_s > ticket.deadline
 
@@ -194,14 +191,16 @@
         jitter = 1 + random.random() * MAX_JITTER_SHARE
         return not_run_refusal(reason, detail, drain_s * jitter)
 
-    def refuse_removed(self) -> Refusal:
+    def refuse_removed(self, ticket: Ticket) -> Refusal:
         """Build the refusal of a queued request that was removed from the queue.
 
-        The target is draining or down, its zone was evacuated, its node is stopping,
-        or its VM became slow.
+        Another request took its place, the target is draining or down, its zone was
+        evacuated, its node is stopping, or its VM became slow.
         """
         if self.is_evacuated:
             return self.refuse_evacuated()
+        if ticket.is_displaced:
+            return self.refuse(Reason.QUEUE_FULL, 'another request took its place')
         if self.target.is_accepting and not self.is_closed:
             return self.refuse(Reason.BUSY, 'the VM of the target became slow')
         return self.refuse_draining()
@@ -222,7 +221,15 @@
         :param is_limited_wait_only: whether to keep the requests that may wait
             until their deadline.
         """
-        for ticket in self.admission.remove_waiting(is_limited_wait_only):
+        self.notify_removed(self.admission.remove_waiting(is_limited_wait_only))
+
+    def notify_removed(self, tickets: list[Ticket], is_displaced: bool = False) -> None:
+        """Tell requests that they were removed from the queue.
+
+        :param is_displaced: whether other requests took their places.
+        """
+        for ticket in tickets:
+            ticket.is_displaced = is_displaced
             if ticket.slot_granted is not None and not ticket.slot_granted.done():
                 ticket.slot_granted.set_result(False)
 
--- a/packages/node/src/lavendermountd/gate/urgency.py
+++ b/packages/node/src/lavendermountd/gate/urgency.py
@@ -42,7 +42,12 @@
         self.decayed_at = now
         self.spent_s[call_class] += ran_s
 
-    def is_most_urgent(self, call_class: str, priorities: dict[str, int]) -> bool:
+    def is_most_urgent(
+        self,
+        call_class: str,
+        priorities: dict[str, int],
+        own_priority: int | None = None,
+    ) -> bool:
         """Whether no class with a relevant share of the run time has a higher priority.
 
         A share is relevant from ``MIN_RUN_TIME_SHARE`` on. A class without a rule is
@@ -50,9 +55,11 @@
 
         :param call_class: name of the class.
         :param priorities: priority by class; a lower number is served first.
+        :param own_priority: priority of the request instead of that of its class;
+            ``None`` for that of the class.
         """
         min_s = MIN_RUN_TIME_SHARE * sum(self.spent_s.values())
-        priority = priorities.get(call_class)
+        priority = priorities.get(call_class) if own_priority is None else own_priority
         if priority is None:
             return False
         return all(
--- a/packages/node/src/lavendermountd/presets/applier.py
+++ b/packages/node/src/lavendermountd/presets/applier.py
@@ -43,6 +43,7 @@
         schema = preset.schema
         rules = [ClassRule.from_options(entry) for entry in schema.class_]
         gate.admission.replace_rules(rules)
+        gate.queue.tickets.has_tenants = bool(schema.tenant)
         gate.client.max_connections = schema.limits.connections
         service = preset.services.get(node.settings.origin)
         if service is not None:
