Gate: order by the cost of delay, if the preset asks for it

With overload.order = "cost", one function of priority, due time, deadline, idempotency and measured run times orders the queue, admits, displaces and refuses. Requests that can no longer be answered in time are refused at once. Retry-After names the time at which there is room for the class again. Today's order stays the default.

--- a/features/overload_play.py
+++ b/features/overload_play.py
@@ -29,7 +29,7 @@
 # which time.
 RETRIES = 3
 RETRY_AFTER_S = 0.01
-MAX_RUN_FACTOR = 4
+MAX_WORK_FACTOR = 4
 
 
 class Flow:
@@ -37,6 +37,7 @@
 
     def __init__(self, call_class: str, per_s: float, **options: Any) -> None:
         """Set the rate; options replace the defaults below."""
+        self.name = f'{call_class} {options}'
         self.call_class = call_class
         self.per_s = per_s
         self.tenant = 'default'
@@ -46,11 +47,26 @@
         self.deadline_s = 4.0
         self.begins_s = 0.0
         self.ends_s = 1e9
+        self.is_repeatable = True
+        # Whether callers retry at once, or after the time that a refusal names.
         self.is_impatient = False
+        self.is_returning = False
         for name, option in options.items():
             setattr(self, name, option)
 
 
+class PlayedRefusal:
+    """A refusal, and when its request arrived and was refused."""
+
+    def __init__(self, flow: Flow, arrived_at: float, refusal: Refusal) -> None:
+        """Store the refusal of a request that is refused now."""
+        self.flow = flow
+        self.refused_at = time.monotonic()
+        self.waited_s = self.refused_at - arrived_at
+        self.refusal = refusal
+        self.retry_after_s = refusal.retry_after_s
+
+
 class Play:
     """One load against one target; outcomes by flow and by second."""
 
@@ -65,17 +81,20 @@
         self.rules = rules
         self.flows = flows
         self.order = order
-        self.rng = random.Random(seed)
-        self.outcomes: dict[Flow, Counter[str]] = defaultdict(Counter)
-        self.in_time_by_second: dict[Flow, Counter[int]] = defaultdict(Counter)
-        self.refusals: list[tuple[Flow, float, Refusal]] = []
-        self.starts: list[tuple[float, Flow, bool]] = []
+        self.seed = seed
+        # Each flow has its own generators, so that all orders get the same requests.
+        self.arrivals = {flow: random.Random(f'{seed} {flow.name}') for flow in flows}
+        self.works = {flow: random.Random(f'{flow.name} {seed}') for flow in flows}
+        # Outcomes of each flow by the second in which its requests were first sent.
+        self.outcomes: dict[Flow, Counter[tuple[str, int]]] = defaultdict(Counter)
+        self.refusals: list[PlayedRefusal] = []
+        self.starts: list[Flow] = []
         self.longest_queue = 0
 
     def run(self, seconds: float, has_tenants: bool = True) -> Play:
         """Play the load for some simulated seconds."""
         state = random.getstate()
-        random.seed(self.rng.random())
+        random.seed(self.seed)
         with SimulatedTime() as simulated:
             simulated.run(self.play(seconds, has_tenants))
         random.setstate(state)
@@ -89,6 +108,7 @@
         self.queue = SlotQueue(target)
         self.queue.admission.replace_rules(self.rules)
         self.queue.tickets.has_tenants = has_tenants
+        self.queue.set_order(self.order)
         self.queue.set_slots(SLOTS)
         self.began_at = time.monotonic()
         self.seconds = seconds
@@ -101,59 +121,94 @@
         ends_at = self.began_at + min(self.seconds, flow.ends_s)
         while time.monotonic() < ends_at:
             tasks.append(asyncio.create_task(self.call(flow)))
-            await asyncio.sleep(self.rng.expovariate(flow.per_s))
+            await asyncio.sleep(self.arrivals[flow].expovariate(flow.per_s))
         await asyncio.gather(*tasks)
 
     async def call(self, flow: Flow) -> None:
         """Send a request, again and again if its caller is impatient."""
-        self.outcomes[flow][SENT] += 1
+        second = int(time.monotonic() - self.began_at)
+        self.outcomes[flow][SENT, second] += 1
+        work_factor = min(self.works[flow].expovariate(1), MAX_WORK_FACTOR)
+        work_s = flow.work_s * (1 + work_factor) / 2
         outcome = REFUSED
-        for _ in range(1 + RETRIES * flow.is_impatient):
-            outcome = await self.attempt(flow)
+        retries = RETRIES * (flow.is_impatient or flow.is_returning)
+        for _ in range(1 + retries):
+            outcome = await self.attempt(flow, work_s)
             if outcome != REFUSED:
                 break
-            await asyncio.sleep(RETRY_AFTER_S)
-        self.outcomes[flow][outcome] += 1
+            advised_s = self.refusals[-1].retry_after_s
+            await asyncio.sleep(advised_s if flow.is_returning else RETRY_AFTER_S)
+        self.outcomes[flow][outcome, second] += 1
 
-    async def attempt(self, flow: Flow) -> str:
+    async def attempt(self, flow: Flow, work_s: float) -> str:
         """Pass one request through the queue and run it."""
         queue = self.queue
         now = time.monotonic()
         request = call_request(call_class=flow.call_class)
         request.call_class.tenant = flow.tenant
         request.call_class.priority = flow.priority
+        request.call_class.is_repeatable = flow.is_repeatable
         request.deadline = now + flow.deadline_s
         request.due = now + flow.due_s
         ticket = queue.tickets.build(request, False, 0)
         refusal = await queue.acquire_slot(ticket)
         self.longest_queue = max(self.longest_queue, queue.admission.queued)
         if refusal is not None:
-            self.refusals.append((flow, time.monotonic(), refusal))
+            self.refusals.append(PlayedRefusal(flow, now, refusal))
             return REFUSED
         started_at = time.monotonic()
-        self.starts.append((started_at, flow, ticket.slot_granted is not None))
-        run_s = flow.work_s * min(self.rng.expovariate(1), MAX_RUN_FACTOR)
-        await asyncio.sleep(flow.work_s / 2 + run_s / 2)
+        self.starts.append(flow)
+        await asyncio.sleep(work_s)
         ended_at = time.monotonic()
         self.target.observe((ended_at - started_at) * 1000, is_failure=False)
         queue.tickets.record_end(request.call_class, ended_at - started_at, ended_at)
         queue.tickets.record_completed(request.call_class, ended_at - started_at)
         queue.release_slot(ticket, is_sent=True)
-        if ended_at > request.due:
-            return LATE
-        self.in_time_by_second[flow][int(ended_at - self.began_at)] += 1
-        return IN_TIME
+        return LATE if ended_at > request.due else IN_TIME
 
-    def share(self, flow: Flow) -> float:
-        """Return the share of a flow's requests that were answered in time."""
+    def count(self, flow: Flow, outcome: str, since_s: int, until_s: int) -> int:
+        """Count the requests that were sent in a part of the play."""
         counts = self.outcomes[flow]
-        return counts[IN_TIME] / max(counts[SENT], 1)
+        return sum(counts[outcome, second] for second in range(since_s, until_s))
+
+    def share(self, flow: Flow, since_s: int = 0, until_s: int = 1000) -> float:
+        """Return the share of a flow's requests that were answered in time."""
+        sent = self.count(flow, SENT, since_s, until_s)
+        return self.count(flow, IN_TIME, since_s, until_s) / max(sent, 1)
 
     def goodput(self, since_s: int, until_s: int) -> float:
-        """Return the answers in time a second in a part of the play."""
-        total = sum(
-            counts[second]
-            for counts in self.in_time_by_second.values()
-            for second in range(since_s, until_s)
+        """Return the slots that did work answered in time, in a part of the play."""
+        work_s = sum(
+            self.count(flow, IN_TIME, since_s, until_s) * flow.work_s
+            for flow in self.flows
         )
-        return total / (until_s - since_s)
+        return work_s / (until_s - since_s)
+
+
+# Classes of deployment one; their load at factor 1 keeps 0.82 of the slots busy.
+RULES = [
+    ClassRule('nested', 0, 0, 24),
+    ClassRule('safe', 0, 0, 24),
+    ClassRule('unsafe', 1, 0, 24),
+    ClassRule('long', 2, 0, 24),
+]
+
+
+def mixed_flows(factor: float = 1, **options: Any) -> list[Flow]:
+    """Build the load of deployment one.
+
+    :param factor: factor on its usual rates.
+    """
+    return [
+        Flow('nested', 6 * factor, work_s=0.052, due_s=0.165, **options),
+        Flow('safe', 5 * factor, work_s=0.25, due_s=0.55, **options),
+        Flow(
+            'unsafe',
+            3 * factor,
+            work_s=0.27,
+            due_s=0.668,
+            is_repeatable=False,
+            **options,
+        ),
+        Flow('long', 1.7 * factor, work_s=0.52, due_s=2.621, **options),
+    ]
--- a/features/steps/overload_steps.py
+++ b/features/steps/overload_steps.py
@@ -6,29 +6,38 @@
 import time
 from collections import Counter
 from typing import Any
+from unittest.mock import MagicMock
 
 from behave import then, when
-from builders import call_request
+from builders import call_request, gate_without_target, preset_text
 from hypothesis import given as generated
 from hypothesis import settings
 from hypothesis import strategies as st
-from overload_play import Flow, Play
+from overload_play import RULES, Flow, Play, mixed_flows
 
+from lavendermount_core.presets.records import PresetSnapshot
+from lavendermount_testbed.simulated_time import START_S
 from lavendermountd.gate.admission import Admission, ClassRule
+from lavendermountd.gate.delay_cost import RequestTimes, RunTime, delay_cost
 from lavendermountd.gate.fair_queue import FairQueue
 from lavendermountd.gate.ticket import Ticket
 from lavendermountd.gate.ticket_builder import TicketBuilder
+from lavendermountd.presets.applier import PresetApplier
+from lavendermountd.presets.holder import InForcePreset
 
 PRIORITY = 'priority'
 
 
-@when('one of 4 tenants sends 7.5 times its usual load and retries at once')
-def play_greedy(context: Any) -> None:
+@when(
+    'one of 4 tenants sends 7.5 times its usual load and retries at once,'
+    ' with the order "{order}"'
+)
+def play_greedy(context: Any, order: str) -> None:
     """Play 3/s of three tenants and 45/s (instead of 6/s) of one, where 16/s can be served."""
     context.others = [Flow('safe', 3, tenant=f't{index}') for index in range(3)]
     context.greedy = Flow('safe', 45, tenant='greedy', is_impatient=True)
     rules = [ClassRule('safe', 0, 0, 12)]
-    context.play = Play(rules, [*context.others, context.greedy], PRIORITY).run(60)
+    context.play = Play(rules, [*context.others, context.greedy], order).run(60)
 
 
 @then('at least {share:g} of the requests of the other tenants are answered in time')
@@ -144,3 +153,137 @@
     """Guard against state that grows with every tenant ever seen."""
     assert not context.admission.lanes
     assert not context.admission.queued_by_class
+
+
+@when('the load of deployment one is played at {factors} times its usual rates')
+def play_factors(context: Any, factors: str) -> None:
+    """Play each factor with three seeds in the order by cost."""
+    context.plays = {
+        (int(factor), seed): Play(RULES, mixed_flows(int(factor)), seed=seed).run(60)
+        for factor in factors.split(',')
+        for seed in (1, 2, 3)
+    }
+
+
+@then('goodput at {factor:d} times is at least {share:g} of the best')
+def no_collapse(context: Any, factor: int, share: float) -> None:
+    """Guard against slots that work on answers which come too late."""
+    for seed in (1, 2, 3):
+        goodputs = {
+            key[0]: play.goodput(5, 60)
+            for key, play in context.plays.items()
+            if key[1] == seed
+        }
+        assert goodputs[factor] >= share * max(goodputs.values()), goodputs
+
+
+@then('each class gets at least 1 in {starts:d} of the starts at 3 and 10 times')
+def no_starvation(context: Any, starts: int) -> None:
+    """Guard against a class that is never served while others overload a target."""
+    for (factor, _), play in context.plays.items():
+        counts = Counter(flow.call_class for flow in play.starts)
+        least = min(counts[rule.name] for rule in RULES)
+        assert factor < 3 or least >= len(play.starts) / starts, (factor, counts)
+
+
+@then('no refusal comes later than the time at which the request had to start')
+def early_refusals(context: Any) -> None:
+    """Guard against requests that wait although they can't be answered in time.
+
+    In the first second, no request of some classes has ended yet, and their run times
+    are unknown.
+    """
+    for played in all_refusals(context):
+        flow = played.flow
+        assert played.refusal.is_not_run
+        if played.refused_at < START_S + 1:
+            continue
+        assert played.waited_s <= flow.due_s - flow.work_s / 2, vars(flow)
+
+
+def all_refusals(context: Any) -> list[Any]:
+    """List the refusals of all plays."""
+    plays = context.plays.values()
+    return [played for play in plays for played in play.refusals]
+
+
+@then('displaced requests are told when to come back')
+def displaced_told(context: Any) -> None:
+    """Guard against a displaced request that is lost or gets no advice."""
+    displaced = [
+        played
+        for played in all_refusals(context)
+        if 'took its place' in played.refusal.detail
+    ]
+    assert displaced
+    assert all(played.retry_after_s > 0 for played in displaced)
+
+
+@then('callers are told to come back the costliest first, and not all at once')
+def spread_returns(context: Any) -> None:
+    """Guard against a herd that returns in the same tenth of a second."""
+    for (factor, _), play in context.plays.items():
+        if factor < 3:
+            continue
+        advice = {rule.name: [] for rule in RULES}
+        returns: Counter[int] = Counter()
+        for played in play.refusals:
+            advice[played.flow.call_class].append(played.retry_after_s)
+            returns[int((played.refused_at + played.retry_after_s) * 10)] += 1
+        means = [sum(times) / len(times) for times in advice.values()]
+        assert means == sorted(means), means
+        assert max(returns.values()) <= 4 * len(play.refusals) / 600, returns
+
+
+@when('a peak of 10 times the usual load lasts from second 10 to second 20')
+def play_peak(context: Any) -> None:
+    """Play it with callers that return when they are told to."""
+    usual = mixed_flows(1, is_returning=True)
+    peak = mixed_flows(9, begins_s=10.0, ends_s=20.0, is_returning=True)
+    context.usual = usual
+    context.play = Play(RULES, [*usual, *peak]).run(60)
+
+
+@then('{seconds:d} s after the peak each class is served as before it')
+def recovered(context: Any, seconds: int) -> None:
+    """Guard against a backlog or a herd that outlasts the peak."""
+    for flow in context.usual:
+        before = context.play.share(flow, 0, 10)
+        after = context.play.share(flow, 20 + seconds, 60)
+        assert after >= 0.9 * before, (flow.name, before, after)
+
+
+@then('the cost of delay rises with what callers lose and falls with the work')
+def cost_rises(context: Any) -> None:
+    """Guard against a factor of the cost that has no or the opposite effect."""
+    usual = cost(priority=1)
+    assert cost(priority=2) < usual < cost(priority=0)
+    assert cost(is_repeatable=False) > usual
+    assert cost(due=12) < usual < cost(due=10.4)
+    assert cost(due=10.1) < cost(due=10.4)
+    assert cost(run_time=RunTime(0.4)) < usual < cost(run_time=RunTime(0.1))
+    assert cost(run_time=RunTime(0.25, 0.2)) > usual
+
+
+def cost(
+    priority: int = 1,
+    due: float = 11,
+    is_repeatable: bool = True,
+    run_time: RunTime | None = None,
+) -> float:
+    """Compute the cost of delay at second 10."""
+    times = RequestTimes(due, 20, is_repeatable)
+    usual = RunTime(0.25)
+    return delay_cost(priority, times, due, run_time or usual, 10).per_slot_s
+
+
+@then('a preset with the order "{order}" orders the queue of the gate by it')
+def order_applied(context: Any, order: str) -> None:
+    """Guard against an option that has no effect, or stays after a new preset."""
+    gate, _ = gate_without_target(1)
+    applier = PresetApplier(MagicMock(gate=gate))
+    for text in (preset_text(overload=f'order = "{order}"'), preset_text()):
+        applier.apply_to_gate(
+            InForcePreset(PresetSnapshot(1, 2, 'ordinary', '1', text))
+        )
+        assert (gate.queue.cost_order is not None) == ('overload' in text)
--- a/packages/node/src/lavendermountd/gate/admission.py
+++ b/packages/node/src/lavendermountd/gate/admission.py
@@ -8,12 +8,10 @@
 from collections import defaultdict
 
 from lavendermount_core.config.preset import ClassOptions
+from lavendermountd.gate.cost_order import CostOrder
 from lavendermountd.gate.fair_queue import FairQueue
 from lavendermountd.gate.rate_limit import RateLimit
-from lavendermountd.gate.ticket import Ticket
-
-# Class of queued requests, and their priority if it is not that of the class.
-LaneKey = tuple[str, int | None]
+from lavendermountd.gate.ticket import LaneKey, Ticket, lane_key
 
 
 class ClassRule:
@@ -61,8 +59,8 @@
     """Assigns the target's slots and queues requests that find none free.
 
     Requests are queued in lanes, one for each class and priority. Lanes are served in
-    order of priority. Within a lane, tenants are served in turn, and of one tenant
-    the request with the earliest deadline is served first.
+    order of priority, or of the cost of delay. Within a lane, tenants are served in
+    turn, and of one tenant the request with the earliest deadline is served first.
 
     :param slots: requests the target processes concurrently.
     """
@@ -77,6 +75,7 @@
         'lanes',
         'queued_by_class',
         'exclusive',
+        'cost_order',
     )
 
     def __init__(self, slots: int) -> None:
@@ -90,6 +89,8 @@
         self.lanes: dict[LaneKey, FairQueue] = {}
         self.queued_by_class: dict[str, int] = defaultdict(int)
         self.exclusive: Ticket | None = None
+        # ``None`` if lanes are served by priority.
+        self.cost_order: CostOrder | None = None
 
     @property
     def in_flight(self) -> int:
@@ -180,6 +181,8 @@
     def occupy(self, ticket: Ticket) -> None:
         """Mark a slot as taken by a request."""
         self.rate_limit.take()
+        if self.cost_order is not None:
+            self.cost_order.record_start(ticket)
         self.running_by_class[ticket.call_class] += 1
         if ticket.is_exclusive:
             self.exclusive = ticket
@@ -204,30 +207,34 @@
     def displace_for(self, ticket: Ticket) -> Ticket | None:
         """Remove a queued request that must give its place to a new one.
 
-        It belongs to the same class and has a lower priority, or to a tenant that
-        has at least two more queued requests: that tenant would otherwise keep the
-        others out of a full queue.
+        It belongs to the same class and ranks lower, or to a tenant that has at least
+        two more queued requests: that tenant would otherwise keep the others out of
+        a full queue.
 
         :param ticket: a request for whose class the queue is full.
         :returns: the removed request; ``None`` if there is none.
         """
-        own_key = lane_key(ticket)
-        last_key = max(
-            (key for key in self.lanes if key[0] == ticket.call_class),
-            key=self.sort_key_of,
-            default=own_key,
-        )
-        lane = self.lanes.get(last_key)
-        if lane is None or self.priority_of(last_key) < self.priority_of(own_key):
-            return None
-        is_lower = self.priority_of(last_key) > self.priority_of(own_key)
-        if not is_lower and lane.longest < lane.length_of(ticket.tenant) + 2:
+        lasts = [
+            lane.last_of_longest()
+            for key, lane in self.lanes.items()
+            if key[0] == ticket.call_class
+        ]
+        victim = min(filter(None, lasts), key=self.rank_of, default=None)
+        if victim is None or self.rank_of(victim) > self.rank_of(ticket):
             return None
-        victim = lane.last_of_longest()
-        if victim is not None:
-            self.remove(victim)
+        if self.rank_of(victim) == self.rank_of(ticket):
+            lane = self.lanes[lane_key(victim)]
+            if lane.longest < lane.length_of(ticket.tenant) + 2:
+                return None
+        self.remove(victim)
         return victim
 
+    def rank_of(self, ticket: Ticket) -> float:
+        """Return the rank that decides who is refused; a higher one is kept."""
+        if self.cost_order is not None:
+            return self.cost_order.rank_of(ticket)
+        return -self.priority_of(lane_key(ticket))
+
     def remove(self, ticket: Ticket) -> None:
         """Remove a request from the queue before it got a slot."""
         ticket.is_removed = True
@@ -306,6 +313,8 @@
 
     def lanes_in_order(self) -> list[LaneKey]:
         """List the lanes that have queued requests; the first is served first."""
+        if self.cost_order is not None:
+            return self.cost_order.sort(self.lanes)
         return sorted(self.lanes, key=self.sort_key_of)
 
     def sort_key_of(self, key: LaneKey) -> tuple[int, str]:
@@ -316,8 +325,3 @@
         """Return the priority of a lane."""
         name, priority = key
         return self.rule_of(name).priority if priority is None else priority
-
-
-def lane_key(ticket: Ticket) -> LaneKey:
-    """Return the key of the lane that a request waits in."""
-    return ticket.call_class, ticket.priority
--- a/packages/node/src/lavendermountd/gate/queue.py
+++ b/packages/node/src/lavendermountd/gate/queue.py
@@ -14,6 +14,7 @@
 import random
 import time
 
+from lavendermount_core.config.preset import COST_ORDER
 from lavendermount_core.models.calls import (
     Reason,
     Refusal,
@@ -21,15 +22,18 @@
 )
 from lavendermount_core.utils.units import MS_PER_S
 from lavendermountd.gate.admission import Admission
+from lavendermountd.gate.cost_order import CostOrder
 from lavendermountd.gate.rate_limit import NAMED, RateLimit
 from lavendermountd.gate.target import Target
-from lavendermountd.gate.ticket import Ticket
+from lavendermountd.gate.ticket import Removal, Ticket
 from lavendermountd.gate.ticket_builder import TicketBuilder
 
 MIN_RETRY_AFTER_S = 0.05
 # Largest random part of the retry delay, as a share of the time to drain the queue.
 MAX_JITTER_SHARE = 0.5
 TARGET_DRAINING_RETRY_AFTER_S = 1.0
+DISPLACED = (Reason.QUEUE_FULL, 'a request whose delay costs more took its place')
+TOO_LATE = (Reason.DEADLINE, 'no slot became free in time')
 
 
 class SlotQueue:
@@ -61,6 +65,23 @@
         """Rate limit of the target."""
         return self.admission.rate_limit
 
+    @property
+    def cost_order(self) -> CostOrder | None:
+        """Order by the cost of delay; ``None`` if requests are served by priority."""
+        return self.admission.cost_order
+
+    def set_order(self, name: str) -> None:
+        """Change the order of the queue; queued requests stay queued.
+
+        :param name: order, as in the preset.
+        """
+        if name != COST_ORDER:
+            self.admission.cost_order = None
+        elif self.cost_order is None:
+            self.admission.cost_order = CostOrder(
+                self.admission.priority_of, self.tickets.run_times, self.target
+            )
+
     async def acquire_slot(self, ticket: Ticket) -> Refusal | None:
         """Take a slot, waiting in the queue if necessary.
 
@@ -69,17 +90,15 @@
         """
         if self.try_start(ticket):
             return None
-        if ticket.patience_s and self.is_too_busy(ticket):
-            return self.refuse(Reason.BUSY, 'another target may answer sooner')
-        if self.would_miss_deadline(ticket):
-            return self.refuse(
-                Reason.DEADLINE, 'the queue is too long to answer in time'
-            )
+        refusal = self.refusal_on_arrival(ticket)
+        if refusal is not None:
+            return refusal
         if not self.enqueue(ticket):
-            return self.refuse(Reason.QUEUE_FULL, 'the queue of the class is full')
+            detail = 'the queue of the class is full'
+            return self.refuse(Reason.QUEUE_FULL, detail, ticket)
         ticket.slot_granted = asyncio.get_running_loop().create_future()
         self.wait_for_token()
-        give_up_at = ticket.deadline - self.target.service_ms / MS_PER_S
+        give_up_at = self.latest_start(ticket)
         if ticket.patience_s:
             give_up_at = min(give_up_at, time.monotonic() + ticket.patience_s)
         try:
@@ -88,7 +107,7 @@
         except TimeoutError:
             self.cancel_wait(ticket)
             reason = Reason.BUSY if ticket.patience_s else Reason.DEADLINE
-            return self.refuse(reason, 'no slot became free in time')
+            return self.refuse(reason, TOO_LATE[1], ticket)
         except asyncio.CancelledError:
             self.cancel_wait(ticket)
             raise
@@ -102,8 +121,30 @@
         if self.admission.is_full_for(ticket):
             victim = self.admission.displace_for(ticket)
             if victim is not None:
-                self.notify_removed([victim], is_displaced=True)
-        return self.admission.enqueue(ticket)
+                _notify_removed([victim], DISPLACED)
+        if not self.admission.enqueue(ticket):
+            return False
+        self.remove_late(ticket)
+        return True
+
+    def remove_late(self, newcomer: Ticket | None = None) -> None:
+        """Refuse queued requests that can't be answered in time any more.
+
+        This happens only in the order by cost.
+
+        :param newcomer: a request that was just queued and delays others; ``None`` to
+            examine the requests that would be served next.
+        """
+        order = self.cost_order
+        while order is not None:
+            if newcomer is None:
+                late = order.late_head(self.admission.lanes)
+            else:
+                late = order.too_late(self.admission.lanes, newcomer)
+            if late is None:
+                return
+            self.admission.remove(late)
+            _notify_removed([late], DISPLACED if newcomer else TOO_LATE)
 
     def try_start(self, ticket: Ticket) -> bool:
         """Take a slot at once if there is one for the request.
@@ -114,30 +155,41 @@
             self.start_waiting()
         return self.admission.try_start(ticket)
 
-    def is_too_busy(self, ticket: Ticket) -> bool:
-        """Whether the target is slow or the expected wait exceeds ``patience_s``."""
-        position = self.admission.queued_ahead_of(ticket) + 1
-        return (
-            self.target.is_slow or self.estimated_time_s(position) > ticket.patience_s
-        )
+    def refusal_on_arrival(self, ticket: Ticket) -> Refusal | None:
+        """Return the refusal of a new request that would wait too long.
 
-    def would_miss_deadline(self, ticket: Ticket) -> bool:
-        """Whether a request that has to wait can't be answered in time.
+        That is the case if it can't be answered in time, or if another target may
+        accept it and this one is slow or would let it wait longer than
+        ``patience_s``.
+        """
+        if self.cost_order is not None:
+            self.cost_order.record_arrival(ticket)
+        wait_s = self.wait_s(ticket)
+        is_busy = self.target.is_slow or wait_s > ticket.patience_s
+        if ticket.patience_s and is_busy:
+            detail = 'another target may answer sooner'
+            return self.refuse(Reason.BUSY, detail, ticket)
+        if time.monotonic() + wait_s > self.latest_start(ticket):
+            detail = 'the queue is too long to answer in time'
+            return self.refuse(Reason.DEADLINE, detail, ticket)
+        return None
+
+    def latest_start(self, ticket: Ticket) -> float:
+        """Return the time after which a request is no longer worth a slot."""
+        if self.cost_order is not None:
+            return self.cost_order.cost_of(ticket).latest_start
+        return ticket.deadline - self.target.service_ms / MS_PER_S
+
+    def wait_s(self, ticket: Ticket) -> float:
+        """Estimate how long a new request waits for a slot.
 
         With n slots, a slot is expected to become free every ``service_ms / n``.
         """
         position = self.admission.queued_ahead_of(ticket) + 1
-        needed_s = self.estimated_time_s(position) + self.target.service_ms / MS_PER_S
-        return time.monotonic() + needed_s > ticket.deadline
-
-    def estimated_time_s(self, request_count: int) -> float:
-        """Estimate the time the target needs to process a number of requests.
-
-        :param request_count: number of requests; they have not started yet.
-        """
-        return max(
-            self.slots_time_s(request_count), self.rate_limit.wait_s(request_count)
-        )
+        if self.cost_order is None:
+            return max(self.slots_time_s(position), self.rate_limit.wait_s(position))
+        wait_s = self.cost_order.wait_s(ticket, self.admission.lanes)
+        return max(wait_s, self.rate_limit.wait_s(position))
 
     def slots_time_s(self, request_count: int) -> float:
         """Estimate the time that a number of requests needs in the target's slots.
@@ -158,6 +210,7 @@
 
     def start_waiting(self) -> None:
         """Start queued requests, and wait for a token if the rate limit holds them."""
+        self.remove_late()
         self.grant_slots(self.admission.start_waiting())
         self.wait_for_token()
 
@@ -176,12 +229,23 @@
         self.admission.slots = slots
         self.start_waiting()
 
-    def refuse(self, reason: Reason, detail: str) -> Refusal:
+    def refuse(
+        self, reason: Reason, detail: str, ticket: Ticket | None = None
+    ) -> Refusal:
         """Refuse a request that was not run.
 
         Its caller is told to retry after the estimated time to drain the queue,
-        plus a random part so that callers don't return all at once.
+        plus a random part so that callers don't return all at once. In the order by
+        cost, it is told when there is room for this kind of work.
+
+        :param ticket: the request, if it asked for a slot.
         """
+        if ticket is not None and self.cost_order is not None:
+            retry_after_s = max(
+                self.cost_order.retry_after_s(ticket, self.admission.lanes),
+                self.rate_limit.wait_s(self.admission.queued + 1),
+            )
+            return not_run_refusal(reason, detail, retry_after_s)
         queued = self.admission.queued
         drain_s = max(
             self.slots_time_s(self.admission.in_flight + queued),
@@ -199,8 +263,8 @@
         """
         if self.is_evacuated:
             return self.refuse_evacuated()
-        if ticket.is_displaced:
-            return self.refuse(Reason.QUEUE_FULL, 'another request took its place')
+        if ticket.removed_for is not None:
+            return self.refuse(*ticket.removed_for, ticket)
         if self.target.is_accepting and not self.is_closed:
             return self.refuse(Reason.BUSY, 'the VM of the target became slow')
         return self.refuse_draining()
@@ -221,17 +285,7 @@
         :param is_limited_wait_only: whether to keep the requests that may wait
             until their deadline.
         """
-        self.notify_removed(self.admission.remove_waiting(is_limited_wait_only))
-
-    def notify_removed(self, tickets: list[Ticket], is_displaced: bool = False) -> None:
-        """Tell requests that they were removed from the queue.
-
-        :param is_displaced: whether other requests took their places.
-        """
-        for ticket in tickets:
-            ticket.is_displaced = is_displaced
-            if ticket.slot_granted is not None and not ticket.slot_granted.done():
-                ticket.slot_granted.set_result(False)
+        _notify_removed(self.admission.remove_waiting(is_limited_wait_only))
 
     def cancel_wait(self, ticket: Ticket) -> None:
         """Leave the queue, or free a slot that was granted at the same moment."""
@@ -248,6 +302,7 @@
         """
         if not is_sent:
             self.rate_limit.give_back()
+        self.remove_late()
         self.grant_slots(self.admission.release(ticket))
         self.wait_for_token()
 
@@ -267,3 +322,15 @@
     return (
         slot_granted.done() and not slot_granted.cancelled() and slot_granted.result()
     )
+
+
+def _notify_removed(tickets: list[Ticket], removal: Removal | None = None) -> None:
+    """Tell requests that they were removed from the queue.
+
+    :param removal: reason and explanation; ``None`` if the target or its node accepts
+        no more work.
+    """
+    for ticket in tickets:
+        ticket.removed_for = removal
+        if ticket.slot_granted is not None and not ticket.slot_granted.done():
+            ticket.slot_granted.set_result(False)
--- a/packages/node/src/lavendermountd/gate/ticket.py
+++ b/packages/node/src/lavendermountd/gate/ticket.py
@@ -8,9 +8,15 @@
 import asyncio
 from itertools import count
 
+from lavendermount_core.models.calls import Reason
 from lavendermountd.gate.delay_cost import RequestTimes
 
 AVERAGE_WORK = 1.0
+
+# Class of a request, and its priority if it is not that of the class.
+LaneKey = tuple[str, int | None]
+# Reason of a refusal and explanation for the caller.
+Removal = tuple[Reason, str]
 _ticket_numbers = count()
 
 
@@ -41,7 +47,7 @@
         'work',
         'number',
         'is_removed',
-        'is_displaced',
+        'removed_for',
         'wait_cause',
         'slot_granted',
     )
@@ -68,10 +74,16 @@
         self.work = AVERAGE_WORK
         self.number = next(_ticket_numbers)
         self.is_removed = False
-        # Whether another request took its place in the queue.
-        self.is_displaced = False
+        # Why the gate removed it from the queue; ``None`` if the target or its node
+        # accepts no more work.
+        self.removed_for: Removal | None = None
         # Why the request had to wait, for the log; empty if it did not.
         self.wait_cause = ''
         # Set to ``True`` once the queued request holds a slot, or to ``False`` if it
         # is refused.
         self.slot_granted: asyncio.Future[bool] | None = None
+
+
+def lane_key(ticket: Ticket) -> LaneKey:
+    """Return the key of the lane that a request waits in."""
+    return ticket.call_class, ticket.priority
--- a/packages/node/src/lavendermountd/gate/ticket_builder.py
+++ b/packages/node/src/lavendermountd/gate/ticket_builder.py
@@ -55,8 +55,12 @@
         """Return the time by which a request must be answered to get a slot.
 
         That is its due time, or its deadline if it has no due time or belongs to
-        the most urgent class.
+        the most urgent class. In the order by cost it is the due time of every class:
+        once the most urgent class alone is too much for a target, waiting beyond the
+        due time would make all of its answers late.
         """
+        if self.admission.cost_order is not None:
+            return request.due or request.deadline
         is_urgent = self.class_times.is_most_urgent(
             request.call_class.name,
             self.admission.priorities,
--- a/packages/node/src/lavendermountd/presets/applier.py
+++ b/packages/node/src/lavendermountd/presets/applier.py
@@ -44,6 +44,7 @@
         rules = [ClassRule.from_options(entry) for entry in schema.class_]
         gate.admission.replace_rules(rules)
         gate.queue.tickets.has_tenants = bool(schema.tenant)
+        gate.queue.set_order(schema.overload.order)
         gate.client.max_connections = schema.limits.connections
         service = preset.services.get(node.settings.origin)
         if service is not None:
--- a/packages/testbed/src/lavendermount_testbed/emulator/node.py
+++ b/packages/testbed/src/lavendermount_testbed/emulator/node.py
@@ -265,6 +265,7 @@
         rules = [ClassRule.from_options(entry) for entry in preset.schema.class_]
         self.gate.admission.replace_rules(rules)
         self.gate.queue.tickets.has_tenants = bool(preset.schema.tenant)
+        self.gate.queue.set_order(preset.schema.overload.order)
         self.router.configure(preset)
         link_rate = preset.schema.choosing.link_bytes_s
         self.link_bucket.configure(link_rate, link_rate)
