--- a/features/steps/overload_steps.py
+++ b/features/steps/overload_steps.py
@@ -18,8 +18,10 @@
 from lavendermount_core.presets.records import PresetSnapshot
 from lavendermount_testbed.simulated_time import START_S
 from lavendermountd.gate.admission import Admission, ClassRule
-from lavendermountd.gate.delay_cost import RequestTimes, RunTime, delay_cost
+from lavendermountd.gate.cost_order import CostOrder
+from lavendermountd.gate.delay_cost import RequestTimes, RunTime, RunTimes, delay_cost
 from lavendermountd.gate.fair_queue import FairQueue
+from lavendermountd.gate.target import Target
 from lavendermountd.gate.ticket import Ticket
 from lavendermountd.gate.ticket_builder import TicketBuilder
 from lavendermountd.presets.applier import PresetApplier
@@ -117,9 +119,13 @@
     check()
 
 
-def seconds_per_operation(tenants: int) -> tuple[float, Admission]:
+def seconds_per_operation(
+    tenants: int, has_cost_order: bool
+) -> tuple[float, Admission]:
     """Fill the queue with two requests of each tenant, and empty it again."""
     admission = Admission(1)
+    if has_cost_order:
+        admission.cost_order = CostOrder(admission.priority_of, RunTimes(), Target())
     admission.replace_rules([ClassRule('safe', 0, 0, 2 * tenants)])
     running = Ticket('safe', 0)
     admission.try_start(running)
@@ -130,6 +136,8 @@
         ticket.work = rng.choice([0.5, 1, 2])
         assert admission.enqueue(ticket)
         admission.queued_ahead_of(ticket)
+        if admission.cost_order is not None:
+            admission.cost_order.too_late(admission.lanes, ticket)
     while running is not None:
         running = next(iter(admission.release(running)), None)
     return (time.perf_counter() - began_at) / tenants, admission
@@ -141,11 +149,12 @@
 )
 def operation_time(context: Any, factor: int) -> None:
     """Guard against scans of all tenants or requests; the loads differ by 16."""
-    small = min(seconds_per_operation(500)[0] for _ in range(5))
-    entries = [seconds_per_operation(8000) for _ in range(3)]
-    large = min(seconds for seconds, _ in entries)
-    context.admission = entries[0][1]
-    assert large <= factor * small, (small, large)
+    for has_cost_order in (False, True):
+        small = min(seconds_per_operation(500, has_cost_order)[0] for _ in range(5))
+        entries = [seconds_per_operation(8000, has_cost_order) for _ in range(3)]
+        large = min(seconds for seconds, _ in entries)
+        context.admission = entries[0][1]
+        assert large <= factor * small, (small, large)
 
 
 @then('no state is left once the queue is empty')
--- a/packages/node/src/lavendermountd/gate/admission.py
+++ b/packages/node/src/lavendermountd/gate/admission.py
@@ -325,3 +325,14 @@
         """Return the priority of a lane."""
         name, priority = key
         return self.rule_of(name).priority if priority is None else priority
+
+
+def wait_cause(admission: Admission, ticket: Ticket) -> str:
+    """Name for the log what a request that finds no slot has to wait for."""
+    if ticket.is_exclusive or admission.exclusive is not None:
+        return 'exclusive-run'
+    if not admission.rate_limit.has_token():
+        return 'rate-limit'
+    if admission.in_flight >= admission.slots:
+        return 'busy-slots'
+    return 'earlier-request' if admission.has_room(ticket) else 'reserved-slots'
--- a/packages/node/src/lavendermountd/gate/attempts.py
+++ b/packages/node/src/lavendermountd/gate/attempts.py
@@ -13,6 +13,8 @@
 from returns.result import Result, Success
 
 from lavendermount_core.models.calls import CallReply, CallRequest, Refusal
+from lavendermount_core.utils.units import MS_PER_S
+from lavendermountd.gate.ticket import Ticket
 
 AttemptResult = Result[CallReply, Refusal]
 
@@ -51,6 +53,7 @@
         'arrived_at',
         'started_at',
         'patience_s',
+        'ticket',
     )
 
     def __init__(
@@ -72,6 +75,8 @@
         self.arrived_at = time.monotonic()
         self.started_at: float = 0
         self.patience_s: float = 0
+        # Set once the attempt asks for a slot.
+        self.ticket: Ticket | None = None
 
     @property
     def is_sent(self) -> bool:
@@ -92,3 +97,15 @@
         return f'whole:{outcome.unwrap().status}'
     refusal = outcome.failure()
     return f'{refusal.outcome}:{refusal.reason}'
+
+
+def wait_and_refusal(attempt: Attempt, outcome: AttemptResult) -> dict[str, object]:
+    """Describe for the log why a request had to wait or was refused."""
+    ticket = attempt.ticket
+    refusal = None if isinstance(outcome, Success) else outcome.failure()
+    return {
+        'tenant': attempt.request.call_class.tenant,
+        'waited_for': '' if ticket is None else ticket.wait_cause,
+        'refused_because': '' if refusal is None else refusal.detail,
+        'retry_after_ms': round(refusal.retry_after_s * MS_PER_S) if refusal else 0,
+    }
--- a/packages/node/src/lavendermountd/gate/gate.py
+++ b/packages/node/src/lavendermountd/gate/gate.py
@@ -33,7 +33,12 @@
     AttemptTable,
     refuse_tombstoned,
 )
-from lavendermountd.gate.attempts import Attempt, AttemptResult, outcome_label
+from lavendermountd.gate.attempts import (
+    Attempt,
+    AttemptResult,
+    outcome_label,
+    wait_and_refusal,
+)
 from lavendermountd.gate.concurrency_limit import ConcurrencyLimit
 from lavendermountd.gate.queue import SlotQueue
 from lavendermountd.gate.suspects import SuspectTable, Verdict
@@ -154,6 +159,7 @@
                 'in_flight': self.admission.in_flight,
                 'queued': self.admission.queued,
                 'slowness': round(self.target.current_slowness(now), 2),
+                **wait_and_refusal(attempt, outcome),
             },
         )
 
@@ -166,6 +172,7 @@
         ticket = self.queue.tickets.build(
             attempt.request, verdict == Verdict.EXCLUSIVE, attempt.patience_s
         )
+        attempt.ticket = ticket
         refusal = await self.queue.acquire_slot(ticket)
         if refusal is not None:
             return Failure(refusal)
--- a/packages/node/src/lavendermountd/gate/queue.py
+++ b/packages/node/src/lavendermountd/gate/queue.py
@@ -21,7 +21,7 @@
     not_run_refusal,
 )
 from lavendermount_core.utils.units import MS_PER_S
-from lavendermountd.gate.admission import Admission
+from lavendermountd.gate.admission import Admission, wait_cause
 from lavendermountd.gate.cost_order import CostOrder
 from lavendermountd.gate.rate_limit import NAMED, RateLimit
 from lavendermountd.gate.target import Target
@@ -124,6 +124,7 @@
                 _notify_removed([victim], DISPLACED)
         if not self.admission.enqueue(ticket):
             return False
+        ticket.wait_cause = wait_cause(self.admission, ticket)
         self.remove_late(ticket)
         return True
 
