Router: a budget of redirects after gates refuse

With the budget, an attempt without a redirect waits in the queue of its gate. Off unless the preset sets retry.redirect_share.

--- a/packages/core/src/lavendermount_core/config/preset.py
+++ b/packages/core/src/lavendermount_core/config/preset.py
@@ -265,6 +265,13 @@
     attempts = opt.Integer(
         3, 'Maximum number of attempts per request that reach a target.', low=1, high=10
     )
+    redirect_share = opt.Number(
+        0,
+        'Further gates that each request may be sent to after one has refused it, on '
+        'average; 0 for no limit besides attempts.',
+        'share',
+        high=10,
+    )
     shared_per_s = opt.Number(
         0,
         'Additional retries per second, divided equally among all nodes; none for a '
--- a/packages/node/src/lavendermountd/routing/router.py
+++ b/packages/node/src/lavendermountd/routing/router.py
@@ -52,6 +52,7 @@
 FIRST_UNLIMITED_ATTEMPT = 3
 # Share of a request's spare time that one attempt may spend in a queue.
 PATIENCE_SHARE = 0.3
+REDIRECT_BURST = 10
 MIN_PATIENCE_S = 0.01
 
 
@@ -83,6 +84,7 @@
         self.retry_budget = RetryBudget()
         self.active_requests: dict[str, RequestState] = {}
         self.hedge_bucket = TokenBucket(0, 0)
+        self.redirect_bucket = TokenBucket(0, REDIRECT_BURST)
         self.slow_notifier = SlowTargetNotifier()
         self.latencies: dict[str, LatencyWindow] = defaultdict(LatencyWindow)
 
@@ -120,6 +122,7 @@
         self.retry_budget.update_node_count(len(self.selector.table.members))
         self.retry_budget.earn(state.request.call_class.service)
         self.hedge_bucket.earn(preset.schema.hedge.share)
+        self.redirect_bucket.earn(preset.schema.retry.redirect_share)
         cause = Cause.FIRST
         while True:
             outcome = await self.make_attempt(state, cause)
@@ -253,6 +256,7 @@
         is_last = (
             state.attempt_count >= FIRST_UNLIMITED_ATTEMPT
             or not self.has_untried_target(state)
+            or not self.has_redirect(state)
         )
         if is_last or not patience_s or not state.request.due:
             return 0 if is_last else patience_s
@@ -260,6 +264,21 @@
         left_s = state.request.due - time.monotonic() - median_ms / MS_PER_S
         return min(patience_s, max(left_s * PATIENCE_SHARE, MIN_PATIENCE_S))
 
+    def has_redirect(self, state: RequestState) -> bool:
+        """Return whether a request may be sent to another gate if one refuses it.
+
+        Under overload most gates refuse, and attempts at further gates cost them
+        time that other requests need. An attempt that can't be redirected waits in
+        the queue of its gate instead.
+        """
+        is_limited = state.preset.schema.retry.redirect_share > 0
+        return not is_limited or self.redirect_bucket.tokens >= 1
+
+    def try_redirect(self, state: RequestState) -> bool:
+        """Spend a redirect, if the preset limits them."""
+        is_limited = state.preset.schema.retry.redirect_share > 0
+        return not is_limited or self.redirect_bucket.try_spend(1)
+
     def finish_attempt(self, attempt: OutboundAttempt, label: str) -> None:
         """Record the end of an attempt and charge its request to the link budget.
 
@@ -327,7 +346,7 @@
         if time.monotonic() >= state.request.deadline:
             return False
         if not state.delivered_count:
-            return True
+            return self.try_redirect(state)
         return self.retry_budget.try_spend(state.request.call_class.service)
 
     def is_exhausted(self, state: RequestState, outcome: AttemptResult) -> bool:
