--- a/features/builders.py
+++ b/features/builders.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 from lavendermount_core.config.loader import load_text
 from lavendermount_core.config.node import NodeSchema
 from lavendermount_core.models.calls import CallClass, CallRequest
@@ -14,7 +16,9 @@
     Placement,
     TargetProfile,
 )
+from lavendermount_testbed.emulator.gate_load import Flow
 from lavendermountd.dialects.native import NativeDialect
+from lavendermountd.gate.admission import ClassRule
 from lavendermountd.gate.gate import Gate
 from lavendermountd.gate.reports import TargetReport
 from lavendermountd.gate.target_lifecycle import TargetLifecycle
@@ -201,3 +205,32 @@
     gate.target.apply_ready_report(TargetReport('s', '127.0.0.1', port, 6, 'i'))
     gate.admission.slots = 6
     return gate
+
+
+# Classes of deployment one; their load at factor 1 keeps 0.82 of 4 slots busy.
+OVERLOAD_RULES = [
+    ClassRule('nested', 0, 0, 24),
+    ClassRule('safe', 0, 0, 24),
+    ClassRule('unsafe', 1, 0, 24),
+    ClassRule('long', 2, 0, 24),
+]
+
+
+def mixed_flows(factor: float = 1, **options: Any) -> list[Flow]:
+    """Build the load of deployment one.
+
+    :param factor: factor on its usual rates.
+    """
+    return [
+        Flow('nested', 6 * factor, work_s=0.052, due_s=0.165, **options),
+        Flow('safe', 5 * factor, work_s=0.25, due_s=0.55, **options),
+        Flow(
+            'unsafe',
+            3 * factor,
+            work_s=0.27,
+            due_s=0.668,
+            is_repeatable=False,
+            **options,
+        ),
+        Flow('long', 1.7 * factor, work_s=0.52, due_s=2.621, **options),
+    ]
--- a/features/overload.feature
+++ b/features/overload.feature
@@ -41,3 +41,6 @@
 
   Scenario: The order by cost is used only if the preset asks for it
     Then a preset with the order "cost" orders the queue of the gate by it
+
+  Scenario: The cost of delay with ageing is the only order that serves every class at 10 times the load
+    Then of the four orders only "cost" serves every class and does not collapse
--- a/features/steps/overload_steps.py
+++ b/features/steps/overload_steps.py
@@ -9,13 +9,22 @@
 from unittest.mock import MagicMock
 
 from behave import then, when
-from builders import call_request, gate_without_target, preset_text
+from builders import (
+    OVERLOAD_RULES,
+    call_request,
+    gate_without_target,
+    mixed_flows,
+    preset_text,
+)
 from hypothesis import given as generated
 from hypothesis import settings
 from hypothesis import strategies as st
-from overload_play import RULES, Flow, Play, mixed_flows
 
 from lavendermount_core.presets.records import PresetSnapshot
+from lavendermount_testbed.emulator.gate_load import (
+    Flow,
+    GateLoad,
+)
 from lavendermount_testbed.simulated_time import START_S
 from lavendermountd.gate.admission import Admission, ClassRule
 from lavendermountd.gate.cost_order import CostOrder
@@ -39,7 +48,7 @@
     context.others = [Flow('safe', 3, tenant=f't{index}') for index in range(3)]
     context.greedy = Flow('safe', 45, tenant='greedy', is_impatient=True)
     rules = [ClassRule('safe', 0, 0, 12)]
-    context.play = Play(rules, [*context.others, context.greedy], order).run(60)
+    context.play = GateLoad(rules, [*context.others, context.greedy], order).run(60)
 
 
 @then('at least {share:g} of the requests of the other tenants are answered in time')
@@ -60,7 +69,7 @@
     """Play 10/s of priority 0 and 45/s of the class's priority 2."""
     context.others = [Flow('safe', 10, tenant='first', priority=0)]
     flows = [*context.others, Flow('safe', 45, tenant='second')]
-    context.play = Play([ClassRule('safe', 2, 0, 12)], flows, PRIORITY).run(60)
+    context.play = GateLoad([ClassRule('safe', 2, 0, 12)], flows, PRIORITY).run(60)
 
 
 @then(
@@ -168,7 +177,9 @@
 def play_factors(context: Any, factors: str) -> None:
     """Play each factor with three seeds in the order by cost."""
     context.plays = {
-        (int(factor), seed): Play(RULES, mixed_flows(int(factor)), seed=seed).run(60)
+        (int(factor), seed): GateLoad(
+            OVERLOAD_RULES, mixed_flows(int(factor)), seed=seed
+        ).run(60)
         for factor in factors.split(',')
         for seed in (1, 2, 3)
     }
@@ -191,7 +202,7 @@
     """Guard against a class that is never served while others overload a target."""
     for (factor, _), play in context.plays.items():
         counts = Counter(flow.call_class for flow in play.starts)
-        least = min(counts[rule.name] for rule in RULES)
+        least = min(counts[rule.name] for rule in OVERLOAD_RULES)
         assert factor < 3 or least >= len(play.starts) / starts, (factor, counts)
 
 
@@ -234,7 +245,7 @@
     for (factor, _), play in context.plays.items():
         if factor < 3:
             continue
-        advice = {rule.name: [] for rule in RULES}
+        advice = {rule.name: [] for rule in OVERLOAD_RULES}
         returns: Counter[int] = Counter()
         for played in play.refusals:
             advice[played.flow.call_class].append(played.retry_after_s)
@@ -250,7 +261,7 @@
     usual = mixed_flows(1, is_returning=True)
     peak = mixed_flows(9, begins_s=10.0, ends_s=20.0, is_returning=True)
     context.usual = usual
-    context.play = Play(RULES, [*usual, *peak]).run(60)
+    context.play = GateLoad(OVERLOAD_RULES, [*usual, *peak]).run(60)
 
 
 @then('{seconds:d} s after the peak each class is served as before it')
@@ -296,3 +307,19 @@
             InForcePreset(PresetSnapshot(1, 2, 'ordinary', '1', text))
         )
         assert (gate.queue.cost_order is not None) == ('overload' in text)
+
+
+@then('of the four orders only "{order}" serves every class and does not collapse')
+def orders_compared(context: Any, order: str) -> None:
+    """Guard against a change that makes the rejected orders the better ones."""
+    useful: dict[str, float] = {}
+    served: dict[str, float] = {}
+    for name in ('priority', 'slack', 'plain-cost', 'cost'):
+        play = GateLoad(OVERLOAD_RULES, mixed_flows(10), name, seed=7).run(60)
+        useful[name] = play.goodput(5, 60)
+        counts = Counter(flow.call_class for flow in play.starts)
+        least = min(counts[rule.name] for rule in OVERLOAD_RULES)
+        served[name] = least / len(play.starts)
+    assert useful[order] >= 0.9 * max(useful.values()), useful
+    fair = [name for name, share in served.items() if share * 20 >= 1]
+    assert fair == [order], served
--- a/features/overload_play.py
+++ b/packages/testbed/src/lavendermount_testbed/emulator/gate_load.py
@@ -1,4 +1,6 @@
-"""Plays load against the queue of a gate in simulated time.
+"""Load on the queue of one gate in simulated time, to compare orders of the queue.
+
+The queue is the real one; targets and callers are emulated.
 
 :units: seconds; requests a second.
 """
@@ -6,19 +8,27 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 import time
 from collections import Counter, defaultdict
+from types import MappingProxyType
 from typing import Any
 
-from builders import call_request
-
 from lavendermount_core.config.preset import COST_ORDER
-from lavendermount_core.models.calls import CLASS_PRIORITY, Refusal
+from lavendermount_core.models.calls import (
+    CLASS_PRIORITY,
+    CallClass,
+    CallRequest,
+    Refusal,
+)
+from lavendermount_core.utils.units import MS_PER_S
 from lavendermount_testbed.simulated_time import SimulatedTime
 from lavendermountd.gate.admission import ClassRule
+from lavendermountd.gate.cost_order import CostOrder
 from lavendermountd.gate.queue import SlotQueue
 from lavendermountd.gate.target import Target
+from lavendermountd.gate.ticket import LaneKey, Ticket
 
 SLOTS = 4
 IN_TIME = 'in time'
@@ -32,6 +42,10 @@
 MAX_WORK_FACTOR = 4
 
 
+# Number of requests by outcome and second.
+SecondCounts = Counter[tuple[str, int]]
+
+
 class Flow:
     """Requests of one class and tenant, with Poisson arrivals."""
 
@@ -45,8 +59,8 @@
         self.work_s = 0.25
         self.due_s = 1.0
         self.deadline_s = 4.0
-        self.begins_s = 0.0
-        self.ends_s = 1e9
+        self.begins_s: float = 0
+        self.ends_s = math.inf
         self.is_repeatable = True
         # Whether callers retry at once, or after the time that a refusal names.
         self.is_impatient = False
@@ -67,7 +81,7 @@
         self.retry_after_s = refusal.retry_after_s
 
 
-class Play:
+class GateLoad:
     """One load against one target; outcomes by flow and by second."""
 
     def __init__(
@@ -86,12 +100,12 @@
         self.arrivals = {flow: random.Random(f'{seed} {flow.name}') for flow in flows}
         self.works = {flow: random.Random(f'{flow.name} {seed}') for flow in flows}
         # Outcomes of each flow by the second in which its requests were first sent.
-        self.outcomes: dict[Flow, Counter[tuple[str, int]]] = defaultdict(Counter)
+        self.outcomes: dict[Flow, SecondCounts] = defaultdict(Counter)
         self.refusals: list[PlayedRefusal] = []
         self.starts: list[Flow] = []
         self.longest_queue = 0
 
-    def run(self, seconds: float, has_tenants: bool = True) -> Play:
+    def run(self, seconds: float, has_tenants: bool = True) -> GateLoad:
         """Play the load for some simulated seconds."""
         state = random.getstate()
         random.seed(self.seed)
@@ -109,6 +123,11 @@
         self.queue.admission.replace_rules(self.rules)
         self.queue.tickets.has_tenants = has_tenants
         self.queue.set_order(self.order)
+        compared = COMPARED_ORDERS.get(self.order)
+        if compared is not None:
+            self.queue.admission.cost_order = compared(
+                self.queue.admission.priority_of, self.queue.tickets.run_times, target
+            )
         self.queue.set_slots(SLOTS)
         self.began_at = time.monotonic()
         self.seconds = seconds
@@ -144,12 +163,12 @@
         """Pass one request through the queue and run it."""
         queue = self.queue
         now = time.monotonic()
-        request = call_request(call_class=flow.call_class)
-        request.call_class.tenant = flow.tenant
-        request.call_class.priority = flow.priority
-        request.call_class.is_repeatable = flow.is_repeatable
-        request.deadline = now + flow.deadline_s
-        request.due = now + flow.due_s
+        call_class = CallClass(
+            '', flow.tenant, flow.call_class, flow.is_repeatable, flow.priority
+        )
+        request = CallRequest(
+            '', '', '', [], b'', call_class, now + flow.deadline_s, now + flow.due_s
+        )
         ticket = queue.tickets.build(request, False, 0)
         refusal = await queue.acquire_slot(ticket)
         self.longest_queue = max(self.longest_queue, queue.admission.queued)
@@ -160,7 +179,7 @@
         self.starts.append(flow)
         await asyncio.sleep(work_s)
         ended_at = time.monotonic()
-        self.target.observe((ended_at - started_at) * 1000, is_failure=False)
+        self.target.observe((ended_at - started_at) * MS_PER_S, is_failure=False)
         queue.tickets.record_end(request.call_class, ended_at - started_at, ended_at)
         queue.tickets.record_completed(request.call_class, ended_at - started_at)
         queue.release_slot(ticket, is_sent=True)
@@ -185,30 +204,28 @@
         return work_s / (until_s - since_s)
 
 
-# Classes of deployment one; their load at factor 1 keeps 0.82 of the slots busy.
-RULES = [
-    ClassRule('nested', 0, 0, 24),
-    ClassRule('safe', 0, 0, 24),
-    ClassRule('unsafe', 1, 0, 24),
-    ClassRule('long', 2, 0, 24),
-]
-
-
-def mixed_flows(factor: float = 1, **options: Any) -> list[Flow]:
-    """Build the load of deployment one.
-
-    :param factor: factor on its usual rates.
-    """
-    return [
-        Flow('nested', 6 * factor, work_s=0.052, due_s=0.165, **options),
-        Flow('safe', 5 * factor, work_s=0.25, due_s=0.55, **options),
-        Flow(
-            'unsafe',
-            3 * factor,
-            work_s=0.27,
-            due_s=0.668,
-            is_repeatable=False,
-            **options,
-        ),
-        Flow('long', 1.7 * factor, work_s=0.52, due_s=2.621, **options),
-    ]
+class LeastSlackFirst(CostOrder):
+    """Serves the lane whose first request has to start first; for comparison."""
+
+    __slots__ = ()
+
+    def score_of(self, ticket: Ticket) -> float:
+        """Return a score that is higher for an earlier latest start."""
+        return -self.cost_of(ticket).latest_start
+
+    def passed_over_of(self, key: LaneKey) -> int:
+        """Give no turns to lanes that were passed over."""
+        return 0
+
+
+class PlainCost(LeastSlackFirst):
+    """Serves the lane with the highest cost, whatever its slack; for comparison."""
+
+    __slots__ = ()
+
+    def score_of(self, ticket: Ticket) -> float:
+        """Return the cost that does not depend on time."""
+        return self.rank_of(ticket)
+
+
+COMPARED_ORDERS = MappingProxyType({'slack': LeastSlackFirst, 'plain-cost': PlainCost})
