--- a/features/overload.feature
+++ b/features/overload.feature
@@ -44,3 +44,10 @@
 
   Scenario: The cost of delay with ageing is the only order that serves every class at 10 times the load
     Then of the four orders only "cost" serves every class and does not collapse
+
+  Scenario: When all gates refuse, few requests are sent to further gates, and the others wait where they are
+    Given a node whose preset allows half a redirect for each request
+    When 200 requests are sent while every gate refuses
+    Then the gates got at most 310 attempts, not 4 for each request
+    And an attempt that can't be redirected has no limit on its wait but the due time
+    And every caller was told that its request has not run
