Allotments: token buckets of zone owners, blocks, reserve and hedges

The owner of a tenant in a zone grants tokens; entry nodes ask for them in one frame for all tenants that are due.

--- /dev/null
+++ b/packages/node/src/lavendermountd/allotments/__init__.py
@@ -0,0 +1,1 @@
+"""Allotments of tenants: rate limits that hold over all nodes."""
--- a/packages/node/src/lavendermountd/caller/exchange.py
+++ b/packages/node/src/lavendermountd/caller/exchange.py
@@ -124,7 +124,7 @@
             return self.refuse(classification)
         self.call_class = classification.call_class
         outcome = await self.service.handle_request(
-            self.to_request(classification, preset), preset
+            self.to_request(classification, preset), preset, classification.tenant
         )
         self.record_metrics(classification.call_class, outcome)
         if isinstance(outcome, Success):
--- a/packages/node/src/lavendermountd/caller/service.py
+++ b/packages/node/src/lavendermountd/caller/service.py
@@ -7,15 +7,20 @@
 
 import asyncio
 
-from lavendermount_core.config.preset import LimitOptions
+from returns.result import Failure
+
+from lavendermount_core.config.preset import LimitOptions, TenantOptions
 from lavendermount_core.models.calls import CallReply, CallRequest
 from lavendermount_core.utils.units import DEFAULT_MAX_BODY_BYTES, MS_PER_S
+from lavendermountd.allotments.client import Take
+from lavendermountd.allotments.service import Allotments
 from lavendermountd.claims.claims import ClaimService
 from lavendermountd.dialects.base import Dialect
 from lavendermountd.gate.attempts import AttemptResult
 from lavendermountd.http1.request_parser import RequestLimits
 from lavendermountd.metrics import NodeMetrics
 from lavendermountd.presets.holder import InForcePreset, PresetHolder
+from lavendermountd.routing.request_state import has_reached_target
 from lavendermountd.routing.router import Router
 
 CATCH_UP_TIMEOUT_S = 0.5
@@ -33,6 +38,7 @@
     :param metrics: metrics of the node.
     :param dialect: dialect of the callers.
     :param origin: service that runs on this VM.
+    :param allotments: takes tokens of tenants' allotments.
     """
 
     def __init__(
@@ -43,6 +49,7 @@
         metrics: NodeMetrics,
         dialect: Dialect,
         origin: str,
+        allotments: Allotments,
     ) -> None:
         """Start without requests and with default limits."""
         self.holder = holder
@@ -52,6 +59,7 @@
         self.active_tasks: set[asyncio.Task[CallReply]] = set()
         self.dialect = dialect
         self.origin = origin
+        self.allotments = allotments
         self.limits = RequestLimits(DEFAULT_HEADER_BYTES, DEFAULT_MAX_BODY_BYTES)
         self.header_timeout_s = DEFAULT_HEADER_TIMEOUT_S
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
@@ -84,12 +92,36 @@
         self,
         request: CallRequest,
         preset: InForcePreset,
+        tenant: TenantOptions | None = None,
     ) -> AttemptResult:
-        """Run a request, at most once for each idempotency key.
+        """Run a request if the allotment of its tenant allows.
 
         :param request: the request.
         :param preset: preset that was in force when the request was classified.
+        :param tenant: tenant that the request's key identifies; ``None`` without one.
+        """
+        if tenant is None:
+            return await self.run_request(request, preset)
+        take = await self.allotments.client.try_take(tenant.name)
+        if take.refusal is not None:
+            return Failure(take.refusal)
+        outcome = await self.run_request(request, preset)
+        self.settle(tenant.name, take, outcome)
+        return outcome
+
+    def settle(self, tenant: str, take: Take, outcome: AttemptResult) -> None:
+        """Give the token of a request back if it reached no target.
+
+        A request that a target refused was not run either, but it counts as one that
+        reached a target.
         """
+        if isinstance(outcome, Failure) and not has_reached_target(outcome.failure()):
+            self.allotments.client.give_back(tenant, take)
+
+    async def run_request(
+        self, request: CallRequest, preset: InForcePreset
+    ) -> AttemptResult:
+        """Run a request, at most once for each idempotency key."""
         key = self.claims.key_digest(request)
         if key is None:
             return await self.router.route(request, preset)
--- a/packages/node/src/lavendermountd/gauges.py
+++ b/packages/node/src/lavendermountd/gauges.py
@@ -42,5 +42,6 @@
         'freezes': node.freeze_guard.freezes,
         'suspects': len(node.gate.suspects.suspects),
         'evacuated_zones': len(node.evacuations.evacuated),
+        **node.allotments.state(),
         'cold_remaining_s': round(node.gate.target.cold_phase.remaining_s, 1),
     }
--- a/packages/node/src/lavendermountd/node.py
+++ b/packages/node/src/lavendermountd/node.py
@@ -14,6 +14,7 @@
 from lavendermount_core.models.loads import LoadReport
 from lavendermount_core.models.members import Member, MemberStatus
 from lavendermount_core.utils.units import MS_PER_S
+from lavendermountd.allotments.service import Allotments
 from lavendermountd.caller.server import CallerServer
 from lavendermountd.caller.service import CallService
 from lavendermountd.claims.claims import ClaimService
@@ -155,6 +156,10 @@
 
     def build_servers(self) -> None:
         """Build the servers; they listen once the supervisor tree runs them."""
+        allotments = Allotments(
+            self.table, self.links, self.settings.zones, self.knows_members
+        )
+        self.router.take_hedge_token = allotments.client.try_take_hedge
         self.service = CallService(
             self.holder,
             self.router,
@@ -162,9 +167,11 @@
             self.metrics,
             self.dialect,
             self.settings.origin,
+            allotments,
         )
         self.caller_server = CallerServer(self.service)
         self.peer_server = PeerServer(self.gate, self.freeze_guard)
+        self.peer_server.allotments = allotments.owner
         self.target_monitor = TargetMonitor(
             self.gate,
             self.settings.target.evidence == HEALTH,
@@ -217,6 +224,11 @@
         """Apply a load report received from another gate."""
         self.router.on_load_report(report)
 
+    @property
+    def allotments(self) -> Allotments:
+        """Allotments of the tenants."""
+        return self.service.allotments
+
     @property
     def evacuations(self) -> EvacuationTable:
         """Zones that have been evacuated."""
@@ -302,6 +314,7 @@
         """Discard state and connections that may be out of date after a freeze."""
         self.peer_server.close_all()
         self.links.close_all()
+        self.allotments.reset()
         self.gossip.timers.restart()
         self.service.caught_up.clear()
         self.follower.restart()
--- a/packages/node/src/lavendermountd/peer/frames.py
+++ b/packages/node/src/lavendermountd/peer/frames.py
@@ -18,6 +18,9 @@
 frame_kinds: Registry[int, type[Record]] = Registry('frame')
 # Largest part of a body in one frame.
 MAX_PART_BYTES = 65536
+TOKEN_GRANT_KIND = 11
+LOAN_ASK_KIND = 12
+LOAN_GRANT_KIND = 13
 
 
 @frame_kinds.register(1)
@@ -255,6 +258,73 @@
         self.remaining_ms = remaining_ms
 
 
+@frame_kinds.register(10)
+class TokenAsk(Record):
+    """Asks the owner of some tenants for tokens.
+
+    :param ask_id: identifier to return in the ``TokenGrant``.
+    :param wanted: pairs of a tenant and a number of tokens.
+    """
+
+    __slots__ = ('ask_id', 'wanted')
+
+    def __init__(self, ask_id: int, wanted: list[Any]) -> None:
+        """Initialize the fields."""
+        self.ask_id = ask_id
+        self.wanted = wanted
+
+
+@frame_kinds.register(TOKEN_GRANT_KIND)
+class TokenGrant(Record):
+    """Grants tokens, in the order in which the tenants were named.
+
+    :param ask_id: identifier of the ``TokenAsk``.
+    :param granted: pairs of a number of tokens, negative if the node does not own
+        the tenant, and the milliseconds until the next one; 0 if all were granted.
+    """
+
+    __slots__ = ('ask_id', 'granted')
+
+    def __init__(self, ask_id: int, granted: list[Any]) -> None:
+        """Initialize the fields."""
+        self.ask_id = ask_id
+        self.granted = granted
+
+
+@frame_kinds.register(LOAN_ASK_KIND)
+class LoanAsk(Record):
+    """Asks the owner of a tenant in another zone to lend some of its rate.
+
+    :param ask_id: identifier to return in the ``LoanGrant``.
+    :param tenant: name of the tenant.
+    :param rate_per_s: rate that is missing.
+    """
+
+    __slots__ = ('ask_id', 'tenant', 'rate_per_s')
+
+    def __init__(self, ask_id: int, tenant: str, rate_per_s: float) -> None:
+        """Initialize the fields."""
+        self.ask_id = ask_id
+        self.tenant = tenant
+        self.rate_per_s = rate_per_s
+
+
+@frame_kinds.register(LOAN_GRANT_KIND)
+class LoanGrant(Record):
+    """Lends rate for the time of a lease, which started when it was asked for.
+
+    :param ask_id: identifier of the ``LoanAsk``.
+    :param rate_per_s: rate that is lent; 0 for none.
+    """
+
+    __slots__ = ('ask_id', 'rate_per_s')
+
+    def __init__(self, ask_id: int, rate_per_s: float) -> None:
+        """Initialize the fields."""
+        self.ask_id = ask_id
+        self.rate_per_s = rate_per_s
+
+
 # What handling a frame raises if a field has the wrong type or value.
 MALFORMED_FRAME_ERRORS = (
     RecordError,
--- a/packages/node/src/lavendermountd/peer/link.py
+++ b/packages/node/src/lavendermountd/peer/link.py
@@ -30,9 +30,11 @@
     BodyPart,
     CrashSuspicion,
     Dispatch,
+    LoanGrant,
     Ping,
     Pong,
     Refused,
+    TokenGrant,
 )
 
 log = logging.getLogger(__name__)
@@ -75,6 +77,7 @@
         'on_suspect',
         'on_ping_sent',
         'on_sent',
+        'on_grant',
     )
 
     def __init__(
@@ -101,6 +104,8 @@
         self.frames: FrameStream = None  # type: ignore[assignment]
         self.on_ping_sent: Callable[[Member, int], None] | None = None
         self.on_sent: Callable[[Record, int], None] | None = None
+        # Called with each grant of tokens or rate.
+        self.on_grant: Callable[[Record], None] | None = None
 
     @property
     def is_open(self) -> bool:
@@ -300,6 +305,14 @@
     link.on_suspect(frame)
 
 
+@link_handlers.register(TokenGrant)
+@link_handlers.register(LoanGrant)
+def on_grant(link: PeerLink, frame: Record) -> None:
+    """Pass granted tokens or lent rate on."""
+    if link.on_grant is not None:
+        link.on_grant(frame)
+
+
 def resolve_answer(link: PeerLink, frame: Answer) -> None:
     """Resolve an attempt with its complete reply."""
     link.on_load(LoadReport.from_row(frame.load))
--- a/packages/node/src/lavendermountd/peer/link_pool.py
+++ b/packages/node/src/lavendermountd/peer/link_pool.py
@@ -47,6 +47,7 @@
         self.silence_timeout_s = 0.3
         self.on_ping_sent: Callable[[Member, int], None] | None = None
         self.meter: TrafficMeter | None = None
+        self.on_grant: Callable[[Record], None] | None = None
 
     def on_load_report(self, report: LoadReport) -> None:
         """Pass a load report on and end the backoff of its node, which is reachable."""
@@ -88,6 +89,7 @@
             self.silence_timeout_s,
         )
         link.on_ping_sent = self.on_ping_sent
+        link.on_grant = self.on_grant
         if self.meter is not None:
             distance = self.meter.distance_to(member)
             link.on_sent = partial(self.meter.add_frame, distance=distance)
--- a/packages/node/src/lavendermountd/peer/server.py
+++ b/packages/node/src/lavendermountd/peer/server.py
@@ -28,6 +28,7 @@
 from lavendermount_core.routing.candidates import Distance
 from lavendermount_core.utils.registry import Registry
 from lavendermount_core.utils.units import DEFAULT_MAX_BODY_BYTES, MS_PER_S
+from lavendermountd.allotments.owner import AllotmentOwner
 from lavendermountd.gate.attempts import Attempt, AttemptResult
 from lavendermountd.gate.gate import Gate
 from lavendermountd.peer.bodies import BodyAssembler
@@ -40,10 +41,14 @@
     Cancel,
     CrashSuspicion,
     Dispatch,
+    LoanAsk,
+    LoanGrant,
     OutcomeQuery,
     Ping,
     Pong,
     Refused,
+    TokenAsk,
+    TokenGrant,
 )
 from lavendermountd.supervision.freeze import FreezeGuard
 from lavendermountd.traffic_meter import TrafficMeter
@@ -69,6 +74,7 @@
         'tasks',
         'last_dispatch_at',
         'is_distant',
+        'allotments',
     )
 
     def __init__(self, stream: FrameStream, gate: Gate, max_body: int) -> None:
@@ -80,6 +86,8 @@
         self.last_dispatch_at: float = 0
         # Whether the other node is in another zone.
         self.is_distant = False
+        # Tokens of the tenants that this node owns.
+        self.allotments: AllotmentOwner | None = None
 
     def send_or_close(self, frame: Record) -> None:
         """Send a frame; close the connection if that fails."""
@@ -242,6 +250,25 @@
     session.gate.merge_suspicion(frame)
 
 
+@frame_handlers.register(TokenAsk)
+async def on_token_ask(session: PeerSession, frame: Record) -> None:
+    """Grant tokens of the tenants that this node owns."""
+    assert isinstance(frame, TokenAsk)
+    assert session.allotments is not None
+    wanted = [(str(tenant), max(0, int(count))) for tenant, count in frame.wanted]
+    granted = session.allotments.grant_all(wanted)
+    session.frames.send(TokenGrant(frame.ask_id, [list(pair) for pair in granted]))
+
+
+@frame_handlers.register(LoanAsk)
+async def on_loan_ask(session: PeerSession, frame: Record) -> None:
+    """Lend rate of a tenant that this node owns and that it does not use."""
+    assert isinstance(frame, LoanAsk)
+    assert session.allotments is not None
+    lent_per_s = session.allotments.lend(frame.tenant, frame.rate_per_s)
+    session.frames.send(LoanGrant(frame.ask_id, lent_per_s))
+
+
 def build_attempt(frame: Dispatch) -> Attempt:
     """Build an attempt, converting its times to the clock of this node."""
     now = time.monotonic()
@@ -276,12 +303,14 @@
         self.max_body = DEFAULT_MAX_BODY_BYTES
         self.sessions: set[PeerSession] = set()
         self.meter: TrafficMeter | None = None
+        self.allotments: AllotmentOwner | None = None
         # Whether traffic to other zones is kept low.
         self.is_zone_local = False
 
     async def handle_stream(self, stream: IOStream, address: object) -> None:
         """Serve one connection until it closes."""
         session = PeerSession(FrameStream(stream), self.gate, self.max_body)
+        session.allotments = self.allotments
         if self.meter is not None:
             host = str(stream.socket.getpeername()[0])
             distance = self.meter.distance_to_host(host)
--- a/packages/node/src/lavendermountd/presets/applier.py
+++ b/packages/node/src/lavendermountd/presets/applier.py
@@ -31,6 +31,7 @@
         self.apply_limits(preset.schema.limits)
         self.node.router.configure(preset)
         self.apply_budgets(preset.schema)
+        self.node.allotments.configure(preset.schema)
 
     def apply_to_gate(self, preset: InForcePreset) -> None:
         """Configure the gate and the health checks of the target.
--- a/packages/node/src/lavendermountd/routing/router.py
+++ b/packages/node/src/lavendermountd/routing/router.py
@@ -10,11 +10,13 @@
 import logging
 import time
 from collections import defaultdict
+from collections.abc import Callable
 from typing import Any
 
 from returns.result import Failure, Success
 
 from lavendermount_core.models.calls import (
+    CallClass,
     CallRequest,
     Reason,
     Refusal,
@@ -83,6 +85,8 @@
         self.retry_budget = RetryBudget()
         self.active_requests: dict[str, RequestState] = {}
         self.hedge_bucket = TokenBucket(0, 0)
+        # Takes a token of a tenant's allotment for a hedge; returns whether it got one.
+        self.take_hedge_token: Callable[[str], bool] | None = None
         self.slow_notifier = SlowTargetNotifier()
         self.latencies: dict[str, LatencyWindow] = defaultdict(LatencyWindow)
 
@@ -205,13 +209,22 @@
         selection = self.selector.select(state, is_same_region=True)
         if selection.member is None or selection.is_slow():
             return set()
-        if not self.hedge_bucket.try_spend(1):
-            return set()
-        if not self.retry_budget.try_spend(state.request.call_class.service):
+        if not self.try_spend_hedge(state.request.call_class):
             return set()
         attempt = OutboundAttempt(state, selection, Cause.HEDGE)
         return {asyncio.create_task(self.send(attempt))}
 
+    def try_spend_hedge(self, call_class: CallClass) -> bool:
+        """Return whether the budgets and the tenant's allotment allow a hedge.
+
+        The token is taken last, because one that is not used would be lost.
+        """
+        if not self.hedge_bucket.try_spend(1):
+            return False
+        if not self.retry_budget.try_spend(call_class.service):
+            return False
+        return self.take_hedge_token is None or self.take_hedge_token(call_class.tenant)
+
     async def send(self, attempt: OutboundAttempt) -> AttemptResult:
         """Send one attempt and record its decision and outcome."""
         state = attempt.state
--- a/packages/node/src/lavendermountd/traffic_meter.py
+++ b/packages/node/src/lavendermountd/traffic_meter.py
@@ -21,14 +21,19 @@
     Cancel,
     CrashSuspicion,
     Dispatch,
+    LoanAsk,
+    LoanGrant,
     OutcomeQuery,
     Ping,
     Pong,
     Refused,
+    TokenAsk,
+    TokenGrant,
 )
 
 GOSSIP = 'gossip'
 OTHER = 'other'
+ALLOTMENT = 'allotment'
 KIND_BY_FRAME = MappingProxyType(
     {
         Dispatch: 'request',
@@ -40,6 +45,10 @@
         Ping: 'ping',
         Pong: 'load-report',
         CrashSuspicion: 'crash-suspicion',
+        TokenAsk: ALLOTMENT,
+        TokenGrant: ALLOTMENT,
+        LoanAsk: ALLOTMENT,
+        LoanGrant: ALLOTMENT,
     }
 )
 DISTANCE_LABELS = MappingProxyType(
