Allotments: owners borrow rate from the owners of other zones

A loan is a lease of 4 s; the lender lowers its own rate first, for 1 s longer. A renewed loan replaces the earlier one of the same borrower.

--- a/features/allotment_fleet.py
+++ b/features/allotment_fleet.py
@@ -12,6 +12,7 @@
 from lavendermount_core.config.preset import parse_preset
 from lavendermount_core.models.members import MemberStatus
 from lavendermount_testbed.simulated_time import SimulatedTime
+from lavendermountd.allotments.borrowing import Borrower
 from lavendermountd.allotments.client import AllotmentClient
 from lavendermountd.allotments.limits import zone_shares
 from lavendermountd.allotments.owner import AllotmentOwner
@@ -62,7 +63,8 @@
         self.owner = AllotmentOwner(ZoneOwners(table, self.clock), self.clock)
         self.owner.is_ready = lambda: True
         self.client = AllotmentClient(self.owner, self.links(), self.clock)
-        self.fleet.connect_loans(self)
+        self.borrower = Borrower(self.owner, self.client.send_frame)
+        self.client.on_loan_grant = self.borrower.on_grant
         for limits in self.fleet.limits:
             self.owner.configure(limits)
 
@@ -99,6 +101,7 @@
         if self.clock() - self.frozen_at >= FREEZE_THRESHOLD_S:
             self.owner.reset()
             self.client.reset()
+            self.borrower.reset()
             self.inbox.clear()
         self.frozen_at = None
         delayed = tuple(self.inbox)
@@ -114,7 +117,7 @@
             granted = self.owner.grant_all(frame.wanted)
             self.fleet.transmit(self, sender_id, TokenGrant(frame.ask_id, granted))
         elif isinstance(frame, LoanAsk):
-            lent_per_s = self.owner.lend(frame.tenant, frame.rate_per_s)
+            lent_per_s = self.owner.lend(frame.tenant, frame.rate_per_s, frame.borrower)
             self.fleet.transmit(self, sender_id, LoanGrant(frame.ask_id, lent_per_s))
         else:
             self.client.on_grant(frame)
@@ -167,9 +170,6 @@
         for node in self.nodes.values():
             node.start()
 
-    def connect_loans(self, node: FleetNode) -> None:
-        """Let owners borrow from other zones."""
-
     def transmit(self, sender: FleetNode, node_id: str, frame: Any) -> None:
         """Deliver a frame later, unless it is lost."""
         receiver = self.nodes[node_id]
--- a/features/allotments.feature
+++ b/features/allotments.feature
@@ -8,6 +8,21 @@
     When callers of one node send 10 requests a second for 30 s
     Then between 18 and 66 requests are served, each refusal names a time, and no request waited
 
+  Scenario: Callers in one zone get the share of the others, and few messages cross zones
+    Given 4 zones of 3 nodes and a tenant with 20 requests a second and a burst of 20
+    When callers of one node send 10 requests a second for 30 s
+    Then at least 270 requests are served and at most 60 frames crossed zones
+
+  Scenario: A zone that needs its share lends none of it
+    Given 2 zones of 1 nodes and a tenant with 20 requests a second and a burst of 20
+    When callers of all nodes send 20 requests a second for 20 s
+    Then each zone serves at least 180 requests and lends nothing
+
+  Scenario: A freeze drops what was borrowed, and a lender keeps its rate lowered for longer
+    Given 2 zones of 1 nodes and a tenant with 20 requests a second and a burst of 20
+    When one zone borrows from the other and its owner freezes for 3 s
+    Then it has no borrowed rate, and its lender has its own again 5 s after it lent
+
   Scenario: A tenant without a limit costs nothing
     Then a tenant without a limit gets no token and causes no message
 
--- a/features/steps/allotment_steps.py
+++ b/features/steps/allotment_steps.py
@@ -47,14 +47,21 @@
         st.sampled_from((0, 1, 2)),
         st.integers(1, 4),
         st.integers(1, 4),
+        st.integers(0, 99),
         EVENTS,
     )
     def holds(
-        rate: float, bursts: float, zones: int, per_zone: int, events: list[Any]
+        rate: float,
+        bursts: float,
+        zones: int,
+        per_zone: int,
+        seed: int,
+        events: list[Any],
     ) -> None:
         burst = rate * bursts
         with SimulatedTime() as time:
-            fleet = Fleet(time, zones, per_zone, limited_preset(rate, burst), 1)
+            preset = limited_preset(rate, burst)
+            fleet = Fleet(time, zones, per_zone, preset, seed)
             time.run(fleet.run(SETTLED_S))
             for *event, pause_s in events:
                 fleet.apply(*event)
@@ -103,6 +110,56 @@
         assert 0 < refusal.retry_after_s <= 2
 
 
+@then('at least {low:d} requests are served and at most {most:d} frames crossed zones')
+def served_by_loans(context: Any, low: int, most: int) -> None:
+    """Count the requests and the frames between zones."""
+    fleet = context.fleet
+    crossed = sum(sender != receiver for sender, receiver, _ in fleet.frames)
+    assert len(fleet.served) >= low, len(fleet.served)
+    assert 0 < crossed <= most, crossed
+
+
+@when('callers of all nodes send 20 requests a second for {seconds:d} s')
+def send_everywhere(context: Any, seconds: int) -> None:
+    """Send two requests in each tick of 0.1 s to every node."""
+    context.fleet.demand(0, 2)
+    context.time.run(context.fleet.run(seconds))
+
+
+@then('each zone serves at least {low:d} requests and lends nothing')
+def nothing_lent(context: Any, low: int) -> None:
+    """Check what each owner granted and lent after the start."""
+    for node in context.fleet.nodes.values():
+        assert node.owner.granted >= low, node.owner.granted
+        assert not node.owner.ledger.lent
+
+
+@when('one zone borrows from the other and its owner freezes for {seconds:d} s')
+def borrow_and_freeze(context: Any, seconds: int) -> None:
+    """Lend at a demand above the share, then freeze the borrower."""
+    borrower, lender = context.fleet.nodes.values()
+    borrower.demand = 2
+    context.time.run(context.fleet.run(1))
+    assert borrower.owner.ledger.borrowed_per_s(TENANT) > 0
+    borrower.freeze()
+    context.time.run(context.fleet.run(seconds))
+    borrower.demand = 0
+    borrower.thaw()
+    assert lender.owner.ledger.lent_per_s(TENANT) > 0
+
+
+@then(
+    'it has no borrowed rate, and its lender has its own again {seconds:d} s after it lent'
+)
+def loans_end(context: Any, seconds: int) -> None:
+    """Check both owners."""
+    borrower, lender = context.fleet.nodes.values()
+    assert not borrower.owner.ledger.borrowed
+    context.time.advance(seconds - 3)
+    assert not lender.owner.ledger.lent_per_s(TENANT)
+    assert lender.owner.rate_per_s(TENANT) == 10
+
+
 @then('a tenant without a limit gets no token and causes no message')
 def without_limit(context: Any) -> None:
     """Call for a tenant that no preset limits."""
--- a/packages/node/src/lavendermountd/allotments/owner.py
+++ b/packages/node/src/lavendermountd/allotments/owner.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections.abc import Callable
 
 from lavendermount_core.utils.units import MS_PER_S
@@ -27,6 +28,7 @@
 KEPT_DEMAND = 1.25
 # Smaller loans are not worth a message.
 MIN_LOAN_PER_S = 0.05
+RATE_STEPS = 100
 
 
 class TenantState:
@@ -179,24 +181,43 @@
         if is_short or demand_per_s > own * BORROWING_LEVEL:
             self.on_shortage(tenant, max(1, demand_per_s) - own)
 
-    def lend(self, tenant: str, wanted_per_s: float) -> float:
+    def borrow(
+        self, tenant: str, rate_per_s: float, zone: str, asked_at: float
+    ) -> None:
+        """Use rate of another zone from now until the end of its lease."""
+        state = self.refilled(tenant)
+        if state is None:
+            return
+        self.ledger.borrow(tenant, rate_per_s, zone, asked_at)
+        state.bucket.refill(self.clock(), self.rate_per_s(tenant))
+
+    def lend(self, tenant: str, wanted_per_s: float, borrower: str) -> float:
         """Lend rate that this zone does not use; the own rate is lowered first.
 
-        The recent demand, with a margin, stays with this zone.
+        The recent demand, with a margin, stays with this zone. What is borrowed is not
+        lent again.
 
         :param wanted_per_s: rate that another zone misses.
+        :param borrower: node that borrows; its earlier loan is replaced.
         :returns: the rate that is lent; 0 for none.
         """
         state = self.refilled(tenant)
         now = self.clock()
         if state is None or now < self.owners.grants_from(tenant):
             return 0
-        own_per_s = state.bucket.rate_per_s - self.ledger.borrowed_per_s(tenant)
-        spare_per_s = own_per_s - state.demand.per_s(now) * KEPT_DEMAND
-        lent_per_s = round(min(wanted_per_s, spare_per_s), 2)
-        if not lent_per_s >= MIN_LOAN_PER_S:
+        own_per_s = self.shares[tenant].rate_per_s * self.owners.coverage()
+        lent_per_s = self.ledger.lent_per_s(tenant, except_to=borrower)
+        kept_per_s = state.demand.per_s(now) * KEPT_DEMAND
+        spare_per_s = own_per_s - lent_per_s - kept_per_s
+        rate_per_s = floor_to_step(min(wanted_per_s, spare_per_s))
+        if not rate_per_s >= MIN_LOAN_PER_S:
             return 0
-        self.ledger.lend(tenant, lent_per_s)
+        self.ledger.lend(tenant, rate_per_s, borrower)
         state.bucket.refill(now, self.rate_per_s(tenant))
-        log.debug('allotment-lent', extra={'tenant': tenant, 'per_s': lent_per_s})
-        return lent_per_s
+        log.debug('allotment-lent', extra={'tenant': tenant, 'per_s': rate_per_s})
+        return rate_per_s
+
+
+def floor_to_step(rate_per_s: float) -> float:
+    """Round a rate down to hundredths, so that no more is lent than is spare."""
+    return math.floor(rate_per_s * RATE_STEPS) / RATE_STEPS
--- a/packages/node/src/lavendermountd/allotments/service.py
+++ b/packages/node/src/lavendermountd/allotments/service.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 
 from lavendermount_core.config.preset import PresetSchema
+from lavendermountd.allotments.borrowing import Borrower
 from lavendermountd.allotments.client import AllotmentClient
 from lavendermountd.allotments.limits import zone_shares
 from lavendermountd.allotments.owner import AllotmentOwner
@@ -27,7 +28,7 @@
     :param is_ready: returns whether the members are known.
     """
 
-    __slots__ = ('table', 'zones', 'owner', 'client')
+    __slots__ = ('table', 'zones', 'owner', 'client', 'borrower')
 
     def __init__(
         self,
@@ -43,6 +44,8 @@
         self.owner = AllotmentOwner(owners, boot_clock_s)
         self.owner.is_ready = is_ready
         self.client = AllotmentClient(self.owner, links, boot_clock_s)
+        self.borrower = Borrower(self.owner, self.client.send_frame)
+        self.client.on_loan_grant = self.borrower.on_grant
         links.on_grant = self.client.on_grant
 
     def configure(self, schema: PresetSchema) -> None:
@@ -58,6 +61,7 @@
         """Drop all tokens and leases after a freeze."""
         self.owner.reset()
         self.client.reset()
+        self.borrower.reset()
 
     def state(self) -> dict[str, float]:
         """Return the values of the node state gauge, by name."""
--- a/packages/node/src/lavendermountd/peer/frames.py
+++ b/packages/node/src/lavendermountd/peer/frames.py
@@ -298,15 +298,19 @@
     :param ask_id: identifier to return in the ``LoanGrant``.
     :param tenant: name of the tenant.
     :param rate_per_s: rate that is missing.
+    :param borrower: node that asks; an earlier loan to it is replaced.
     """
 
-    __slots__ = ('ask_id', 'tenant', 'rate_per_s')
+    __slots__ = ('ask_id', 'tenant', 'rate_per_s', 'borrower')
 
-    def __init__(self, ask_id: int, tenant: str, rate_per_s: float) -> None:
+    def __init__(
+        self, ask_id: int, tenant: str, rate_per_s: float, borrower: str
+    ) -> None:
         """Initialize the fields."""
         self.ask_id = ask_id
         self.tenant = tenant
         self.rate_per_s = rate_per_s
+        self.borrower = borrower
 
 
 @frame_kinds.register(LOAN_GRANT_KIND)
--- a/packages/node/src/lavendermountd/peer/server.py
+++ b/packages/node/src/lavendermountd/peer/server.py
@@ -265,7 +265,7 @@
     """Lend rate of a tenant that this node owns and that it does not use."""
     assert isinstance(frame, LoanAsk)
     assert session.allotments is not None
-    lent_per_s = session.allotments.lend(frame.tenant, frame.rate_per_s)
+    lent_per_s = session.allotments.lend(frame.tenant, frame.rate_per_s, frame.borrower)
     session.frames.send(LoanGrant(frame.ask_id, lent_per_s))
 
 
