--- a/packages/node/src/lavendermountd/log_readers.py
+++ b/packages/node/src/lavendermountd/log_readers.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 from lavendermount_core.config.findings import Finding
 from lavendermount_core.config.node import KEYED, STREAM, NodeSchema
 from lavendermount_core.exceptions import ConfigurationError
@@ -13,10 +15,12 @@
 from lavendermountd.membership.gossip import Gossip
 from lavendermountd.membership.joining import Joiner
 from lavendermountd.membership.keyed_joining import KeyedJoiner
+from lavendermountd.membership.table import MemberTable
 from lavendermountd.presets.decoders import preset_decoders
 from lavendermountd.presets.follower import PresetFollower
 from lavendermountd.presets.holder import PresetHolder
 from lavendermountd.presets.keyed_follower import KeyedPresetFollower
+from lavendermountd.presets.log_readers import is_log_reader
 
 
 def build_joiner(
@@ -36,12 +40,13 @@
     platform_log: LogAdapter,
     holder: PresetHolder,
     evacuations: EvacuationTable,
+    table: MemberTable,
 ) -> PresetFollower | KeyedPresetFollower:
     """Build the follower of the preset in force."""
     options = settings.presets
     if options.source == STREAM:
         return PresetFollower(platform_log, holder)
-    return KeyedPresetFollower(
+    follower = KeyedPresetFollower(
         _require_keyed_log(platform_log),
         holder,
         options.stream,
@@ -49,6 +54,8 @@
         preset_decoders.find(options.decoder),
         evacuations,
     )
+    follower.reachability.schedule.is_reader = partial(is_log_reader, table)
+    return follower
 
 
 def _require_keyed_log(platform_log: LogAdapter) -> KeyedLog:
--- a/packages/node/src/lavendermountd/node.py
+++ b/packages/node/src/lavendermountd/node.py
@@ -8,13 +8,13 @@
 import asyncio
 import logging
 import random
-from functools import partial
 
 from lavendermount_core.config.node import HEALTH, NodeSchema
 from lavendermount_core.log.adapter import open_log
 from lavendermount_core.models.loads import LoadReport
 from lavendermount_core.models.members import Member, MemberStatus
 from lavendermount_core.utils.units import MS_PER_S
+from lavendermountd.allotments.service import Allotments
 from lavendermountd.caller.server import CallerServer
 from lavendermountd.caller.service import CallService
 from lavendermountd.claims.claims import ClaimService
@@ -42,7 +42,6 @@
 from lavendermountd.presets.catchup import PresetCatchUp
 from lavendermountd.presets.holder import PresetHolder
 from lavendermountd.presets.keyed_follower import KeyedPresetFollower
-from lavendermountd.presets.log_readers import is_log_reader
 from lavendermountd.recorder.recorder import Recorder
 from lavendermountd.routing.budgets import MeasuringBudget, TokenBucket
 from lavendermountd.routing.load_view import LoadView
@@ -152,12 +151,20 @@
         """Build the components that track the preset in force."""
         self.holder = PresetHolder()
         self.follower = build_follower(
-            self.settings, self.platform_log, self.holder, self.evacuations
+            self.settings,
+            self.platform_log,
+            self.holder,
+            self.evacuations,
+            self.table,
         )
         self.catch_up = PresetCatchUp(self.holder, self.channels)
 
     def build_servers(self) -> None:
         """Build the servers; they listen once the supervisor tree runs them."""
+        allotments = Allotments(
+            self.table, self.links, self.settings.zones, self.knows_members
+        )
+        self.router.take_hedge_token = allotments.client.try_take_hedge
         self.service = CallService(
             self.holder,
             self.router,
@@ -165,9 +172,11 @@
             self.metrics,
             self.dialect,
             self.settings.origin,
+            allotments,
         )
         self.caller_server = CallerServer(self.service)
         self.peer_server = PeerServer(self.gate, self.freeze_guard)
+        self.peer_server.allotments = allotments.owner
         self.target_monitor = TargetMonitor(
             self.gate,
             self.settings.target.evidence == HEALTH,
@@ -202,7 +211,6 @@
         self.platform_log.era_listeners.append(recovery.start)
         if isinstance(self.follower, KeyedPresetFollower):
             self.follower.prepare_first_preset = recovery.ask_neighbours
-            schedule.is_reader = partial(is_log_reader, self.table)
         self.links.on_ping_sent = self.charge_ping
         self.links.meter = self.gossip.meter
         self.peer_server.meter = self.gossip.meter
@@ -222,6 +230,11 @@
         """Apply a load report received from another gate."""
         self.router.on_load_report(report)
 
+    @property
+    def allotments(self) -> Allotments:
+        """Allotments of the tenants."""
+        return self.service.allotments
+
     @property
     def evacuations(self) -> EvacuationTable:
         """Zones that have been evacuated."""
@@ -307,6 +320,7 @@
         """Discard state and connections that may be out of date after a freeze."""
         self.peer_server.close_all()
         self.links.close_all()
+        self.allotments.reset()
         self.gossip.timers.restart()
         self.service.caught_up.clear()
         self.follower.restart()
