--- a/features/steps/log_reader_steps.py
+++ b/features/steps/log_reader_steps.py
@@ -11,8 +11,8 @@
 
 from lavendermount_core.models.members import Member, MemberStatus
 from lavendermountd.membership.table import MemberTable
-from lavendermountd.presets.log_readers import is_log_reader
 from lavendermountd.presets.poll_schedule import PollSchedule
+from lavendermountd.presets.reader_selection import is_log_reader
 
 LONGEST_WAIT_S = 10_000
 DRAWS = 20_000
--- a/packages/node/src/lavendermountd/log_readers.py
+++ b/packages/node/src/lavendermountd/log_readers.py
@@ -20,7 +20,7 @@
 from lavendermountd.presets.follower import PresetFollower
 from lavendermountd.presets.holder import PresetHolder
 from lavendermountd.presets.keyed_follower import KeyedPresetFollower
-from lavendermountd.presets.log_readers import is_log_reader
+from lavendermountd.presets.reader_selection import is_log_reader
 
 
 def build_joiner(
