--- a/packages/node/src/lavendermountd/allotments/client.py
+++ b/packages/node/src/lavendermountd/allotments/client.py
@@ -175,10 +175,11 @@
         expires_at = tokens.stock.take(now)
         if expires_at is not None:
             return Take(None, expires_at)
-        if now < tokens.refused_until:
-            return self.refuse(tokens.retry_at - now)
         if self.owner.owners.is_own(tenant):
+            # Also counts the demand by which the owner borrows.
             return self.take_own(tenant, tokens)
+        if now < tokens.refused_until:
+            return self.refuse(tokens.retry_at - now)
         if self.reachable_owner(tenant) is None:
             return self.take_reserve(tenant, tokens)
         return await self.wait_for_token(tenant, tokens)
