--- a/packages/core/src/lavendermount_core/config/preset.py
+++ b/packages/core/src/lavendermount_core/config/preset.py
@@ -457,13 +457,7 @@
         tenant.
         """
         names = [entry.name for entry in self.class_]
-        findings = [
-            Finding(
-                f'{location}class[{index}].name', f'{name!r} is used more than once'
-            )
-            for index, name in enumerate(names)
-            if name in names[:index]
-        ]
+        findings = _repeated_names(names, f'{location}class')
         findings.extend(
             Finding(
                 f'{location}route[{index}].class',
@@ -493,13 +487,7 @@
         The findings do not contain keys.
         """
         names = [tenant.name for tenant in self.tenant]
-        findings = [
-            Finding(
-                f'{location}tenant[{index}].name', f'{name!r} is used more than once'
-            )
-            for index, name in enumerate(names)
-            if name in names[:index]
-        ]
+        findings = _repeated_names(names, f'{location}tenant')
         return findings + self.check_keys(location)
 
     def check_keys(self, location: str) -> list[Finding]:
@@ -515,6 +503,14 @@
         return findings
 
 
+def _repeated_names(names: list[str], place: str) -> list[Finding]:
+    return [
+        Finding(f'{place}[{index}].name', f'{name!r} is used more than once')
+        for index, name in enumerate(names)
+        if name in names[:index]
+    ]
+
+
 def parse_preset(text: str, source: str) -> PresetSchema:
     """Parse and validate a preset.
 
