--- a/features/membership.feature
+++ b/features/membership.feature
@@ -52,6 +52,7 @@
     Given a region of 2 zones with 20 nodes each, whose gossip stays in the zone
     Then the nodes of a zone together probe about one member of the other zone in each round
     And each of them probes all of its own zone
+    And an urgent update goes to 3 members of the own zone, and about 3 of the other zone from all nodes together
     When a member of the other zone is suspected
     Then they probe as many members there as in their own zone
     And a round carries some reports of the other zone, however many newer ones there are
--- a/features/steps/zone_gossip_steps.py
+++ b/features/steps/zone_gossip_steps.py
@@ -18,6 +18,7 @@
 
 ZONE_SIZE = 20
 NEWER_REPORTS = 12
+PASSES = 200
 
 
 @given('a region of 2 zones with 20 nodes each, whose gossip stays in the zone')
@@ -59,6 +60,18 @@
     assert probed_in(context, 'a') == ZONE_SIZE - 1
 
 
+@then(
+    'an urgent update goes to {count:d} members of the own zone, and about {others:d} of'
+    ' the other zone from all nodes together'
+)
+def urgent_update(context: Any, count: int, others: int) -> None:
+    """Choose the members many times, as the nodes of a zone do."""
+    chosen = [context.gossip.some_peers(count) for _ in range(PASSES * ZONE_SIZE)]
+    distant = sum(entry.zone == 'b' for peers in chosen for entry in peers)
+    assert all(len(peers) in {count, count + 1} for peers in chosen)
+    assert abs(distant / PASSES - others) < 1, distant / PASSES
+
+
 @when('a member of the other zone is suspected')
 def suspect_one(context: Any) -> None:
     """Mark a member as suspected."""
--- a/packages/node/src/lavendermountd/membership/gossip.py
+++ b/packages/node/src/lavendermountd/membership/gossip.py
@@ -36,6 +36,9 @@
 PROBE_TIMEOUT_RATIO = 0.5
 # Members of other zones that all nodes of a zone together probe in each round.
 ZONE_ROUNDS = 1
+# The same for each urgent update. Each zone has readers of the log, so these matter
+# only if all of them are cut off.
+URGENT_ZONE_ROUNDS = 3
 REMOTE_TIMEOUT_S = 1.0
 
 
@@ -275,8 +278,23 @@
 
     async def exchange_with_some(self, count: int) -> None:
         """Exchange rounds with some members, of the own region if there are any."""
+        await self.exchange_with_all(self.some_peers(count))
+
+    def some_peers(self, count: int) -> list[Member]:
+        """Choose members for urgent updates.
+
+        Where traffic between zones is kept low, they are of the own zone, and the
+        nodes of a zone together choose about ``URGENT_ZONE_ROUNDS`` of other zones.
+        """
         peers = self.living_in_region() or self.table.living()
-        await self.exchange_with_all(random.sample(peers, min(count, len(peers))))
+        own_zone = [peer for peer in peers if peer.zone == self.table.own.zone]
+        if not self.is_zone_local or not own_zone:
+            return random.sample(peers, min(count, len(peers)))
+        chosen = random.sample(own_zone, min(count, len(own_zone)))
+        others = [peer for peer in peers if peer.zone != self.table.own.zone]
+        if others and random.random() < URGENT_ZONE_ROUNDS / len(own_zone):
+            chosen.append(random.choice(others))
+        return chosen
 
     async def exchange_with_all(self, members: list[Member]) -> None:
         """Exchange rounds with some members at once, for urgent updates."""
