--- a/packages/node/src/lavendermountd/allotments/borrowing.py
+++ b/packages/node/src/lavendermountd/allotments/borrowing.py
@@ -23,8 +23,10 @@
 ANSWER_TIMEOUT_S = 0.5
 # A loan is renewed when no more than this time of its lease is left.
 RENEWAL_S = 1.0
-# More is asked for than is missing, so that a small rise needs no further message.
-ASK_FACTOR = 1.2
+# More is asked for than is missing. The first shortage is seen when the demand just
+# exceeds the share, and the same zone is not asked again before its lease ends.
+ASK_FACTOR = 2.0
+MIN_ASK_PER_S = 1.0
 
 
 class PendingLoan:
@@ -88,7 +90,7 @@
         if lender is None:
             return
         self.ask_count += 1
-        rate_per_s = round(wanted_per_s, 2)
+        rate_per_s = round(max(wanted_per_s, MIN_ASK_PER_S), 2)
         loan = PendingLoan(tenant, lender.zone, rate_per_s, now)
         self.pending[self.ask_count] = loan
         # The pause ends early if the zone lends some.
