Presets: the readers of a region share the rate of its reads

Found by reading: the waits of readers were drawn for all nodes of the region, so the few that read waited 17 s on average after news, and a read that was lost in a silence of the log went unnoticed for as long. A later change then depended on the checks of the others alone, which come later than 2.5 s after one in twelve changes (worked out). The waits are now drawn for the number of readers.

--- a/features/presets.feature
+++ b/features/presets.feature
@@ -137,4 +137,5 @@
     When the readers of a zone are dead
     Then 2 other nodes of that zone wait at the log
     And the nodes of a region that do not wait check the log once a second together, however many they are
+    And the readers of a region share the rate of its first reads after news, so that a lost read is noticed soon
     And a node that knows no other waits at the log
--- a/features/steps/log_reader_steps.py
+++ b/features/steps/log_reader_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from functools import partial
 from statistics import fmean
 from typing import Any
 
@@ -11,12 +12,17 @@
 
 from lavendermount_core.models.members import Member, MemberStatus
 from lavendermountd.membership.table import MemberTable
-from lavendermountd.presets.poll_schedule import PollSchedule
-from lavendermountd.presets.reader_selection import is_log_reader
+from lavendermountd.presets.poll_schedule import REGION_READS_PER_S, PollSchedule
+from lavendermountd.presets.reader_selection import (
+    READERS_PER_ZONE,
+    count_readers,
+    is_log_reader,
+)
 
 LONGEST_WAIT_S = 10_000
 DRAWS = 20_000
 RATE_TOLERANCE = 0.1
+ZONE_COUNT = 4
 
 
 def tables_of(members: list[Member]) -> list[MemberTable]:
@@ -91,6 +97,22 @@
         assert abs(mean_s / size - 1) < RATE_TOLERANCE, (size, mean_s)
 
 
+@then(
+    'the readers of a region share the rate of its first reads after news, so that a'
+    ' lost read is noticed soon'
+)
+def readers_share_rate(context: Any) -> None:
+    """Compare the mean wait of a reader with that of a region of readers only."""
+    table = tables_of(context.members)[0]
+    assert count_readers(table) == READERS_PER_ZONE * ZONE_COUNT
+    schedule = PollSchedule(LONGEST_WAIT_S)
+    schedule.region_size = lambda: len(context.members)
+    schedule.reader_count = partial(count_readers, table)
+    mean_s = fmean(schedule.wait_s() for _ in range(DRAWS))
+    expected_s = READERS_PER_ZONE * ZONE_COUNT / REGION_READS_PER_S
+    assert abs(mean_s / expected_s - 1) < RATE_TOLERANCE, mean_s
+
+
 @then('a node that knows no other waits at the log')
 def alone_waits(context: Any) -> None:
     """Check a table that holds only its own node."""
--- a/packages/node/src/lavendermountd/log_readers.py
+++ b/packages/node/src/lavendermountd/log_readers.py
@@ -20,7 +20,7 @@
 from lavendermountd.presets.follower import PresetFollower
 from lavendermountd.presets.holder import PresetHolder
 from lavendermountd.presets.keyed_follower import KeyedPresetFollower
-from lavendermountd.presets.reader_selection import is_log_reader
+from lavendermountd.presets.reader_selection import count_readers, is_log_reader
 
 
 def build_joiner(
@@ -54,7 +54,9 @@
         preset_decoders.find(options.decoder),
         evacuations,
     )
-    follower.reachability.schedule.is_reader = partial(is_log_reader, table)
+    schedule = follower.reachability.schedule
+    schedule.is_reader = partial(is_log_reader, table)
+    schedule.reader_count = partial(count_readers, table)
     return follower
 
 
--- a/packages/node/src/lavendermountd/presets/poll_schedule.py
+++ b/packages/node/src/lavendermountd/presets/poll_schedule.py
@@ -37,7 +37,13 @@
     :param max_wait_s: longest time that a read may wait for news.
     """
 
-    __slots__ = ('max_wait_s', 'region_size', 'is_reader', 'reads_without_news')
+    __slots__ = (
+        'max_wait_s',
+        'region_size',
+        'is_reader',
+        'reader_count',
+        'reads_without_news',
+    )
 
     def __init__(self, max_wait_s: float) -> None:
         """Assume that the node is alone until its members are known."""
@@ -45,6 +51,8 @@
         self.region_size: Callable[[], int] = _alone
         # Whether this node waits at the log; the others only check it at times.
         self.is_reader: Callable[[], bool] = _always
+        # Nodes of the region that wait at the log; ``None`` if all of them do.
+        self.reader_count: Callable[[], int] | None = None
         self.reads_without_news = 0
 
     def restart(self) -> None:
@@ -54,7 +62,8 @@
     def wait_s(self) -> float:
         """Return how long the next read may wait for news."""
         doublings = min(self.reads_without_news, MAX_DOUBLINGS)
-        mean_s = self.region_size() / REGION_READS_PER_S * 2**doublings
+        count = (self.reader_count or self.region_size)()
+        mean_s = count / REGION_READS_PER_S * 2**doublings
         drawn_s = random.expovariate(1 / mean_s)
         return min(max(drawn_s, MIN_WAIT_S), self.max_wait_s)
 
--- a/packages/node/src/lavendermountd/presets/reader_selection.py
+++ b/packages/node/src/lavendermountd/presets/reader_selection.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import zlib
+from collections import Counter
 from heapq import nsmallest
 
 from lavendermount_core.models.members import Member, MemberStatus
@@ -37,5 +38,18 @@
     )
 
 
+def count_readers(table: MemberTable) -> int:
+    """Count the nodes of the own region that wait at the log.
+
+    :param table: known members.
+    """
+    zone_sizes = Counter(
+        member.zone
+        for member in table.members.values()
+        if member.region == table.own.region and member.status <= MemberStatus.SUSPECT
+    )
+    return sum(min(size, READERS_PER_ZONE) for size in zone_sizes.values()) or 1
+
+
 def _selection_key(member: Member) -> tuple[int, str]:
     return zlib.crc32(f'{member.node_id}/log-reader'.encode()), member.node_id
