--- a/packages/node/src/lavendermountd/membership/gossip.py
+++ b/packages/node/src/lavendermountd/membership/gossip.py
@@ -36,8 +36,8 @@
 PROBE_TIMEOUT_RATIO = 0.5
 # Members of other zones that all nodes of a zone together probe in each round.
 ZONE_ROUNDS = 1
-# The same for each urgent update. Each zone has readers of the log, so these matter
-# only if all of them are cut off.
+# The same for each urgent update. The nodes of a zone learn it from the log too, so
+# these matter only if all of them are cut off from it.
 URGENT_ZONE_ROUNDS = 3
 REMOTE_TIMEOUT_S = 1.0
 
@@ -121,13 +121,19 @@
         members = self.living_in_region()
         if not self.is_zone_local:
             return members
-        own_zone = [member for member in members if member.zone == self.table.own.zone]
-        others = [member for member in members if member.zone != self.table.own.zone]
+        own_zone, others = self.split_by_zone(members)
         count = ZONE_ROUNDS
         if any(member.status == MemberStatus.SUSPECT for member in others):
             count = max(count, len(own_zone))
         return own_zone + random.sample(others, min(count, len(others)))
 
+    def split_by_zone(self, members: list[Member]) -> tuple[list[Member], list[Member]]:
+        """Split members into those of the own zone and the others."""
+        zone = self.table.own.zone
+        own_zone = [member for member in members if member.zone == zone]
+        others = [member for member in members if member.zone != zone]
+        return own_zone, others
+
     def living_in_region(self) -> list[Member]:
         """List the other members of the own region that are not dead."""
         region = self.table.own.region
@@ -287,11 +293,10 @@
         nodes of a zone together choose about ``URGENT_ZONE_ROUNDS`` of other zones.
         """
         peers = self.living_in_region() or self.table.living()
-        own_zone = [peer for peer in peers if peer.zone == self.table.own.zone]
+        own_zone, others = self.split_by_zone(peers)
         if not self.is_zone_local or not own_zone:
             return random.sample(peers, min(count, len(peers)))
         chosen = random.sample(own_zone, min(count, len(own_zone)))
-        others = [peer for peer in peers if peer.zone != self.table.own.zone]
         if others and random.random() < URGENT_ZONE_ROUNDS / len(own_zone):
             chosen.append(random.choice(others))
         return chosen
