--- a/review/standins/instance.py
+++ b/review/standins/instance.py
@@ -58,8 +58,6 @@
         self.seq_no = 0
         self.state = 'ready'
         self.is_up = False
-        # Whether the instance has said that it leaves; it may serve on for a while.
-        self.has_left = False
         self.running = 0
         self.waiting = 0
         self.free = asyncio.Semaphore(slots)
@@ -97,7 +95,7 @@
 
     async def beat_while(self, instance_id: str) -> None:
         """Report the state for as long as this incarnation runs."""
-        while self.is_up and self.instance_id == instance_id and not self.has_left:
+        while self.is_up and self.instance_id == instance_id:
             await self.report()
             await asyncio.sleep(BEAT_S)
 
