--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -232,9 +232,9 @@
             code = await self.process.wait()
             self.exits.append((time.monotonic(), code))
             self.lab.record('node-exit', self.name, f'code={code}')
+            await asyncio.sleep(0.5)
             if not self.restarts:
                 return
-            await asyncio.sleep(0.5)
 
     async def enforce_memory(self) -> None:
         """Kill the node when it exceeds the memory of the machine, as the platform does."""
