Presets: logs and a histogram tell how a version travels until it is in force

The record of the incident could not distinguish a slow link, a transfer that was given up, and a slow parser: no line named the size of a transfer, its duration, what had arrived of one that failed, or how long decoding took.

- preset-in-force: bytes and the time that applying took
- log-unreachable: bytes received of the answer that was given up
- lavendermount_preset_seconds by stage

No time limit and no decision changes. Adapters of the log note the bytes of an answer in a Transfer, which the follower hands them.

--- a/features/fakes.py
+++ b/features/fakes.py
@@ -25,6 +25,7 @@
     join_position,
     offset_of,
 )
+from lavendermount_core.log.transfer import Transfer
 from lavendermount_core.models.calls import CallReply, CallRequest, Reason
 from lavendermountd.claims.claims import ClaimService, ClaimState
 from lavendermountd.claims.holders import FORGOTTEN, HolderResponse
@@ -188,13 +189,21 @@
         self.oldest = 0
         self.is_unavailable = False
 
-    async def newest(self, stream: str) -> NewestRecords:
+    async def newest(
+        self, stream: str, transfer: Transfer | None = None
+    ) -> NewestRecords:
         """Read the newest record."""
         self.check_available()
         bodies = {'config': self.records[-1]} if self.records else {}
         return NewestRecords(len(self.records), bodies)
 
-    async def read(self, stream: str, offset: int, wait_s: float = 0) -> LogBatch:
+    async def read(
+        self,
+        stream: str,
+        offset: int,
+        wait_s: float = 0,
+        transfer: Transfer | None = None,
+    ) -> LogBatch:
         """Read the records from an offset on.
 
         :raises LogEvictedError: if records from there on were evicted.
@@ -243,7 +252,13 @@
         self.check_era(str(era_of(position)))
         return position
 
-    async def read(self, stream: str, offset: int, wait_s: float = 0) -> LogBatch:
+    async def read(
+        self,
+        stream: str,
+        offset: int,
+        wait_s: float = 0,
+        transfer: Transfer | None = None,
+    ) -> LogBatch:
         """Read all records from an offset on, after the delay.
 
         :raises LogEvictedError: if records from there on were evicted.
--- a/features/steps/preset_reading_steps.py
+++ b/features/steps/preset_reading_steps.py
@@ -13,6 +13,7 @@
 
 from lavendermount_core.exceptions import LogUnavailableError
 from lavendermount_core.log.adapter import LogBatch
+from lavendermount_core.log.transfer import Transfer
 from lavendermountd.control.channels import ControlCallError
 from lavendermountd.control.messages import preset_message
 from lavendermountd.presets.catchup import PresetCatchUp
@@ -78,7 +79,7 @@
         """Start without reads."""
         self.waits: list[float] = []
 
-    async def read(self, wait_s: float) -> LogBatch:
+    async def read(self, wait_s: float, transfer: Transfer) -> LogBatch:
         """Answer the first read at once, and no other."""
         self.waits.append(wait_s)
         if len(self.waits) > 1:
--- a/packages/core/src/lavendermount_core/log/adapter.py
+++ b/packages/core/src/lavendermount_core/log/adapter.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable
 
 from lavendermount_core.exceptions import LogEvictedError, LogUnavailableError
+from lavendermount_core.log.transfer import Transfer
 from lavendermount_core.utils.registry import Registry
 
 log = logging.getLogger(__name__)
@@ -187,12 +188,14 @@
         stream: str,
         offset: int,
         wait_s: float = 0,
+        transfer: Transfer | None = None,
     ) -> LogBatch:
         """Read records, starting at an offset.
 
         :param stream: name of the stream.
         :param offset: offset of the first record to read.
         :param wait_s: maximum time to wait for a record at the end of the stream.
+        :param transfer: is told of the bytes of the answer as they arrive.
         :raises LogEvictedError: if the offset is no longer retained, or is of an
             earlier era.
         :raises LogUnavailableError: if the log did not respond.
@@ -214,10 +217,13 @@
         """
 
     @abc.abstractmethod
-    async def newest(self, stream: str) -> NewestRecords:
+    async def newest(
+        self, stream: str, transfer: Transfer | None = None
+    ) -> NewestRecords:
         """Read the newest record of each key.
 
         :param stream: name of the stream.
+        :param transfer: is told of the bytes of the answers as they arrive.
         :raises LogUnavailableError: if the log did not respond.
         """
 
--- a/packages/core/src/lavendermount_core/log/http_log.py
+++ b/packages/core/src/lavendermount_core/log/http_log.py
@@ -22,6 +22,7 @@
     log_adapters,
     offset_of,
 )
+from lavendermount_core.log.transfer import Transfer
 from lavendermount_core.models.records import unpack
 from lavendermount_core.utils.units import MS_PER_S
 
@@ -67,6 +68,7 @@
         stream: str,
         offset: int,
         wait_s: float = 0,
+        transfer: Transfer | None = None,
     ) -> LogBatch:
         """Read records with a GET request.
 
@@ -80,6 +82,8 @@
                 connect_timeout=self.timeout_s,
             ),
         )
+        if transfer is not None:
+            transfer.note_received(len(response.body))
         if response.code == GONE:
             oldest = join_position(self.era, _parse_offset(response.body))
             raise LogEvictedError(stream, oldest)
--- a/packages/node/src/lavendermountd/http1/client.py
+++ b/packages/node/src/lavendermountd/http1/client.py
@@ -62,6 +62,7 @@
         'used_at',
         'exchange_count',
         'idle_limit_s',
+        'on_received',
     )
 
     def __init__(self, stream: IOStream, max_body: int) -> None:
@@ -74,6 +75,8 @@
         self.used_at = time.monotonic()
         self.exchange_count = 0
         self.idle_limit_s: float = 0
+        # Called with the size of each part of a reply.
+        self.on_received: Callable[[int], None] | None = None
         self.reader = asyncio.create_task(self.read_until_closed())
 
     @property
@@ -138,6 +141,8 @@
             if self.waiter is None:
                 self.must_close = True
                 return
+            if self.on_received is not None:
+                self.on_received(len(chunk))
             self.deliver_replies(self.parser.feed(chunk))
 
     def deliver_replies(self, replies: list[WireReply]) -> None:
--- a/packages/node/src/lavendermountd/metrics.py
+++ b/packages/node/src/lavendermountd/metrics.py
@@ -44,6 +44,12 @@
             registry=self.registry,
             buckets=list(CALL_SECONDS_BUCKETS),
         )
+        self.preset_stages = Histogram(
+            'lavendermount_preset_seconds',
+            'Time of each stage until a preset is in force: receive, decode and apply.',
+            registry=self.registry,
+            buckets=list(CALL_SECONDS_BUCKETS),
+        )
         self.restarts = Counter(
             'lavendermount_task_restarts_total',
             'Tasks restarted by their supervisor.',
@@ -96,6 +102,10 @@
         }
         self.calls.observe(labels, seconds)
 
+    def observe_preset_stage(self, stage: str, seconds: float) -> None:
+        """Record how long a stage of putting a preset in force took."""
+        self.preset_stages.observe({'stage': str(stage)}, seconds)
+
     def tenant_label(self, tenant: str) -> str:
         """Return the label of a tenant; ``OTHER_TENANT`` beyond ``MAX_TENANTS``."""
         if tenant in self.tenants:
--- a/packages/node/src/lavendermountd/node.py
+++ b/packages/node/src/lavendermountd/node.py
@@ -191,6 +191,7 @@
             self.settings.target.evidence == HEALTH,
         )
         self.holder.on_change.append(PresetApplier(self).apply)
+        self.holder.on_stage = self.metrics.observe_preset_stage
         self.evacuations.listeners.append(self.apply_evacuations)
         schedule = self.follower.reachability.schedule
         schedule.region_size = self.gossip.region_size
--- a/packages/node/src/lavendermountd/presets/catchup.py
+++ b/packages/node/src/lavendermountd/presets/catchup.py
@@ -8,9 +8,11 @@
 
 import asyncio
 import logging
+import time
 from collections.abc import Callable
 
 from lavendermount_core.models.members import Member
+from lavendermount_core.utils.units import MS_PER_S
 from lavendermountd.control.channels import ChannelPool, ControlCallError
 from lavendermountd.control.generated import control_pb2
 from lavendermountd.control.messages import preset_record
@@ -95,6 +97,7 @@
 
     async def fetch(self, member: Member) -> None:
         """Request the preset in force from a peer, and adopt it."""
+        started_at = time.monotonic()
         try:
             answer = await self.channels.call_member(
                 member, 'Preset', control_pb2.PresetRequest(), FETCH_TIMEOUT_S
@@ -105,6 +108,16 @@
                 extra={'peer': member.node_id, 'cause': str(error)},
             )
             return
+        log.info(
+            'preset-fetched',
+            extra={
+                'peer': member.node_id,
+                'revision': answer.revision,
+                'in_force': self.holder.revision,
+                'bytes': answer.ByteSize(),
+                'fetch_ms': round((time.monotonic() - started_at) * MS_PER_S),
+            },
+        )
         if answer.is_settled and answer.revision > self.holder.revision:
             self.holder.adopt(preset_record(answer), member.node_id)
             self.on_adopted()
--- a/packages/node/src/lavendermountd/presets/follower.py
+++ b/packages/node/src/lavendermountd/presets/follower.py
@@ -68,8 +68,8 @@
         offset = 0 if fold is None else fold.next_offset
         is_caught_up = self.is_caught_up.is_set()
         batch = await self.reachability.read(
-            lambda wait_s: self.platform_log.read(
-                preset_stream(era), offset, wait_s if is_caught_up else 0
+            lambda wait_s, transfer: self.platform_log.read(
+                preset_stream(era), offset, wait_s if is_caught_up else 0, transfer
             )
         )
         if preset_stream(self.platform_log.era) != preset_stream(era):
--- a/packages/node/src/lavendermountd/presets/holder.py
+++ b/packages/node/src/lavendermountd/presets/holder.py
@@ -6,12 +6,15 @@
 from __future__ import annotations
 
 import logging
+import time
 from collections.abc import Callable
+from enum import StrEnum
 
 from lavendermount_core.config.preset import ClassOptions, parse_preset
 from lavendermount_core.presets.fold import PresetFold
 from lavendermount_core.presets.records import NO_REVISION, PresetSnapshot
 from lavendermount_core.routing.tuning import tuning_from
+from lavendermount_core.utils.units import MS_PER_S
 from lavendermountd.presets.route_index import RouteIndex
 from lavendermountd.presets.tenant_index import TenantIndex
 
@@ -21,6 +24,14 @@
 LOG = 'log'
 
 
+class PresetStage(StrEnum):
+    """What happens to a preset until it is in force."""
+
+    RECEIVE = 'receive'
+    DECODE = 'decode'
+    APPLY = 'apply'
+
+
 class InForcePreset:
     """A parsed preset and the revision at which it was put in force.
 
@@ -59,13 +70,15 @@
 class PresetHolder:
     """Holds the preset in force; never returns to an older one."""
 
-    __slots__ = ('fold', 'current', 'on_change')
+    __slots__ = ('fold', 'current', 'on_change', 'on_stage')
 
     def __init__(self) -> None:
         """Start without a preset in force."""
         self.fold: PresetFold | None = None
         self.current: InForcePreset | None = None
         self.on_change: list[Callable[[InForcePreset], None]] = []
+        # Called with the time that a stage took, in seconds.
+        self.on_stage: Callable[[PresetStage, float], None] = _ignore_stage
 
     @property
     def revision(self) -> int:
@@ -79,7 +92,12 @@
         """
         if self.fold is None or self.fold.in_force.revision <= self.revision:
             return
+        started_at = time.monotonic()
         self.current = InForcePreset(self.fold.in_force)
+        for callback in self.on_change:
+            callback(self.current)
+        elapsed_s = time.monotonic() - started_at
+        self.on_stage(PresetStage.APPLY, elapsed_s)
         log.info(
             'preset-in-force',
             extra={
@@ -87,10 +105,10 @@
                 'version': self.current.version,
                 'revision': self.current.revision,
                 'source': source,
+                'bytes': len(self.fold.in_force.body),
+                'apply_ms': round(elapsed_s * MS_PER_S),
             },
         )
-        for callback in self.on_change:
-            callback(self.current)
 
     def adopt(self, snapshot: PresetSnapshot, source: str = LOG) -> None:
         """Adopt a snapshot from the log or from another node whose fold is settled.
@@ -102,3 +120,7 @@
         else:
             self.fold.adopt(snapshot)
         self.refresh(source)
+
+
+def _ignore_stage(stage: PresetStage, seconds: float) -> None:
+    """Do nothing; the node installs the real callback."""
--- a/packages/node/src/lavendermountd/presets/keyed_follower.py
+++ b/packages/node/src/lavendermountd/presets/keyed_follower.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import logging
+import time
 from collections.abc import Awaitable, Callable
 
 from lavendermount_core.exceptions import (
@@ -18,10 +19,12 @@
     RecordError,
 )
 from lavendermount_core.log.adapter import KeyedLog, KeyedRecord, LogBatch
+from lavendermount_core.log.transfer import Transfer
 from lavendermount_core.presets.records import PresetSnapshot
+from lavendermount_core.utils.units import MS_PER_S
 from lavendermountd.membership.evacuations import EvacuationTable
 from lavendermountd.presets.decoders import PresetDecoder
-from lavendermountd.presets.holder import PresetHolder
+from lavendermountd.presets.holder import PresetHolder, PresetStage
 from lavendermountd.presets.reachability import LogReachability
 
 log = logging.getLogger(__name__)
@@ -98,7 +101,8 @@
         Of several new records of the key, only the last is adopted.
         """
         if self.offset == UNKNOWN_OFFSET or not self.is_caught_up.is_set():
-            newest = await self.keyed_log.newest(self.stream)
+            transfer = Transfer()
+            newest = await self.keyed_log.newest(self.stream, transfer)
             self.reachability.mark_answered()
             if not self.has_read:
                 await self.prepare_first_preset()
@@ -106,17 +110,19 @@
             self.evacuations.read_newest(newest)
             body = newest.bodies.get(self.key)
             if body is not None:
-                self.adopt_if_newer(body)
+                self.adopt_if_newer(body, transfer)
             self.offset = newest.end
             self.is_caught_up.set()
             return
         batch = await self.reachability.read(
-            lambda wait_s: self.keyed_log.read(self.stream, self.offset, wait_s)
+            lambda wait_s, transfer: self.keyed_log.read(
+                self.stream, self.offset, wait_s, transfer
+            )
         )
         self.offset = batch.next_offset
         body = self.read_batch(batch)
         if body:
-            self.adopt_if_newer(body)
+            self.adopt_if_newer(body, self.reachability.transfer)
             await asyncio.sleep(COALESCE_S)
 
     def read_batch(self, batch: LogBatch) -> bytes:
@@ -143,10 +149,29 @@
             log.warning('preset-record-malformed', extra={'cause': str(error)})
             return None
 
-    def adopt_if_newer(self, body: bytes) -> None:
-        """Put the preset of a record in force if it is valid and newer."""
+    def adopt_if_newer(self, body: bytes, transfer: Transfer) -> None:
+        """Put the preset of a record in force if it is valid and newer.
+
+        :param body: the record.
+        :param transfer: the answer that contained it.
+        """
+        started_at = time.monotonic()
         snapshot = self.try_decode(body)
-        if snapshot is not None and snapshot.revision > self.holder.revision:
+        if snapshot is None:
+            return
+        decode_s = time.monotonic() - started_at
+        self.holder.on_stage(PresetStage.RECEIVE, transfer.elapsed_s)
+        self.holder.on_stage(PresetStage.DECODE, decode_s)
+        log.info(
+            'preset-received',
+            extra={
+                'revision': snapshot.revision,
+                'in_force': self.holder.revision,
+                'decode_ms': round(decode_s * MS_PER_S),
+                **transfer.describe(),
+            },
+        )
+        if snapshot.revision > self.holder.revision:
             self.holder.adopt(snapshot)
 
     def try_decode(self, body: bytes) -> PresetSnapshot | None:
--- a/packages/node/src/lavendermountd/presets/reachability.py
+++ b/packages/node/src/lavendermountd/presets/reachability.py
@@ -14,12 +14,13 @@
 
 from lavendermount_core.exceptions import LogUnavailableError
 from lavendermount_core.log.adapter import LogBatch
+from lavendermount_core.log.transfer import Transfer
 from lavendermountd.presets.poll_schedule import RESPONSE_TIMEOUT_S, PollSchedule
 from lavendermountd.presets.restart import RestartRequest
 
 log = logging.getLogger(__name__)
 
-ReadCall = Callable[[float], Awaitable[LogBatch]]
+ReadCall = Callable[[float, Transfer], Awaitable[LogBatch]]
 
 
 class LogReachability:
@@ -37,6 +38,7 @@
         'failures',
         'asked_at',
         'answered_at',
+        'transfer',
     )
 
     def __init__(self, max_wait_s: float) -> None:
@@ -49,6 +51,8 @@
         self.failures = 0
         self.asked_at = time.monotonic()
         self.answered_at = time.monotonic()
+        # The answer to the latest read.
+        self.transfer = Transfer()
 
     async def run(self, step: Coroutine[Any, Any, None]) -> None:
         """Run one step of the follower; a restart abandons it."""
@@ -77,14 +81,16 @@
     async def read(self, call: ReadCall) -> LogBatch:
         """Read records; wait for news only while the log answers.
 
-        :param call: makes the read, given how long it may wait for news.
+        :param call: makes the read, given how long it may wait for news, and notes the
+            progress of the answer.
         :raises LogUnavailableError: if there is no answer in time.
         """
         wait_s = await self.wait_until_due()
         self.is_waiting = wait_s > 0
+        self.transfer = Transfer()
         try:
             async with asyncio.timeout(self.read_timeout_s(wait_s)):
-                batch = await call(wait_s)
+                batch = await call(wait_s, self.transfer)
         except TimeoutError as error:
             raise LogUnavailableError('no answer to a read in time') from error
         finally:
@@ -142,6 +148,7 @@
                     'cause': str(error),
                     'waited_s': round(waited_s, 3),
                     'answer_age_s': round(self.answer_age_s(), 3),
+                    'received_bytes': self.transfer.received_bytes,
                 },
             )
         self.is_reachable = False
