--- a/features/builders.py
+++ b/features/builders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from typing import Any
 
 from lavendermount_core.config.loader import load_text
@@ -195,6 +196,23 @@
     )
 
 
+def large_preset_snapshot(revision: int, routes: int) -> PresetSnapshot:
+    """Build a snapshot of a preset with many routes of different hosts.
+
+    :param revision: revision of the preset.
+    :param routes: number of routes besides those of the preset ``ordinary``.
+    """
+    hosts = random.Random(routes)
+    added = ''.join(
+        f'[[route]]\nservice = "{DOCS}"\nclass = "dealer"\n'
+        f'host = "{hosts.getrandbits(48):012x}.example"\n'
+        for _ in range(routes)
+    )
+    return PresetSnapshot(
+        revision, revision + 1, 'ordinary', str(revision), preset_text() + added
+    )
+
+
 def gate_with_target(port: int) -> Gate:
     """Build a gate whose target is up and has free slots.
 
--- a/features/presets.feature
+++ b/features/presets.feature
@@ -131,6 +131,10 @@
     When gossip names two peers with newer presets, and the newest does not answer
     Then the preset of the other is in force within 1.5 s
 
+  Scenario: A large preset arrives from a peer over a slow link, although it takes longer than one call may
+    When gossip names a peer with a preset of 3440 routes, behind a link of 50000 bytes a second
+    Then its preset is in force within 6 s
+
   Scenario: A change costs as many reads of the log as there are readers, not as there are nodes
     Given 87 nodes in 4 zones that know each other
     Then 2 nodes of each zone wait at the log, and all nodes agree which
--- a/features/steps/preset_reading_steps.py
+++ b/features/steps/preset_reading_steps.py
@@ -5,17 +5,20 @@
 import asyncio
 import random
 import time
+from types import SimpleNamespace
 from typing import Any
 
 from behave import then, when
-from builders import member, preset_snapshot
+from builders import large_preset_snapshot, member, preset_snapshot
 from deployment_steps import status_of
 
 from lavendermount_core.exceptions import LogUnavailableError
 from lavendermount_core.log.adapter import LogBatch
 from lavendermount_core.log.transfer import Transfer
+from lavendermount_core.presets.records import PresetSnapshot
 from lavendermountd.control.channels import ControlCallError
 from lavendermountd.control.messages import preset_message
+from lavendermountd.control.server import ControlServicer
 from lavendermountd.presets.catchup import PresetCatchUp
 from lavendermountd.presets.holder import PresetHolder
 from lavendermountd.presets.poll_schedule import RESPONSE_TIMEOUT_S, PollSchedule
@@ -150,6 +153,65 @@
         return preset_message(preset_snapshot(7))
 
 
+class SlowChannels:
+    """Channels to one peer, behind a slow link.
+
+    :param servicer: answers the calls.
+    :param bytes_per_s: rate of the link.
+    """
+
+    def __init__(self, servicer: ControlServicer, bytes_per_s: float) -> None:
+        """Initialize the fields."""
+        self.servicer = servicer
+        self.bytes_per_s = bytes_per_s
+
+    async def call_member(
+        self, peer: Any, method: str, request: Any, timeout_s: float
+    ) -> Any:
+        """Answer after the time that the reply takes on the link."""
+        reply = await getattr(self.servicer, method)(request, None)
+        transfer_s = reply.ByteSize() / self.bytes_per_s
+        await asyncio.sleep(min(transfer_s, timeout_s))
+        if transfer_s > timeout_s:
+            raise ControlCallError('DEADLINE_EXCEEDED')
+        return reply
+
+
+def servicer_with(snapshot: PresetSnapshot) -> ControlServicer:
+    """Build the control servicer of a node that has a preset in force."""
+    holder = PresetHolder()
+    holder.adopt(snapshot)
+    return ControlServicer(SimpleNamespace(holder=holder))
+
+
+@when(
+    'gossip names a peer with a preset of {routes:d} routes, behind a link of'
+    ' {rate:d} bytes a second'
+)
+def peer_behind_slow_link(context: Any, routes: int, rate: int) -> None:
+    """Catch up with the peer, and give up after a while."""
+
+    async def catch_up() -> float:
+        servicer = servicer_with(large_preset_snapshot(7, routes))
+        holder = PresetHolder()
+        catching_up = PresetCatchUp(holder, SlowChannels(servicer, rate))
+        started_at = time.monotonic()
+        task = asyncio.create_task(catching_up.run())
+        while holder.revision < 7 and time.monotonic() - started_at < 10:
+            catching_up.note_revision(member('peer'), 7)
+            await asyncio.sleep(0.01)
+        task.cancel()
+        return time.monotonic() - started_at
+
+    context.elapsed_s = asyncio.run(catch_up())
+
+
+@then('its preset is in force within {seconds:g} s')
+def peer_preset_in_force(context: Any, seconds: float) -> None:
+    """Check the time until the preset was adopted."""
+    assert context.elapsed_s < seconds, context.elapsed_s
+
+
 @when('gossip names two peers with newer presets, and the newest does not answer')
 def two_newer_peers(context: Any) -> None:
     """Name the peer that answers first, so that it is not the latest one known."""
