--- a/features/steps/preset_reading_steps.py
+++ b/features/steps/preset_reading_steps.py
@@ -19,7 +19,9 @@
 from lavendermountd.control.channels import ControlCallError
 from lavendermountd.control.messages import preset_message
 from lavendermountd.control.server import ControlServicer
+from lavendermountd.membership.evacuations import EvacuationTable
 from lavendermountd.presets.catchup import PresetCatchUp
+from lavendermountd.presets.follower import PresetFollower
 from lavendermountd.presets.holder import PresetHolder
 from lavendermountd.presets.poll_schedule import RESPONSE_TIMEOUT_S, PollSchedule
 from lavendermountd.presets.reachability import LogReachability
@@ -181,7 +183,13 @@
     """Build the control servicer of a node that has a preset in force."""
     holder = PresetHolder()
     holder.adopt(snapshot)
-    return ControlServicer(SimpleNamespace(holder=holder))
+    return ControlServicer(
+        SimpleNamespace(
+            holder=holder,
+            evacuations=EvacuationTable(),
+            follower=PresetFollower(None, holder),
+        )
+    )
 
 
 @when(
--- a/packages/node/src/lavendermountd/control/server.py
+++ b/packages/node/src/lavendermountd/control/server.py
@@ -21,9 +21,9 @@
     load_message,
     member_message,
     member_record,
-    preset_message,
 )
 from lavendermountd.membership.gossip import RPC_OVERHEAD_BYTES
+from lavendermountd.presets.parts import PresetParts
 
 if TYPE_CHECKING:
     from lavendermountd.node import Node
@@ -42,6 +42,9 @@
     def __init__(self, node: Node) -> None:
         """Initialize the servicer."""
         self.node = node
+        self.preset_parts = PresetParts(
+            node.holder, node.evacuations, node.follower.applied_position
+        )
 
     async def Gossip(  # noqa: N802
         self,
@@ -77,15 +80,8 @@
         request: control_pb2.PresetRequest,
         context: object,
     ) -> control_pb2.PresetReply:
-        """Return the preset in force, if there is one and the fold is settled.
-
-        Otherwise ``is_settled`` of the reply is false.
-        """
-        fold = self.node.holder.fold
-        is_known = fold is not None and (fold.is_settled or fold.must_carry_over)
-        if fold is None or not is_known or self.node.holder.current is None:
-            return control_pb2.PresetReply(is_settled=False)
-        return preset_message(fold.snapshot())
+        """Return the preset in force, or the part of it that the request names."""
+        return self.preset_parts.reply(request)
 
     async def Claim(  # noqa: N802
         self,
--- a/packages/node/src/lavendermountd/node.py
+++ b/packages/node/src/lavendermountd/node.py
@@ -42,6 +42,7 @@
 from lavendermountd.presets.catchup import PresetCatchUp
 from lavendermountd.presets.holder import PresetHolder
 from lavendermountd.presets.keyed_follower import KeyedPresetFollower
+from lavendermountd.presets.peer_progress import PeerProgress
 from lavendermountd.recorder.recorder import Recorder
 from lavendermountd.routing.budgets import MeasuringBudget, TokenBucket
 from lavendermountd.routing.load_view import LoadView
@@ -195,7 +196,8 @@
         self.evacuations.listeners.append(self.apply_evacuations)
         schedule = self.follower.reachability.schedule
         schedule.region_size = self.gossip.region_size
-        self.catch_up.on_adopted = self.follower.reachability.suspect_lost_read
+        progress = PeerProgress(self.follower, self.evacuations)
+        self.catch_up.on_adopted = progress.apply
         self.gossip.exchange.revision = self.current_revision
         self.gossip.exchange.on_revision = self.catch_up.note_revision
         self.gossip.exchange.log_era = self.current_log_era
--- a/packages/node/src/lavendermountd/presets/catchup.py
+++ b/packages/node/src/lavendermountd/presets/catchup.py
@@ -11,16 +11,19 @@
 import time
 from collections.abc import Callable
 
+from lavendermount_core.exceptions import ConfigurationError, RecordError
 from lavendermount_core.models.members import Member
+from lavendermount_core.presets.records import PresetSnapshot
 from lavendermount_core.utils.units import MS_PER_S
 from lavendermountd.control.channels import ChannelPool, ControlCallError
 from lavendermountd.control.generated import control_pb2
-from lavendermountd.control.messages import preset_record
 from lavendermountd.presets.holder import PresetHolder
+from lavendermountd.presets.parts import PartialPreset
 
 log = logging.getLogger(__name__)
 
-FETCH_TIMEOUT_S = 1.0
+# Time limit of the call for one part of a preset.
+PART_TIMEOUT_S = 1.0
 FETCH_PAUSE_S = 0.3
 
 
@@ -54,7 +57,9 @@
         self.is_behind = asyncio.Event()
         self.is_up_to_date = asyncio.Event()
         self.is_up_to_date.set()
-        self.on_adopted: Callable[[], None] = _ignore_adoption
+        # Called after the preset of a peer was put in force.
+        self.on_adopted: Callable[[control_pb2.PresetReply, Member], None]
+        self.on_adopted = _ignore_adoption
 
     def note_revision(self, member: Member, revision: int) -> None:
         """Remember a peer if its revision is newer."""
@@ -97,31 +102,72 @@
 
     async def fetch(self, member: Member) -> None:
         """Request the preset in force from a peer, and adopt it."""
+        partial = PartialPreset()
         started_at = time.monotonic()
         try:
-            answer = await self.channels.call_member(
-                member, 'Preset', control_pb2.PresetRequest(), FETCH_TIMEOUT_S
-            )
-        except ControlCallError as error:
+            snapshot = await self.receive(member, partial)
+        except (ControlCallError, RecordError) as error:
             log.info(
                 'preset-fetch-failed',
-                extra={'peer': member.node_id, 'cause': str(error)},
+                extra={
+                    'peer': member.node_id,
+                    'cause': str(error),
+                    'received_bytes': len(partial.received),
+                },
             )
             return
+        if snapshot is None:
+            return
         log.info(
             'preset-fetched',
             extra={
                 'peer': member.node_id,
-                'revision': answer.revision,
+                'revision': snapshot.revision,
                 'in_force': self.holder.revision,
-                'bytes': answer.ByteSize(),
+                'bytes': len(partial.received),
                 'fetch_ms': round((time.monotonic() - started_at) * MS_PER_S),
             },
         )
-        if answer.is_settled and answer.revision > self.holder.revision:
-            self.holder.adopt(preset_record(answer), member.node_id)
-            self.on_adopted()
+        if snapshot.revision > self.holder.revision:
+            self.adopt(snapshot, partial.head, member)
+
+    async def receive(
+        self, member: Member, partial: PartialPreset
+    ) -> PresetSnapshot | None:
+        """Receive the preset in force of a peer, part by part.
+
+        :param member: the peer.
+        :param partial: collects the parts.
+        :raises ControlCallError: if a part does not arrive in time.
+        :raises RecordError: if the parts are malformed.
+        :returns: the preset; ``None`` if the peer knows none.
+        """
+        is_complete = False
+        while not is_complete:
+            reply = await self.channels.call_member(
+                member, 'Preset', partial.next_request(), PART_TIMEOUT_S
+            )
+            if not reply.is_settled:
+                return None
+            is_complete = partial.add(reply)
+        return partial.snapshot()
+
+    def adopt(
+        self, snapshot: PresetSnapshot, head: control_pb2.PresetReply, member: Member
+    ) -> None:
+        """Adopt the preset of a peer, and what else the peer has read from the log.
+
+        :param snapshot: the preset.
+        :param head: the reply that completed it.
+        :param member: the peer.
+        """
+        try:
+            self.holder.adopt(snapshot, member.node_id)
+        except ConfigurationError as error:
+            log.warning('preset-refused', extra={'findings': str(error)})
+            return
+        self.on_adopted(head, member)
 
 
-def _ignore_adoption() -> None:
+def _ignore_adoption(head: control_pb2.PresetReply, member: Member) -> None:
     """Do nothing; the node installs the real callback."""
--- a/packages/node/src/lavendermountd/presets/follower.py
+++ b/packages/node/src/lavendermountd/presets/follower.py
@@ -47,6 +47,13 @@
         self.is_caught_up.clear()
         self.reachability.restart()
 
+    def applied_position(self) -> int:
+        """Return 0: a position means nothing to other nodes without the switches."""
+        return 0
+
+    def skip_to(self, position: int) -> None:
+        """Skip nothing: each switch of the stream must be evaluated."""
+
     async def run(self) -> None:
         """Follow the stream until cancelled."""
         while True:
--- a/packages/node/src/lavendermountd/presets/keyed_follower.py
+++ b/packages/node/src/lavendermountd/presets/keyed_follower.py
@@ -18,7 +18,12 @@
     LogUnavailableError,
     RecordError,
 )
-from lavendermount_core.log.adapter import KeyedLog, KeyedRecord, LogBatch
+from lavendermount_core.log.adapter import (
+    KeyedLog,
+    KeyedRecord,
+    LogBatch,
+    era_of,
+)
 from lavendermount_core.log.transfer import Transfer
 from lavendermount_core.presets.records import PresetSnapshot
 from lavendermount_core.utils.units import MS_PER_S
@@ -79,6 +84,21 @@
         self.is_caught_up.clear()
         self.reachability.restart()
 
+    def applied_position(self) -> int:
+        """Return the position below which all records of the stream are applied.
+
+        :returns: the position; 0 if the stream has not been read.
+        """
+        return max(0, self.offset) if self.is_caught_up.is_set() else 0
+
+    def skip_to(self, position: int) -> None:
+        """Skip records that are contained in what a peer has told.
+
+        :param position: position below which the peer has applied all records.
+        """
+        if self.offset != UNKNOWN_OFFSET and era_of(position) == self.keyed_log.era:
+            self.offset = max(self.offset, position)
+
     async def run(self) -> None:
         """Follow the record until cancelled."""
         while True:
@@ -119,21 +139,24 @@
                 self.stream, self.offset, wait_s, transfer
             )
         )
-        self.offset = batch.next_offset
-        body = self.read_batch(batch)
+        known_offset = self.offset
+        self.offset = max(known_offset, batch.next_offset)
+        body = self.read_batch(batch, known_offset)
         if body:
             self.adopt_if_newer(body, self.reachability.transfer)
             await asyncio.sleep(COALESCE_S)
 
-    def read_batch(self, batch: LogBatch) -> bytes:
+    def read_batch(self, batch: LogBatch, known_offset: int) -> bytes:
         """Pass on the records of zones, and return the last one of the preset.
 
+        :param batch: the records that were read.
+        :param known_offset: offset below which a peer told all records meanwhile.
         :returns: body of the preset's record; empty if there is none.
         """
         newest_body = b''
         for record in batch.records:
             keyed = self.try_split_key(record.body)
-            if keyed is None:
+            if keyed is None or record.offset < known_offset:
                 continue
             if keyed.key == self.key:
                 newest_body = keyed.body
