Tests: a preset from a peer is skipped in the log, and its parts are never mixed

Guards the position that a peer tells with its preset, a version that changes while its parts are fetched, malformed and oversized parts, and nodes of an earlier version.

--- a/features/presets.feature
+++ b/features/presets.feature
@@ -143,3 +143,12 @@
     And the nodes of a region that do not wait check the log once a second together, however many they are
     And the readers of a region share the rate of its first reads after news, so that a lost read is noticed soon
     And a node that knows no other waits at the log
+
+  Scenario: A preset that was fetched from a peer is not read from the log again
+    Then a node that fetched a preset from a peer does not read its record from the log
+    And a position of another era of the log, or one that it has passed, is ignored
+
+  Scenario: Parts of two presets are never mixed
+    Then a preset that changes while its parts are fetched arrives whole
+    And parts that are empty, truncated, too large or not compressed are refused
+    And a node of an earlier version gets the whole preset, and its own is accepted
--- /dev/null
+++ b/features/steps/peer_preset_steps.py
@@ -0,0 +1,151 @@
+"""Steps for presets that nodes fetch from each other, part by part."""
+
+from __future__ import annotations
+
+import asyncio
+import zlib
+from typing import Any
+from unittest.mock import patch
+
+from behave import then
+from builders import large_preset_snapshot, member, preset_snapshot
+from fakes import FakeLog
+
+from lavendermount_core.exceptions import RecordError
+from lavendermount_core.log.adapter import LogBatch, join_position
+from lavendermount_core.presets.records import PresetSnapshot
+from lavendermountd.control.generated import control_pb2
+from lavendermountd.membership.evacuations import EvacuationTable
+from lavendermountd.presets import parts as parts_module
+from lavendermountd.presets.holder import PresetHolder
+from lavendermountd.presets.keyed_follower import KeyedPresetFollower
+from lavendermountd.presets.parts import PartialPreset, PresetParts
+from lavendermountd.presets.peer_progress import PeerProgress
+
+
+class HeldLog(FakeLog):
+    """A log that holds the answer to a read back until it is released."""
+
+    def __init__(self) -> None:
+        """Start with one record and without a read."""
+        super().__init__()
+        self.records = [b'5']
+        self.era = 0
+        self.is_asked = asyncio.Event()
+        self.is_released = asyncio.Event()
+
+    async def read(self, *arguments: Any) -> LogBatch:
+        """Answer with what is there once the read is released."""
+        self.is_asked.set()
+        await self.is_released.wait()
+        return await super().read(*arguments)
+
+
+class FollowingNode:
+    """A follower, and what it has decoded."""
+
+    def __init__(self) -> None:
+        """Start with nothing read."""
+        self.log = HeldLog()
+        self.holder = PresetHolder()
+        self.evacuations = EvacuationTable('evacuate/')
+        self.decoded: list[int] = []
+        self.follower = KeyedPresetFollower(
+            self.log, self.holder, 's', 'config', self.decode, self.evacuations
+        )
+        self.progress = PeerProgress(self.follower, self.evacuations)
+
+    def decode(self, body: bytes) -> PresetSnapshot:
+        """Decode a record, which is the number of its revision."""
+        self.decoded.append(int(body))
+        return preset_snapshot(int(body))
+
+    def fetch_from_peer(self, revision: int, position: int) -> None:
+        """Adopt the preset of a peer that has read the log up to a position."""
+        self.holder.adopt(preset_snapshot(revision), 'peer')
+        zone = control_pb2.ZoneState(zone='zone-a', position=2, is_evacuated=True)
+        reply = control_pb2.PresetReply(log_position=position, zones=[zone])
+        self.progress.apply(reply, member('peer'))
+
+
+@then('a node that fetched a preset from a peer does not read its record from the log')
+def record_skipped(context: Any) -> None:
+    """Fetch from a peer while a read of the log is under way."""
+
+    async def follow() -> FollowingNode:
+        node = FollowingNode()
+        await node.follower.read()
+        reading = asyncio.create_task(node.follower.read())
+        await node.log.is_asked.wait()
+        node.log.records += [b'6', b'', b'8']
+        node.fetch_from_peer(8, 4)
+        node.log.is_released.set()
+        await reading
+        node.log.records.append(b'9')
+        await node.follower.read()
+        return node
+
+    node = asyncio.run(follow())
+    assert node.decoded == [5, 9], node.decoded
+    assert node.evacuations.evacuated == {'zone-a'}
+    context.node = node
+
+
+@then('a position of another era of the log, or one that it has passed, is ignored')
+def other_positions_ignored(context: Any) -> None:
+    """Skip to positions that must not change where the node reads."""
+    follower = context.node.follower
+    for position in (join_position(1, 9), 2, 0):
+        follower.skip_to(position)
+        assert follower.offset == 5, follower.offset
+
+
+def parts_of(holder: PresetHolder) -> PresetParts:
+    """Build the source of the parts of a node's preset."""
+    return PresetParts(holder, EvacuationTable(), int)
+
+
+@then('a preset that changes while its parts are fetched arrives whole')
+def changed_meanwhile(context: Any) -> None:
+    """Put another preset in force after the first part."""
+    holder = PresetHolder()
+    holder.adopt(large_preset_snapshot(7, 3440))
+    source = parts_of(holder)
+    partial = PartialPreset()
+    assert not partial.add(source.reply(partial.next_request()))
+    newer = large_preset_snapshot(8, 3000)
+    holder.adopt(newer)
+    while not partial.add(source.reply(partial.next_request())):
+        assert len(partial.received) <= partial.head.compressed_bytes
+    assert partial.snapshot() == newer
+
+
+@then('parts that are empty, truncated, too large or not compressed are refused')
+def malformed_parts(context: Any) -> None:
+    """Receive each malformed preset as one part."""
+    whole = zlib.compress(preset_snapshot(7).body.encode())
+    large = zlib.compress(b'0' * 2000)
+    with patch.object(parts_module, 'MAX_PRESET_BYTES', 1000):
+        for part in (b'', whole[:-5], large, b'junk', zlib.compress(b'\xff')):
+            partial = PartialPreset()
+            reply = control_pb2.PresetReply(
+                is_settled=True, part=part, compressed_bytes=len(part)
+            )
+            try:
+                partial.add(reply)
+                partial.snapshot()
+            except RecordError:
+                continue
+            raise AssertionError(part)
+
+
+@then('a node of an earlier version gets the whole preset, and its own is accepted')
+def earlier_version(context: Any) -> None:
+    """Ask without a part, and answer with the whole body."""
+    holder = PresetHolder()
+    holder.adopt(preset_snapshot(7))
+    reply = parts_of(holder).reply(control_pb2.PresetRequest())
+    assert reply.body == preset_snapshot(7).body
+    partial = PartialPreset()
+    assert partial.add(reply)
+    assert partial.snapshot() == holder.fold.snapshot()
