Members: an odd entry ends no task, and no request is sent to it

An entry that another writer left among the members, whose host is no IP address, was a candidate for requests: connecting to it raised TypeError, so that callers got 502 for requests that were never sent (10 of 10 for a service that only such entries offer), where 503 is true, and requests of other services could meet it, too. A host name would have been resolved on the event loop. Deep nesting, numbers too large and ports out of range were already rejected when the list is read, but not in gossip.

A member needs a name and an IP address, in the list and in gossip; gossip of a malformed sender is rejected, and other malformed members in it are skipped.

--- a/features/malformed_input.feature
+++ b/features/malformed_input.feature
@@ -18,8 +18,8 @@
   Scenario: A malformed batch of the log is an unavailable log
     Then generated batches of the log raise only an unavailability error
 
-  Scenario: A member record that does not fit into a message is rejected
-    Then member records with numbers out of range are rejected
+  Scenario: A member record that fits into no message, or names no address, is rejected
+    Then member records with fields out of range are rejected
 
   Scenario Outline: A reply without end is cut off within bounded memory
     When a target sends <bytes> without end
--- a/features/steps/malformed_steps.py
+++ b/features/steps/malformed_steps.py
@@ -118,18 +118,26 @@
     check()
 
 
-@then('member records with numbers out of range are rejected')
+@then('member records with fields out of range are rejected')
 def members_out_of_range(context: Any) -> None:
-    """Change one number each; gossip could not send such a member on."""
+    """Change one field each; gossip could not send such a member on, or reach it."""
     changes = (
         {'incarnation': 2**63},
         {'version': -1},
         {'status': 9},
         {'peer_port': 70000},
         {'control_port': -2},
+        {'host': ''},
+        {'host': '\0'},
+        {'host': '\u00e9..'},
+        {'host': 'no.such.host'},
+        {'node_id': ''},
     )
     for change in changes:
-        row = member('n', **change).to_row()
+        altered = member('n')
+        for name, entry in change.items():
+            setattr(altered, name, entry)
+        row = altered.to_row()
         try:
             Member.checked_from_row(row)
         except RecordError:
--- a/packages/core/src/lavendermount_core/config/node.py
+++ b/packages/core/src/lavendermount_core/config/node.py
@@ -37,7 +37,7 @@
 class ListenOptions(opt.Schema):
     """Listening address and ports of the node."""
 
-    host = opt.Text('127.0.0.1', 'IP address to listen on and to advertise.')
+    host = opt.Address('127.0.0.1', 'IP address to listen on and to advertise.')
     caller_port = _port('Port for HTTP requests from callers.')
     admin_port = _port('HTTP port for /metrics, /ready and target announcements.')
     peer_port = _port('Port for requests from other nodes.')
--- a/packages/core/src/lavendermount_core/config/options.py
+++ b/packages/core/src/lavendermount_core/config/options.py
@@ -13,6 +13,7 @@
 from typing import Any, Generic, Self, TypeVar, overload
 
 from lavendermount_core.config.findings import Finding
+from lavendermount_core.utils.addresses import is_ip_address
 
 OptionValue = TypeVar('OptionValue')
 TableSchema = TypeVar('TableSchema', bound='Schema')
@@ -119,6 +120,18 @@
         return raw, [Finding(location, f'{raw!r} is not one of: {allowed}')]
 
 
+class Address(Text):
+    """An IP address."""
+
+    kind = 'IP address'
+
+    def check_value(self, raw: Any, location: str) -> tuple[Any, list[Finding]]:
+        """Validate the type and the form."""
+        if isinstance(raw, str) and is_ip_address(raw):
+            return raw, []
+        return raw, [Finding(location, f'must be an IP address, not {raw!r}')]
+
+
 class Number(Option[float]):
     """A number within a range.
 
--- a/packages/core/src/lavendermount_core/models/members.py
+++ b/packages/core/src/lavendermount_core/models/members.py
@@ -10,6 +10,7 @@
 
 from lavendermount_core.exceptions import RecordError
 from lavendermount_core.models.records import Record
+from lavendermount_core.utils.addresses import is_ip_address
 
 # Members travel in messages with 64-bit counters.
 COUNTER_BITS = 62
@@ -85,9 +86,12 @@
     def checked_from_row(cls, row: Any) -> Self:
         """Build a member from an untrusted row.
 
-        :raises RecordError: if the row is malformed or a number is out of range.
+        :raises RecordError: if the row is malformed, a number is out of range, or no
+            node can be reached by it.
         """
         member = super().checked_from_row(row)
+        if not member.node_id or not is_ip_address(member.host):
+            raise RecordError('Member: the name or the IP address is missing')
         counters = (member.incarnation, member.version)
         ports = (member.peer_port, member.control_port)
         if not all(0 <= counter <= MAX_COUNTER for counter in counters):
--- a/packages/node/src/lavendermountd/control/messages.py
+++ b/packages/node/src/lavendermountd/control/messages.py
@@ -21,8 +21,11 @@
 
 
 def _from_message(record_class: type[RecordType], message: Message) -> RecordType:
-    row = [getattr(message, name) for name in record_class.__slots__]
-    return record_class.from_row(row)
+    return record_class.from_row(_message_row(record_class, message))
+
+
+def _message_row(record_class: type[Record], message: Message) -> list[object]:
+    return [getattr(message, name) for name in record_class.__slots__]
 
 
 def _record_fields(record: Record) -> dict[str, object]:
@@ -35,8 +38,11 @@
 
 
 def member_record(message: control_pb2.Member) -> Member:
-    """Convert a message to a member."""
-    return _from_message(Member, message)
+    """Convert a message to a member.
+
+    :raises RecordError: if a field is out of range.
+    """
+    return Member.checked_from_row(_message_row(Member, message))
 
 
 def load_message(report: LoadReport, age_ms: float) -> control_pb2.AgedLoad:
--- a/packages/node/src/lavendermountd/control/server.py
+++ b/packages/node/src/lavendermountd/control/server.py
@@ -12,6 +12,7 @@
 
 import grpc
 
+from lavendermount_core.exceptions import RecordError
 from lavendermount_core.utils.units import MS_PER_S
 from lavendermountd.claims.claims import ClaimState, LocalClaim
 from lavendermountd.claims.holders import FORGOTTEN
@@ -49,15 +50,20 @@
     async def Gossip(  # noqa: N802
         self,
         request: control_pb2.GossipRound,
-        context: object,
+        context: grpc.aio.ServicerContext[object, object],
     ) -> control_pb2.GossipRound:
-        """Merge a round and respond with one."""
+        """Merge a round and respond with one; reject that of a malformed sender."""
         self.node.freeze_guard.check()
+        try:
+            sender = member_record(request.sender)
+        except RecordError as error:
+            log.warning('member-malformed', extra={'cause': str(error)})
+            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
         response = self.node.gossip.exchange.answer(request)
-        is_paid = request.sender.region != self.node.identity.member.region
+        is_paid = sender.region != self.node.identity.member.region
         size = response.ByteSize() + RPC_OVERHEAD_BYTES
         self.node.budget.charge('gossip', size, is_paid)
-        self.node.gossip.meter.add_gossip(member_record(request.sender), size)
+        self.node.gossip.meter.add_gossip(sender, size)
         return response
 
     async def Probe(  # noqa: N802
--- a/packages/node/src/lavendermountd/membership/exchange.py
+++ b/packages/node/src/lavendermountd/membership/exchange.py
@@ -161,12 +161,13 @@
         """Merge a received round.
 
         :param message: round from another node.
+        :raises RecordError: if the entry of the sender is malformed.
         :returns: members of the buckets whose digests differ from the sender's.
         """
         sender = member_record(message.sender)
         self.table.merge(sender)
         for entry in message.members:
-            self.table.merge(member_record(entry))
+            self.take_member(entry)
         for aged in message.loads:
             self.take_load(aged)
         for suspicion in message.suspicions:
@@ -179,6 +180,13 @@
             self.on_revision(sender, message.revision)
         return self.differing_members(message)
 
+    def take_member(self, entry: control_pb2.Member) -> None:
+        """Merge a member of a round; log and skip a malformed one."""
+        try:
+            self.table.merge(member_record(entry))
+        except RecordError as error:
+            log.warning('member-malformed', extra={'cause': str(error)})
+
     def take_load(self, aged: control_pb2.AgedLoad) -> None:
         """Take a load report of a round; log and skip a malformed one."""
         try:
@@ -204,7 +212,10 @@
         return members
 
     def answer(self, message: control_pb2.GossipRound) -> control_pb2.GossipRound:
-        """Merge a round and build the reply to it."""
+        """Merge a round and build the reply to it.
+
+        :raises RecordError: if the entry of the sender is malformed.
+        """
         differing = self.merge(message)
         known = self.table.find(message.sender.node_id)
         answer = self.build(known)
--- a/packages/node/src/lavendermountd/membership/gossip.py
+++ b/packages/node/src/lavendermountd/membership/gossip.py
@@ -15,6 +15,7 @@
 import random
 import time
 
+from lavendermount_core.exceptions import RecordError
 from lavendermount_core.models.members import Member, MemberStatus
 from lavendermount_core.utils.units import MS_PER_S
 from lavendermountd.control.channels import ChannelPool, ControlCallError
@@ -176,13 +177,13 @@
             answer = await self.channels.call_member(
                 member, 'Gossip', message, timeout_s
             )
-        except ControlCallError as error:
+            self.exchange.merge(answer)
+        except (ControlCallError, RecordError) as error:
             log.debug(
                 'gossip-unanswered',
                 extra={'peer': member.node_id, 'cause': str(error)},
             )
             return False
-        self.exchange.merge(answer)
         return True
 
     async def probe_indirectly(self, member: Member) -> bool:
