Gate: a refusal that names no request refuses none on a kept connection

An instance that writes an earlier refusal once more on a kept connection, without the id of the request, made the gate refuse the request that it was running: the caller of an order was told "not run", and could send it again, although it ran.

On connections that have carried an exchange, a reply without an id isn't attributed to the current request if the dialect's targets name the request of each reply: its outcome is unknown, and the connection is closed. Targets of the native dialect don't have to name requests, so nothing changes for them.

--- a/packages/node/src/lavendermountd/dialects/base.py
+++ b/packages/node/src/lavendermountd/dialects/base.py
@@ -126,7 +126,12 @@
 
 
 class Dialect(abc.ABC):
-    """The headers that one kind of callers and targets uses."""
+    """The headers that one kind of callers and targets uses.
+
+    ``names_requests`` tells whether each reply of a target names its request.
+    """
+
+    names_requests = False
 
     @abc.abstractmethod
     def read_call_metadata(self, headers: Headers) -> CallMetadata:
--- a/packages/node/src/lavendermountd/gate/target_client.py
+++ b/packages/node/src/lavendermountd/gate/target_client.py
@@ -152,6 +152,12 @@
             raise TargetError(_reason_of(error, connection), str(error)) from error
         self.last_replied_exchange = max(self.last_replied_exchange, number)
         metadata = self.dialect.read_reply(reply.status, reply.headers)
+        if not self.is_attributable(connection, metadata):
+            connection.must_close = True
+            raise TargetError(
+                Reason.TARGET_REPLY,
+                'the reply names no request, and may be an earlier one',
+            )
         connection.idle_limit_s = metadata.idle_s * IDLE_TIMEOUT_SHARE or SAFE_IDLE_S
         return TargetAnswer(_to_call_reply(reply), metadata)
 
@@ -160,6 +166,16 @@
         metadata = self.dialect.read_reply(reply.status, reply.headers)
         return metadata.request_id in {'', attempt.request.request_id}
 
+    def is_attributable(
+        self, connection: HttpConnection, metadata: ReplyMetadata
+    ) -> bool:
+        """Return whether a reply can only be that to the current request.
+
+        A target may repeat its reply to an earlier request of the connection.
+        """
+        is_first = connection.exchange_count == 1
+        return bool(metadata.request_id) or is_first or not self.dialect.names_requests
+
     def encode(self, attempt: Attempt) -> bytes:
         """Encode a request, including the time left until its deadline."""
         request = attempt.request
