Log: a node that replaces a reader of its zone waits at the log within a second

One that became a reader, because both readers of its zone had died, slept on, and until then the region learned of changes by the checks of all its nodes only, one a second.

It now looks once a second whether it is a reader.

--- a/features/presets.feature
+++ b/features/presets.feature
@@ -131,6 +131,10 @@
     When gossip names two peers with newer presets, and the newest does not answer
     Then the preset of the other is in force within 1.5 s
 
+  Scenario: A node that replaces a reader that died waits at the log soon
+    When a node that only checks the log becomes a reader 0.3 s later
+    Then it waits at the log within 1.5 s
+
   Scenario: A large preset arrives from a peer over a slow link, although it takes longer than one call may
     When gossip names a peer with a preset of 3440 routes, behind a link of 50000 bytes a second
     Then its preset is in force within 6 s
--- a/features/steps/preset_reading_steps.py
+++ b/features/steps/preset_reading_steps.py
@@ -119,6 +119,42 @@
     assert context.elapsed_s < context.waits[1] + seconds, context.elapsed_s
 
 
+@when('a node that only checks the log becomes a reader {seconds:g} s later')
+def becomes_reader(context: Any, seconds: float) -> None:
+    """Follow in a large region, whose nodes check the log rarely."""
+
+    async def follow() -> None:
+        reachability = LogReachability(LONGEST_WAIT_S)
+        reachability.mark_answered()
+        schedule = reachability.schedule
+        schedule.region_size = lambda: 100_000
+        schedule.is_reader = bool
+        asked = asyncio.get_running_loop().create_future()
+
+        async def read(wait_s: float, transfer: Transfer) -> LogBatch:
+            asked.set_result(wait_s)
+            return LogBatch(0, 0, 0, [])
+
+        reading = asyncio.create_task(reachability.read(read))
+        await asyncio.sleep(seconds)
+        schedule.is_reader = lambda: True
+        started_at = time.monotonic()
+        done, _ = await asyncio.wait({asked}, timeout=5)
+        context.elapsed_s = time.monotonic() - started_at
+        context.waits = [asked.result()] if done else []
+        reading.cancel()
+
+    asyncio.run(follow())
+
+
+@then('it waits at the log within {seconds:g} s')
+def waits_soon(context: Any, seconds: float) -> None:
+    """Check the time until its read, and that the read waits for news."""
+    assert context.waits, 'no read'
+    assert context.waits[0] > 0, context.waits
+    assert context.elapsed_s < seconds, context.elapsed_s
+
+
 @when('the log answers nothing new for {seconds:g} s')
 def silence_log(context: Any, seconds: float) -> None:
     """Drop what reaches the log; reads that already wait there are still answered."""
--- a/packages/node/src/lavendermountd/presets/reachability.py
+++ b/packages/node/src/lavendermountd/presets/reachability.py
@@ -21,6 +21,9 @@
 
 log = logging.getLogger(__name__)
 
+# Interval at which a node that does not wait at the log looks whether it should.
+ROLE_CHECK_INTERVAL_S = 1.0
+
 ReadCall = Callable[[float, Transfer], Awaitable[LogBatch]]
 
 
@@ -112,10 +115,13 @@
         """
         if not self.is_reachable or self.is_lost_read_suspected:
             return 0
-        if self.schedule.is_reader():
-            return self.schedule.wait_s()
-        await asyncio.sleep(self.schedule.check_interval_s())
-        return 0
+        due_at = time.monotonic() + self.schedule.check_interval_s()
+        while not self.schedule.is_reader():
+            left_s = due_at - time.monotonic()
+            if left_s <= 0:
+                return 0
+            await asyncio.sleep(min(left_s, ROLE_CHECK_INTERVAL_S))
+        return self.schedule.wait_s()
 
     def limit(self, wait_s: float) -> AbstractAsyncContextManager[None]:
         """Limit the silence of the log during a read.
