--- a/features/presets.feature
+++ b/features/presets.feature
@@ -127,6 +127,10 @@
     When a follower reads from a log that answers nothing
     Then each read is given up within 1 s of the end of its wait
 
+  Scenario: A read of the log may take long, but the log must not be silent meanwhile
+    Then a read whose parts arrive every 0.2 s for 1.6 s succeeds with a timeout of 0.5 s
+    And a read that stops after its first part fails within 1 s
+
   Scenario: A peer that does not answer keeps no node from the preset of another
     When gossip names two peers with newer presets, and the newest does not answer
     Then the preset of the other is in force within 1.5 s
--- a/features/steps/preset_reading_steps.py
+++ b/features/steps/preset_reading_steps.py
@@ -14,7 +14,9 @@
 
 from lavendermount_core.exceptions import LogUnavailableError
 from lavendermount_core.log.adapter import LogBatch
+from lavendermount_core.log.http_log import HttpLog
 from lavendermount_core.log.transfer import Transfer
+from lavendermount_core.models.records import pack
 from lavendermount_core.presets.records import PresetSnapshot
 from lavendermountd.control.channels import ControlCallError
 from lavendermountd.control.messages import preset_message
@@ -155,6 +157,53 @@
     assert context.elapsed_s < seconds, context.elapsed_s
 
 
+async def read_in_parts(part_count: int, gap_s: float, timeout_s: float) -> LogBatch:
+    """Read from a log that sends its answer in parts; the answer has eight."""
+    body = pack([0, 1, 1, [[0, b'x' * 4000]]])
+    size = len(body) // 8 + 1
+    head = f'HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n'.encode()
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(head)
+        for number in range(part_count):
+            writer.write(body[number * size : (number + 1) * size])
+            await asyncio.sleep(gap_s)
+        await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    log = HttpLog(f'http://127.0.0.1:{port}', timeout_s)
+    try:
+        return await log.read('s', 0, transfer=Transfer())
+    finally:
+        log.client.close()
+        server.close()
+
+
+@then(
+    'a read whose parts arrive every {gap:g} s for {total:g} s succeeds with a timeout of {timeout:g} s'
+)
+def slow_read_succeeds(context: Any, gap: float, total: float, timeout: float) -> None:
+    """Receive all parts."""
+    assert round(total / gap) == 8
+    batch = asyncio.run(read_in_parts(8, gap, timeout))
+    assert len(batch.records[0].body) == 4000
+
+
+@then('a read that stops after its first part fails within {seconds:g} s')
+def silent_read_fails(context: Any, seconds: float) -> None:
+    """Receive one part only."""
+    started_at = time.monotonic()
+    try:
+        asyncio.run(read_in_parts(1, 0.1, 0.5))
+    except LogUnavailableError:
+        assert time.monotonic() - started_at < seconds
+        return
+    raise AssertionError('the read ended')
+
+
 @when('the log answers nothing new for {seconds:g} s')
 def silence_log(context: Any, seconds: float) -> None:
     """Drop what reaches the log; reads that already wait there are still answered."""
