Presets: a node that refused the latest version tells no position

A peer that fetched an older preset from it would skip the record of that version, which it may accept: nodes of two versions of the product may judge a record differently.

--- a/features/presets.feature
+++ b/features/presets.feature
@@ -155,6 +155,7 @@
   Scenario: A preset that was fetched from a peer is not read from the log again
     Then a node that fetched a preset from a peer does not read its record from the log
     And a position of another era of the log, or one that it has passed, is ignored
+    And a node that has refused the latest preset tells no position
 
   Scenario: Parts of two presets are never mixed
     Then a preset that changes while its parts are fetched arrives whole
--- a/features/steps/peer_preset_steps.py
+++ b/features/steps/peer_preset_steps.py
@@ -11,7 +11,8 @@
 from builders import large_preset_snapshot, member, preset_snapshot
 from fakes import FakeLog
 
-from lavendermount_core.exceptions import RecordError
+from lavendermount_core.config.findings import Finding
+from lavendermount_core.exceptions import ConfigurationError, RecordError
 from lavendermount_core.log.adapter import LogBatch, join_position
 from lavendermount_core.presets.records import PresetSnapshot
 from lavendermountd.control.generated import control_pb2
@@ -22,6 +23,8 @@
 from lavendermountd.presets.parts import PartialPreset, PresetParts
 from lavendermountd.presets.peer_progress import PeerProgress
 
+INVALID_REVISION = 10
+
 
 class HeldLog(FakeLog):
     """A log that holds the answer to a read back until it is released."""
@@ -58,6 +61,8 @@
     def decode(self, body: bytes) -> PresetSnapshot:
         """Decode a record, which is the number of its revision."""
         self.decoded.append(int(body))
+        if int(body) == INVALID_REVISION:
+            raise ConfigurationError([Finding('config', 'is invalid')])
         return preset_snapshot(int(body))
 
     def fetch_from_peer(self, revision: int, position: int) -> None:
@@ -100,6 +105,17 @@
         assert follower.offset == 5, follower.offset
 
 
+@then('a node that has refused the latest preset tells no position')
+def refused_not_skipped(context: Any) -> None:
+    """Read a preset that is invalid, and then a valid one."""
+    node = context.node
+    assert node.follower.applied_position() == 5
+    for body, position in ((b'10', 0), (b'11', 7)):
+        node.log.records.append(body)
+        asyncio.run(node.follower.read())
+        assert node.follower.applied_position() == position
+
+
 def parts_of(holder: PresetHolder) -> PresetParts:
     """Build the source of the parts of a node's preset."""
     return PresetParts(holder, EvacuationTable(), int)
--- a/packages/core/src/lavendermount_core/config/loader.py
+++ b/packages/core/src/lavendermount_core/config/loader.py
@@ -51,7 +51,7 @@
     :raises RecursionError: if it is nested too deeply.
     :returns: the table.
     """
-    if text.startswith(JSON_START):
+    if text.lstrip().startswith(JSON_START):
         return json.loads(text, parse_constant=_refuse_constant)
     return tomllib.loads(text)
 
--- a/packages/node/src/lavendermountd/presets/keyed_follower.py
+++ b/packages/node/src/lavendermountd/presets/keyed_follower.py
@@ -73,6 +73,7 @@
         self.reachability = LogReachability(LONG_POLL_S)
         self.is_caught_up = asyncio.Event()
         self.has_read = False
+        self.is_latest_refused = False
         self.prepare_first_preset: Callable[[], Awaitable[None]] = _prepare_nothing
 
     def restart(self) -> None:
@@ -87,9 +88,12 @@
     def applied_position(self) -> int:
         """Return the position below which all records of the stream are applied.
 
-        :returns: the position; 0 if the stream has not been read.
+        :returns: the position; 0 if the stream has not been read, or if its latest
+            preset was refused: another node may accept it.
         """
-        return max(0, self.offset) if self.is_caught_up.is_set() else 0
+        if self.is_latest_refused or not self.is_caught_up.is_set():
+            return 0
+        return max(0, self.offset)
 
     def skip_to(self, position: int) -> None:
         """Skip records that are contained in what a peer has told.
@@ -180,6 +184,7 @@
         """
         started_at = time.monotonic()
         snapshot = self.try_decode(body)
+        self.is_latest_refused = snapshot is None
         if snapshot is None:
             return
         decode_s = time.monotonic() - started_at
