Tests: the mutation lost-read names the limit as it is now; a fake keeps its signature

The limit of a read moved into Transfer.limit, so the text that the mutation replaces no longer occurred, and a run of all mutations would have ended there. It is red again. The fake log of the joiner, which reads without a transfer, takes none.

--- a/features/mutations.py
+++ b/features/mutations.py
@@ -296,8 +296,8 @@
     Mutation(
         'lost-read',
         f'{NODE}/presets/reachability.py',
-        'wait_s + RESPONSE_TIMEOUT_S',
-        'wait_s + 60',
+        'wait_s, RESPONSE_TIMEOUT_S',
+        'wait_s, 60',
         'presets',
         'A read of the log that is never answered is given up soon after its wait ends',
     ),
--- a/features/steps/joining_steps.py
+++ b/features/steps/joining_steps.py
@@ -10,7 +10,6 @@
 from builders import member
 
 from lavendermount_core.log.adapter import LogBatch, LogRecord
-from lavendermount_core.log.transfer import Transfer
 from lavendermount_core.models.members import Member
 from lavendermountd.membership.joining import Joiner
 from lavendermountd.membership.table import MemberTable
@@ -31,13 +30,7 @@
         self.records.append(body)
         return len(self.records) - 1
 
-    async def read(
-        self,
-        stream: str,
-        offset: int,
-        wait_s: float = 0,
-        transfer: Transfer | None = None,
-    ) -> LogBatch:
+    async def read(self, stream: str, offset: int, wait_s: float = 0) -> LogBatch:
         """Read the records from an offset on."""
         rows = [
             LogRecord(offset + index, body)
