--- /dev/null
+++ b/features/connections.feature
@@ -0,0 +1,8 @@
+Feature: Each request on a caller's connection gets exactly one answer, in order
+
+  Scenario: A head that arrives in two parts adds no answer to the one of its request
+    Then an order with a large body whose head comes in two parts is answered once
+    And the next order on that connection gets its own answer
+
+  Scenario: A request that asks to close the connection gets no second answer
+    Then bytes behind a request that closes its connection are not answered
--- a/features/mutations.py
+++ b/features/mutations.py
@@ -90,6 +90,22 @@
         'malformed_input',
         'A member record that fits into no message, or names no address, is rejected',
     ),
+    Mutation(
+        'head-bytes',
+        f'{NODE}/http1/request_parser.py',
+        'if self.is_reading_head and self.head_count == head_number:',
+        'if True:',
+        'connections',
+        'A head that arrives in two parts adds no answer to the one of its request',
+    ),
+    Mutation(
+        'no-second-answer',
+        f'{NODE}/http1/request_parser.py',
+        '        if self.is_between_messages:\n            return\n',
+        '',
+        'connections',
+        'A request that asks to close the connection gets no second answer',
+    ),
     Mutation(
         'budget',
         f'{NODE}/membership/exchange.py',
--- a/features/steps/property_steps.py
+++ b/features/steps/property_steps.py
@@ -42,6 +42,8 @@
 # Retries allowed in each window besides the share of the requests.
 CONSTANT_BUDGET = 58
 LIMITS = RequestLimits(16384, 65536)
+# A body may be larger than all heads together may be.
+SMALL_HEAD_LIMITS = RequestLimits(60, 65536)
 
 
 def retry_options() -> RetryOptions:
@@ -157,7 +159,7 @@
     st.tuples(
         st.sampled_from(('GET', 'POST', 'DELETE', 'PUT')),
         st.text('abc/?=&%', max_size=8),
-        st.binary(max_size=40),
+        st.binary(max_size=40) | st.sampled_from((b'x' * 300,)),
         st.booleans(),
     ),
     min_size=1,
@@ -173,7 +175,7 @@
     @settings(max_examples=200)
     def check(drawn: list[tuple[str, str, bytes, bool]], cuts: list[int]) -> None:
         payload = b''.join(map(encode_request, drawn))
-        parser = RequestParser(LIMITS)
+        parser = RequestParser(SMALL_HEAD_LIMITS)
         places = sorted({0, len(payload), *(cut % (len(payload) + 1) for cut in cuts)})
         requests = list(
             chain.from_iterable(
--- a/packages/node/src/lavendermountd/http1/request_parser.py
+++ b/packages/node/src/lavendermountd/http1/request_parser.py
@@ -63,6 +63,7 @@
         'body_size',
         'head_size',
         'head_received_size',
+        'head_count',
         'error_status',
     )
 
@@ -81,6 +82,7 @@
         self.body_size = 0
         self.head_size = 0
         self.head_received_size = 0
+        self.head_count = 0
         self.error_status = 0
 
     def feed(self, chunk: bytes) -> list[WireRequest]:
@@ -94,32 +96,47 @@
         """
         if self.has_failed:
             return []
-        # The parser reports a header only once it is complete, so a header that
-        # never ends is limited by the bytes received.
-        self.head_received_size = (
-            self.head_received_size + len(chunk) if self.is_reading_head else 0
-        )
+        head_number = self.head_count
+        self.parse(chunk)
+        if self.is_reading_head and self.head_count == head_number:
+            self.count_head_bytes(len(chunk))
+        complete = self.complete_requests
+        self.complete_requests = []
+        return complete
+
+    def count_head_bytes(self, size: int) -> None:
+        """Refuse a head that does not end.
+
+        The parser reports a header only once it is complete, so a header that never
+        ends is limited by the bytes received.
+
+        :param size: size of a chunk that belongs to the current head as a whole.
+        """
+        self.head_received_size += size
+        if self.head_received_size > 2 * self.limits.header_bytes:
+            self.fail(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+
+    def parse(self, chunk: bytes) -> None:
+        """Pass a chunk to the parser; an error refuses the current request."""
         try:
             self.parser.feed_data(chunk)
         except httptools.HttpParserUpgrade:
             self.fail(HTTPStatus.BAD_REQUEST)
         except httptools.HttpParserError:
             self.fail(self.error_status or HTTPStatus.BAD_REQUEST)
-        if (
-            not self.has_failed
-            and self.head_received_size > 2 * self.limits.header_bytes
-        ):
-            self.fail(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
-        complete = self.complete_requests
-        self.complete_requests = []
-        return complete
 
     def fail(self, status: int) -> None:
-        """Refuse the current request and stop parsing.
+        """Stop parsing, and refuse the request that has begun and is not complete.
+
+        Without such a request there is nothing to answer: a second answer would be
+        taken for that to a later request.
 
         :param status: HTTP status of the refusal.
         """
         self.has_failed = True
+        self.is_reading_head = False
+        if self.is_between_messages:
+            return
         self.error_status = status
         self.complete_requests.append(self.build_request(keeps_alive=False))
 
@@ -138,6 +155,8 @@
         self.parts = []
         self.body_size = 0
         self.head_size = 0
+        self.head_received_size = 0
+        self.head_count += 1
         self.error_status = 0
 
     def on_url(self, url: bytes) -> None:
