--- a/features/connections.feature
+++ b/features/connections.feature
@@ -6,3 +6,7 @@
 
   Scenario: A request that asks to close the connection gets no second answer
     Then bytes behind a request that closes its connection are not answered
+
+  Scenario: A stopping node ends the connection of a caller that always has requests in progress
+    Then every request that it passes on is answered, the last reply closes the connection
+    And requests that a stopping node receives together are all answered
--- a/features/mutations.py
+++ b/features/mutations.py
@@ -106,6 +106,14 @@
         'connections',
         'A request that asks to close the connection gets no second answer',
     ),
+    Mutation(
+        'pipeline-at-stop',
+        f'{NODE}/caller/connection_state.py',
+        'if self.service.is_stopping and self.exchanges:',
+        'if False:',
+        'connections',
+        'A stopping node ends the connection of a caller that always has requests in progress',
+    ),
     Mutation(
         'budget',
         f'{NODE}/membership/exchange.py',
--- a/features/steps/connection_steps.py
+++ b/features/steps/connection_steps.py
@@ -7,14 +7,21 @@
 
 from behave import then
 from connection_builders import (
+    READ_TIMEOUT_S,
+    Caller,
     connected_caller,
     echo_body,
     echo_service,
     encode_order,
 )
 
+from lavendermountd.caller.service import CallService
+
 LARGE_BODY = b'o' * 40_000
 FIRST_PART_BYTES = 30
+SEND_INTERVAL_S = 0.02
+# Several requests are in progress at any moment.
+WORK_S = 0.07
 
 
 @then('an order with a large body whose head comes in two parts is answered once')
@@ -60,3 +67,51 @@
         parts = (closing, behind) if pause_s else (closing + behind,)
         await caller.send(*parts, pause_s=pause_s)
         return await caller.read_all()
+
+
+@then(
+    'every request that it passes on is answered, the last reply closes the connection'
+)
+def pipelined_over_stop(context: Any) -> None:
+    """Stop a node while a caller sends requests without waiting for replies."""
+    asyncio.run(_pipeline_over_stop())
+
+
+async def _pipeline_over_stop() -> None:
+    service = echo_service(WORK_S)
+    async with connected_caller(service) as (caller, _):
+        sender = asyncio.create_task(_send_endlessly(caller))
+        stop = asyncio.create_task(_stop_later(service, 10 * SEND_INTERVAL_S))
+        replies = await caller.read_all()
+        assert stop.done() and not sender.done()
+        sender.cancel()
+    passed_on = [echo_body(each.path, b'') for each in service.router.received]
+    assert [reply.body for reply in replies] == passed_on, len(replies)
+    assert [reply.is_last for reply in replies].index(True) == len(replies) - 1
+
+
+async def _send_endlessly(caller: Caller) -> None:
+    for number in range(round(READ_TIMEOUT_S / SEND_INTERVAL_S)):
+        await caller.send(encode_order(f'/{number}'), pause_s=SEND_INTERVAL_S)
+
+
+async def _stop_later(service: CallService, delay_s: float) -> None:
+    await asyncio.sleep(delay_s)
+    service.is_stopping = True
+
+
+@then('requests that a stopping node receives together are all answered')
+def received_together(context: Any) -> None:
+    """Send three requests at once on a connection that was idle at the stop."""
+    replies = asyncio.run(_send_together())
+    assert [reply.body for reply in replies] == [
+        echo_body(f'/{number}', b'') for number in range(3)
+    ]
+
+
+async def _send_together() -> Any:
+    service = echo_service(WORK_S)
+    async with connected_caller(service) as (caller, _):
+        service.is_stopping = True
+        await caller.send(b''.join(encode_order(f'/{number}') for number in range(3)))
+        return await caller.read_all()
--- a/packages/node/src/lavendermountd/caller/connection.py
+++ b/packages/node/src/lavendermountd/caller/connection.py
@@ -12,11 +12,11 @@
 import logging
 import socket
 import time
-from collections import deque
 
 from tornado.iostream import IOStream, StreamClosedError
 
 from lavendermount_core.models.calls import CallReply
+from lavendermountd.caller.connection_state import ConnectionState
 from lavendermountd.caller.exchange import CallExchange
 from lavendermountd.caller.service import CallService
 from lavendermountd.http1.messages import (
@@ -25,7 +25,6 @@
     encode_head,
     find_header,
 )
-from lavendermountd.http1.request_parser import RequestParser
 
 log = logging.getLogger(__name__)
 
@@ -42,35 +41,16 @@
     :param stream: the connection.
     """
 
-    __slots__ = (
-        'service',
-        'stream',
-        'parser',
-        'exchanges',
-        'state_changed',
-        'used_at',
-        'is_closing',
-        'discarded_bytes',
-        'reader',
-    )
+    __slots__ = ('service', 'stream', 'state', 'state_changed', 'reader')
 
     def __init__(self, service: CallService, stream: IOStream) -> None:
         """Take ownership of the connection."""
         self.service = service
         self.stream = stream
-        self.parser = RequestParser(service.limits)
-        self.exchanges: deque[CallExchange] = deque()
+        self.state = ConnectionState(service)
         self.state_changed = asyncio.Event()
-        self.used_at = time.monotonic()
-        self.is_closing = False
-        self.discarded_bytes = 0
         self.reader: asyncio.Task[None] | None = None
 
-    @property
-    def is_idle(self) -> bool:
-        """Return whether no request is in progress or partially read."""
-        return not self.exchanges and self.parser.is_between_messages
-
     async def run(self) -> None:
         """Serve requests until either side closes the connection."""
         self.reader = asyncio.create_task(self.read_requests())
@@ -91,12 +71,13 @@
 
     def handle_disconnect(self) -> None:
         """Abandon the requests of a caller that closed its connection."""
-        log.debug('caller-disconnected', extra={'under_way': len(self.exchanges)})
+        in_progress = len(self.state.exchanges)
+        log.debug('caller-disconnected', extra={'under_way': in_progress})
         self.abandon_all()
 
     def abandon_all(self) -> None:
         """Abandon every request in progress."""
-        for exchange in self.exchanges:
+        for exchange in self.state.exchanges:
             exchange.abandon()
 
     async def read_requests(self) -> None:
@@ -106,7 +87,8 @@
         with unread data resets it, and the caller could lose the last reply.
         """
         while True:
-            if len(self.exchanges) >= MAX_PIPELINED and not self.is_closing:
+            is_full = len(self.state.exchanges) >= MAX_PIPELINED
+            if is_full and self.state.is_accepting:
                 await self.wait_for_change()
                 continue
             try:
@@ -114,15 +96,7 @@
             except StreamClosedError:
                 self.handle_disconnect()
                 return
-            self.take_chunk(chunk)
-
-    def take_chunk(self, chunk: bytes) -> None:
-        """Process a chunk, or discard it if no further request is accepted."""
-        if self.is_closing:
-            self.discarded_bytes += len(chunk)
-            return
-        self.used_at = time.monotonic()
-        self.process_chunk(chunk)
+            self.process_chunk(chunk)
 
     async def wait_for_change(self) -> None:
         """Wait until a request starts or ends, or no further one is accepted."""
@@ -135,41 +109,39 @@
         The idle timeout applies between requests, the header timeout while a
         head is being read.
         """
+        parser = self.state.parser
         while True:
             timeout_s = self.service.idle_timeout_s
-            if self.parser.is_reading_head:
+            if parser.is_reading_head:
                 timeout_s = self.service.header_timeout_s
             try:
                 async with asyncio.timeout(timeout_s):
                     return await self.stream.read_bytes(READ_BYTES, partial=True)
             except TimeoutError:
-                if self.parser.is_reading_head or self.is_idle:
+                if parser.is_reading_head or self.state.is_idle:
                     self.stop_accepting()
 
     def stop_accepting(self) -> None:
         """Accept no further request on this connection."""
-        self.is_closing = True
+        self.state.is_accepting = False
         self.state_changed.set()
 
     def process_chunk(self, chunk: bytes) -> None:
         """Parse a chunk and start the requests that it completes."""
-        for request in self.parser.feed(chunk):
-            self.exchanges.append(CallExchange(self.service, request))
-            self.state_changed.set()
-        if self.parser.has_failed:
-            self.is_closing = True
-        if self.parser.consume_continue():
+        for request in self.state.receive(chunk):
+            self.state.exchanges.append(CallExchange(self.service, request))
+        self.state_changed.set()
+        if self.state.parser.consume_continue():
             self.stream.write(CONTINUE_RESPONSE)
 
     async def write_replies(self) -> None:
         """Write the replies in the order of the requests."""
-        while self.exchanges or not self.is_closing:
-            if not self.exchanges:
+        while not self.state.is_finished:
+            if not self.state.exchanges:
                 await self.wait_for_change()
                 continue
-            await self.write_reply(self.exchanges[0])
-            self.exchanges.popleft()
-            self.used_at = time.monotonic()
+            await self.write_reply(self.state.exchanges[0])
+            self.state.finish_reply()
             self.state_changed.set()
         await self.close_gracefully()
 
@@ -182,22 +154,11 @@
         if exchange.task.cancelled():
             return
         reply = exchange.task.result()
-        is_last = self.is_last(exchange)
+        is_last = self.state.is_last_reply()
         payload = _encode(reply, exchange.request.method, is_last)
         with contextlib.suppress(StreamClosedError):
             await self.stream.write(payload)
 
-    def is_last(self, exchange: CallExchange) -> bool:
-        """Return whether the connection closes after this reply.
-
-        If so, no further request is accepted. The connection never closes before
-        an accepted request has been answered.
-        """
-        is_only_exchange = len(self.exchanges) == 1
-        if self.service.is_stopping or not exchange.request.keeps_alive:
-            self.is_closing = self.is_closing or is_only_exchange
-        return self.is_closing and is_only_exchange
-
     async def close_gracefully(self) -> None:
         """Close the sending side and wait for the caller to close the other.
 
@@ -207,12 +168,12 @@
             self.stream.socket.shutdown(socket.SHUT_WR)
         if self.reader is not None:
             await asyncio.wait({self.reader}, timeout=LINGER_S)
-        if self.discarded_bytes:
+        if self.state.discarded_bytes:
             log.warning(
                 'request-discarded',
                 extra={
-                    'bytes': self.discarded_bytes,
-                    'idle_s': round(time.monotonic() - self.used_at, 3),
+                    'bytes': self.state.discarded_bytes,
+                    'idle_s': round(time.monotonic() - self.state.used_at, 3),
                     'is_stopping': self.service.is_stopping,
                 },
             )
@@ -226,7 +187,7 @@
 
         :param idle_s: minimum time without use.
         """
-        if self.is_idle and time.monotonic() - self.used_at >= idle_s:
+        if self.state.has_been_idle(idle_s):
             self.stop_accepting()
 
 
--- /dev/null
+++ b/packages/node/src/lavendermountd/caller/connection_state.py
@@ -0,0 +1,101 @@
+"""State of a caller's connection: what it has read and which replies it owes.
+
+:units: bytes; seconds on the node's monotonic clock.
+:errors: none are raised; malformed data becomes a request that is refused.
+:source: RFC 9112, section 9.
+"""
+
+from __future__ import annotations
+
+import time
+from collections import deque
+
+from lavendermountd.caller.exchange import CallExchange
+from lavendermountd.caller.service import CallService
+from lavendermountd.http1.messages import WireRequest
+from lavendermountd.http1.request_parser import RequestParser
+
+
+class ConnectionState:
+    """Decides which data is read as requests, and after which reply to close.
+
+    It is told of every event of the connection and does no I/O. Once it has stopped
+    accepting requests, it never accepts one again, and every accepted request is
+    answered before the connection closes.
+
+    :param service: holds the limits, and tells whether the node is stopping.
+    """
+
+    __slots__ = (
+        'service',
+        'parser',
+        'exchanges',
+        'is_accepting',
+        'used_at',
+        'discarded_bytes',
+    )
+
+    def __init__(self, service: CallService) -> None:
+        """Start in the state before the first request."""
+        self.service = service
+        self.parser = RequestParser(service.limits)
+        self.exchanges: deque[CallExchange] = deque()
+        self.is_accepting = True
+        self.used_at = time.monotonic()
+        self.discarded_bytes = 0
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no request is in progress or partially read."""
+        return not self.exchanges and self.parser.is_between_messages
+
+    @property
+    def is_finished(self) -> bool:
+        """Return whether every reply has been written and no request is accepted."""
+        return not self.exchanges and not self.is_accepting
+
+    def receive(self, chunk: bytes) -> list[WireRequest]:
+        """Parse a chunk, or discard it if no further request is accepted.
+
+        While the node is stopping, a connection carries no request behind one that is
+        in progress: its caller, who sends without waiting for replies, would always
+        have one in progress, and the connection could not close before the node ends.
+
+        :returns: the requests completed by the chunk.
+        """
+        if self.service.is_stopping and self.exchanges:
+            self.is_accepting = False
+        if not self.is_accepting:
+            self.discarded_bytes += len(chunk)
+            return []
+        self.used_at = time.monotonic()
+        requests = self.parser.feed(chunk)
+        is_last = self.parser.has_failed or not all(
+            request.keeps_alive for request in requests
+        )
+        self.is_accepting = not is_last
+        return requests
+
+    def is_last_reply(self) -> bool:
+        """Return whether the connection closes after the reply to the first request.
+
+        If so, no further request is accepted. The connection never closes before
+        an accepted request has been answered.
+        """
+        if len(self.exchanges) > 1:
+            return False
+        if self.service.is_stopping:
+            self.is_accepting = False
+        return not self.is_accepting
+
+    def finish_reply(self) -> None:
+        """Remove the first request, whose reply has been written."""
+        self.exchanges.popleft()
+        self.used_at = time.monotonic()
+
+    def has_been_idle(self, idle_s: float) -> bool:
+        """Return whether the connection was unused for some time.
+
+        :param idle_s: minimum time without use.
+        """
+        return self.is_idle and time.monotonic() - self.used_at >= idle_s
