--- a/features/connection_builders.py
+++ b/features/connection_builders.py
@@ -22,7 +22,7 @@
 HEADER_BYTES = 1000
 BODY_BYTES = 100_000
 HEAD_END = b'\r\n\r\n'
-READ_TIMEOUT_S = 5.0
+READ_TIMEOUT_S = 6.0
 
 
 class EchoRouter:
@@ -151,6 +151,11 @@
     return service
 
 
+async def connect_to_node(port: int) -> Caller:
+    """Connect a caller to the caller port of a node in a process of its own."""
+    return Caller(*await asyncio.open_connection('127.0.0.1', port))
+
+
 @contextlib.asynccontextmanager
 async def connected_caller(
     service: CallService,
--- a/features/connections.feature
+++ b/features/connections.feature
@@ -10,3 +10,6 @@
   Scenario: A stopping node ends the connection of a caller that always has requests in progress
     Then every request that it passes on is answered, the last reply closes the connection
     And requests that a stopping node receives together are all answered
+
+  Scenario: A stopping node passes on no late request whose deadline is after its end
+    Then a stopping node accepts late requests only if they end before it does
--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -16,6 +16,12 @@
     Then the response is complete and belongs to the request
     And node 3 exited with code 0
 
+  Scenario: Orders that come late in the grace period of a planned stop are never cut
+    Given a deployment of 2 nodes that stop within 4 s, and slow targets
+    When orders come late in the grace period of a planned stop of node 1
+    Then every order that was passed on is answered, and the others are refused as not run
+    And node 1 exited with code 0
+
   Scenario: A rolling restart under load loses no request and repeats none
     Given a deployment of 3 nodes
     When every node is restarted in turn under load
--- a/features/mutations.py
+++ b/features/mutations.py
@@ -114,6 +114,22 @@
         'connections',
         'A stopping node ends the connection of a caller that always has requests in progress',
     ),
+    Mutation(
+        'late-in-a-stop',
+        f'{NODE}/stop_schedule.py',
+        'if received_at < self.listens_until or deadline <= self.ends_at:',
+        'if True:',
+        'connections',
+        'A stopping node passes on no late request whose deadline is after its end',
+    ),
+    Mutation(
+        'queued-at-a-stop',
+        f'{NODE}/shutdown.py',
+        'self.node.router.abandon_late()',
+        'self.node.router.retry_budget',
+        'leaving',
+        'Orders that come late in the grace period of a planned stop are never cut',
+    ),
     Mutation(
         'budget',
         f'{NODE}/membership/exchange.py',
--- a/features/steps/connection_steps.py
+++ b/features/steps/connection_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import Any
 
 from behave import then
@@ -16,6 +17,7 @@
 )
 
 from lavendermountd.caller.service import CallService
+from lavendermountd.stop_schedule import StopSchedule
 
 LARGE_BODY = b'o' * 40_000
 FIRST_PART_BYTES = 30
@@ -115,3 +117,28 @@
         service.is_stopping = True
         await caller.send(b''.join(encode_order(f'/{number}') for number in range(3)))
         return await caller.read_all()
+
+
+@then('a stopping node accepts late requests only if they end before it does')
+def late_requests(context: Any) -> None:
+    """Send requests with and without time, while the node listens and later."""
+    for listens_s, deadline_ms, status in (
+        (0, 500, 200),
+        (0, 1500, 503),
+        (0.5, 1500, 200),
+    ):
+        reply, passed_on = asyncio.run(_send_at_stop(listens_s, deadline_ms))
+        case = (listens_s, deadline_ms, reply.status, passed_on)
+        assert reply.status == status, case
+        assert passed_on == (status == 200), case
+        assert reply.is_last, case
+
+
+async def _send_at_stop(listens_s: float, deadline_ms: int) -> Any:
+    service = echo_service()
+    async with connected_caller(service) as (caller, _):
+        now = time.monotonic()
+        service.begin_stop(StopSchedule(now + listens_s, now + 1))
+        headers = f'X-Deadline-Ms: {deadline_ms}\r\n'
+        await caller.send(encode_order('/', headers=headers))
+        return await caller.read_reply(), len(service.router.received)
--- a/packages/core/src/lavendermount_core/models/calls.py
+++ b/packages/core/src/lavendermount_core/models/calls.py
@@ -63,6 +63,8 @@
     OVER_ALLOTMENT = 'over-allotment'
     # The availability zone of the target has been evacuated.
     EVACUATED = 'zone-evacuated'
+    # The node that received the request stops before it could be answered.
+    STOPPING = 'stopping'
     INTERNAL = 'internal-error'
 
 
--- a/packages/node/src/lavendermountd/caller/exchange.py
+++ b/packages/node/src/lavendermountd/caller/exchange.py
@@ -123,8 +123,12 @@
         if isinstance(classification, Refusal):
             return self.refuse(classification)
         self.call_class = classification.call_class
+        request = self.to_request(classification, preset)
+        refusal = self.service.refusal_at_stop(self.arrived_at, request.deadline)
+        if refusal is not None:
+            return self.refuse(refusal)
         outcome = await self.service.handle_request(
-            self.to_request(classification, preset), preset, classification.tenant
+            request, preset, classification.tenant
         )
         self.record_metrics(classification.call_class, outcome)
         if isinstance(outcome, Success):
--- a/packages/node/src/lavendermountd/caller/service.py
+++ b/packages/node/src/lavendermountd/caller/service.py
@@ -10,7 +10,7 @@
 from returns.result import Failure
 
 from lavendermount_core.config.preset import LimitOptions, TenantOptions
-from lavendermount_core.models.calls import CallReply, CallRequest
+from lavendermount_core.models.calls import CallReply, CallRequest, Refusal
 from lavendermount_core.utils.units import DEFAULT_MAX_BODY_BYTES, MS_PER_S
 from lavendermountd.allotments.client import Take
 from lavendermountd.allotments.service import Allotments
@@ -22,6 +22,7 @@
 from lavendermountd.presets.holder import InForcePreset, PresetHolder
 from lavendermountd.routing.request_state import has_reached_target
 from lavendermountd.routing.router import Router
+from lavendermountd.stop_schedule import StopSchedule
 
 CATCH_UP_TIMEOUT_S = 0.5
 DEFAULT_HEADER_BYTES = 65536
@@ -64,6 +65,7 @@
         self.header_timeout_s = DEFAULT_HEADER_TIMEOUT_S
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self.is_stopping = False
+        self.stop_schedule: StopSchedule | None = None
         self.caught_up = asyncio.Event()
         self.caught_up.set()
 
@@ -74,6 +76,22 @@
         self.header_timeout_s = limits.header_ms / MS_PER_S
         self.idle_timeout_s = limits.idle_ms / MS_PER_S
 
+    def begin_stop(self, schedule: StopSchedule) -> None:
+        """Refuse from now on what can't be answered before the node ends."""
+        self.is_stopping = True
+        self.stop_schedule = schedule
+        self.router.stops_at = schedule.ends_at
+
+    def refusal_at_stop(self, received_at: float, deadline: float) -> Refusal | None:
+        """Return the refusal of a request that may outlast a stopping node.
+
+        :param received_at: time at which the request was complete.
+        :param deadline: time after which its reply is useless.
+        """
+        if self.stop_schedule is None:
+            return None
+        return self.stop_schedule.refusal_of(received_at, deadline)
+
     async def wait_until_caught_up(self) -> None:
         """After a freeze, wait until the log has been read again.
 
--- a/packages/node/src/lavendermountd/routing/router.py
+++ b/packages/node/src/lavendermountd/routing/router.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import math
 import time
 from collections import defaultdict
 from collections.abc import Callable
@@ -38,6 +39,7 @@
 from lavendermountd.routing.retry_budget import RetryBudget
 from lavendermountd.routing.sender import Sender
 from lavendermountd.routing.target_selector import TargetSelector
+from lavendermountd.stop_schedule import stopping_refusal
 
 log = logging.getLogger(__name__)
 
@@ -56,6 +58,8 @@
 PATIENCE_SHARE = 0.3
 REDIRECT_BURST = 10
 MIN_PATIENCE_S = 0.01
+# Shortest time that an attempt at a stopping node is expected to take.
+MIN_RESPONSE_S = 0.3
 
 
 Task = asyncio.Task[AttemptResult]
@@ -91,6 +95,8 @@
         self.take_hedge_token: Callable[[str], bool] | None = None
         self.slow_notifier = SlowTargetNotifier()
         self.latencies: dict[str, LatencyWindow] = defaultdict(LatencyWindow)
+        # Time by which a stopping node must have answered its callers.
+        self.stops_at = math.inf
 
     def configure(self, preset: InForcePreset) -> None:
         """Apply the retry and hedge budgets of a preset."""
@@ -127,6 +133,8 @@
         self.retry_budget.earn(state.request.call_class.service)
         self.hedge_bucket.earn(preset.schema.hedge.share)
         self.redirect_bucket.earn(preset.schema.retry.redirect_share)
+        if self.is_too_late(state):
+            return Failure(stopping_refusal())
         cause = Cause.FIRST
         while True:
             outcome = await self.make_attempt(state, cause)
@@ -147,6 +155,21 @@
         for attempt_id, member in tuple(state.active_attempts.items()):
             self.sender.cancel(member, attempt_id, is_waiting_only=True)
 
+    def abandon_late(self) -> None:
+        """Abandon the requests that a stopping node can't expect to answer."""
+        for request_id, state in tuple(self.active_requests.items()):
+            if not state.is_abandoned and self.is_too_late(state):
+                self.abandon(request_id)
+
+    def is_too_late(self, state: RequestState) -> bool:
+        """Return whether an attempt begun now would outlast a stopping node.
+
+        It is expected to take as long as half of those before it.
+        """
+        median_ms = self.latencies[state.class_key].quantile(MEDIAN)
+        expected_s = MIN_RESPONSE_S if median_ms is None else median_ms / MS_PER_S
+        return time.monotonic() + max(expected_s, MIN_RESPONSE_S) > self.stops_at
+
     async def make_attempt(self, state: RequestState, cause: Cause) -> AttemptResult:
         """Make one attempt.
 
@@ -356,7 +379,7 @@
             return False
         if not self.has_untried_target(state) or self.is_exhausted(state, outcome):
             return False
-        if time.monotonic() >= state.request.deadline:
+        if time.monotonic() >= state.request.deadline or self.is_too_late(state):
             return False
         if not state.delivered_count:
             return self.try_redirect(state)
--- a/packages/node/src/lavendermountd/shutdown.py
+++ b/packages/node/src/lavendermountd/shutdown.py
@@ -13,6 +13,7 @@
 from lavendermount_core.models.members import MemberStatus
 from lavendermountd.caller.server import DRAIN_IDLE_S
 from lavendermountd.phases import Phase
+from lavendermountd.stop_schedule import StopSchedule
 
 if TYPE_CHECKING:
     from lavendermountd.node import Node
@@ -21,6 +22,8 @@
 
 STOP_POLL_S = 0.02
 FINAL_FLUSH_TIMEOUT_S = 0.3
+# Time before the end of the drain by which replies must be written.
+REPLY_MARGIN_S = 0.1
 # Maximum idle time required to close a connection, as a ratio of the time left for
 # the shutdown.
 IDLE_WAIT_RATIO = 0.25
@@ -50,9 +53,10 @@
         """
         log.info('node-stopping')
         self.node.phase = Phase.STOPPING
-        self.node.service.is_stopping = True
         started_at = time.monotonic()
         listen_s = self.node.settings.listen_s or self.node.period_s
+        ends_at = started_at + self.node.settings.drain_s - REPLY_MARGIN_S
+        self.node.service.begin_stop(StopSchedule(started_at + listen_s, ends_at))
         await self.wait_until(started_at + listen_s - self.node.period_s)
         await self.announce_leaving()
         await self.wait_until(started_at + listen_s)
@@ -83,6 +87,7 @@
         while self.has_work() and time.monotonic() < deadline:
             await asyncio.sleep(STOP_POLL_S)
             server.close_idle(idle_s)
+            self.node.router.abandon_late()
         server.close_idle(0)
 
     def close_gate(self) -> None:
