--- a/features/connection_builders.py
+++ b/features/connection_builders.py
@@ -87,6 +87,12 @@
             await self.writer.drain()
             await asyncio.sleep(pause_s)
 
+    async def close(self) -> None:
+        """Close the connection."""
+        self.writer.close()
+        with contextlib.suppress(ConnectionError):
+            await self.writer.wait_closed()
+
     async def read_reply(self) -> Reply | None:
         """Read the next reply.
 
@@ -164,9 +170,9 @@
     caller_end, node_end = socket.socketpair()
     connection = CallerConnection(service, IOStream(node_end))
     task = asyncio.create_task(connection.run())
-    stream, writer = await asyncio.open_connection(sock=caller_end)
+    caller = Caller(*await asyncio.open_connection(sock=caller_end))
     try:
-        yield Caller(stream, writer), connection
+        yield caller, connection
     finally:
-        writer.close()
+        await caller.close()
         await task
--- a/features/steps/grace_steps.py
+++ b/features/steps/grace_steps.py
@@ -55,7 +55,7 @@
         except ConnectionError:
             self.reply = None
         finally:
-            caller.writer.close()
+            await caller.close()
 
 
 @given('a deployment of {count:d} nodes that stop within 4 s, and slow targets')
