--- a/features/connections.feature
+++ b/features/connections.feature
@@ -13,3 +13,11 @@
 
   Scenario: A stopping node passes on no late request whose deadline is after its end
     Then a stopping node accepts late requests only if they end before it does
+
+  Scenario: A request that outlasts the idle timeout is answered, and its connection stays open
+    Then requests that run for three idle timeouts are answered on one connection
+
+  Scenario: Each time limit of a connection applies only to the state that it belongs to
+    Then an idle connection closes after the idle timeout
+    And a head that does not end closes the connection after the header timeout
+    And a body that stalls is refused as not run, and one that arrives slowly is accepted
--- a/features/mutations.py
+++ b/features/mutations.py
@@ -114,6 +114,14 @@
         'connections',
         'A stopping node ends the connection of a caller that always has requests in progress',
     ),
+    Mutation(
+        'idle-while-answering',
+        f'{NODE}/caller/connection_state.py',
+        'if self.exchanges and self.parser.is_between_messages:',
+        'if False:',
+        'connections',
+        'A request that outlasts the idle timeout is answered, and its connection stays open',
+    ),
     Mutation(
         'late-in-a-stop',
         f'{NODE}/stop_schedule.py',
--- a/features/steps/connection_steps.py
+++ b/features/steps/connection_steps.py
@@ -22,6 +22,8 @@
 LARGE_BODY = b'o' * 40_000
 FIRST_PART_BYTES = 30
 SEND_INTERVAL_S = 0.02
+IDLE_TIMEOUT_S = 0.2
+HEADER_TIMEOUT_S = 0.3
 # Several requests are in progress at any moment.
 WORK_S = 0.07
 
@@ -142,3 +144,75 @@
         headers = f'X-Deadline-Ms: {deadline_ms}\r\n'
         await caller.send(encode_order('/', headers=headers))
         return await caller.read_reply(), len(service.router.received)
+
+
+def impatient_service(work_s: float = 0) -> CallService:
+    """Build a service with short time limits."""
+    service = echo_service(work_s)
+    service.idle_timeout_s = IDLE_TIMEOUT_S
+    service.header_timeout_s = HEADER_TIMEOUT_S
+    return service
+
+
+@then('requests that run for three idle timeouts are answered on one connection')
+def outlast_idle_timeout(context: Any) -> None:
+    """Send two such requests, one after the other."""
+    replies = asyncio.run(_send_long_requests())
+    assert [reply and reply.body for reply in replies] == [
+        echo_body('/0', b''),
+        echo_body('/1', b''),
+    ]
+
+
+async def _send_long_requests() -> list[Any]:
+    service = impatient_service(3 * IDLE_TIMEOUT_S)
+    replies = []
+    async with connected_caller(service) as (caller, _):
+        for number in range(2):
+            await caller.send(encode_order(f'/{number}'))
+            replies.append(await caller.read_reply())
+    return replies
+
+
+@then('an idle connection closes after the idle timeout')
+def idle_connection_closes(context: Any) -> None:
+    """Leave a connection idle, before and after a request."""
+    for parts in ((), (encode_order('/'),)):
+        replies, elapsed_s = asyncio.run(_send_and_read_all(*parts))
+        assert len(replies) == len(parts)
+        assert IDLE_TIMEOUT_S <= elapsed_s < READ_TIMEOUT_S / 2, elapsed_s
+
+
+@then('a head that does not end closes the connection after the header timeout')
+def slow_head_closes(context: Any) -> None:
+    """Send a head byte by byte, without ever completing it."""
+    head = encode_order('/', headers='X: ' + 'y' * 400)
+    parts = [bytes([byte]) for byte in head[:400]]
+    replies, elapsed_s = asyncio.run(_send_and_read_all(*parts))
+    assert not replies
+    assert HEADER_TIMEOUT_S <= elapsed_s < READ_TIMEOUT_S / 2, elapsed_s
+
+
+@then(
+    'a body that stalls is refused as not run, and one that arrives slowly is accepted'
+)
+def slow_bodies(context: Any) -> None:
+    """Send parts of a body with pauses that are shorter, and then longer, than allowed."""
+    payload = encode_order('/', b'x' * 40)
+    parts = [payload[:-40], *(b'x' * 5 for _ in range(8))]
+    pause_s = IDLE_TIMEOUT_S / 4
+    replies, _ = asyncio.run(_send_and_read_all(*parts, pause_s=pause_s))
+    assert [reply.status for reply in replies] == [200]
+    replies, _ = asyncio.run(_send_and_read_all(*parts[:3], pause_s=pause_s))
+    assert [(reply.status, reply.is_last) for reply in replies] == [(408, True)]
+    assert b'"outcome": "not-run"' in replies[0].body
+
+
+async def _send_and_read_all(*parts: bytes, pause_s: float = 0.01) -> Any:
+    started_at = time.monotonic()
+    async with connected_caller(impatient_service()) as (caller, _):
+        sending = asyncio.create_task(caller.send(*parts, pause_s=pause_s))
+        replies = await caller.read_all()
+        elapsed_s = time.monotonic() - started_at
+        await asyncio.gather(sending, return_exceptions=True)
+    return replies, elapsed_s
--- a/packages/core/src/lavendermount_core/models/calls.py
+++ b/packages/core/src/lavendermount_core/models/calls.py
@@ -31,6 +31,7 @@
     NO_TARGET = 'no-target'
     MALFORMED = 'malformed'
     TOO_LARGE = 'too-large'
+    REQUEST_TIMEOUT = 'request-timeout'
     HEAD_TOO_LARGE = 'head-too-large'
     QUEUE_FULL = 'queue-full'
     # Another target may answer sooner.
--- a/packages/node/src/lavendermountd/caller/connection.py
+++ b/packages/node/src/lavendermountd/caller/connection.py
@@ -19,9 +19,11 @@
 from lavendermountd.caller.connection_state import ConnectionState
 from lavendermountd.caller.exchange import CallExchange
 from lavendermountd.caller.service import CallService
+from lavendermountd.caller.time_limit import TimeLimit
 from lavendermountd.http1.messages import (
     CONTENT_LENGTH,
     NO_BODY_STATUS,
+    WireRequest,
     encode_head,
     find_header,
 )
@@ -41,13 +43,14 @@
     :param stream: the connection.
     """
 
-    __slots__ = ('service', 'stream', 'state', 'state_changed', 'reader')
+    __slots__ = ('service', 'stream', 'state', 'time_limit', 'state_changed', 'reader')
 
     def __init__(self, service: CallService, stream: IOStream) -> None:
         """Take ownership of the connection."""
         self.service = service
         self.stream = stream
         self.state = ConnectionState(service)
+        self.time_limit = TimeLimit(self.state.limit_at, self.handle_time_limit)
         self.state_changed = asyncio.Event()
         self.reader: asyncio.Task[None] | None = None
 
@@ -55,6 +58,7 @@
         """Serve requests until either side closes the connection."""
         self.reader = asyncio.create_task(self.read_requests())
         writer = asyncio.create_task(self.write_replies())
+        self.time_limit.update()
         tasks = {self.reader, writer}
         try:
             await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
@@ -63,6 +67,7 @@
 
     async def cancel_tasks(self, tasks: set[asyncio.Task[None]]) -> None:
         """Cancel the tasks, abandon the requests and close the stream."""
+        self.time_limit.cancel()
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -92,7 +97,7 @@
                 await self.wait_for_change()
                 continue
             try:
-                chunk = await self.read_chunk()
+                chunk = await self.stream.read_bytes(READ_BYTES, partial=True)
             except StreamClosedError:
                 self.handle_disconnect()
                 return
@@ -103,23 +108,12 @@
         self.state_changed.clear()
         await self.state_changed.wait()
 
-    async def read_chunk(self) -> bytes:
-        """Read the next chunk; on a timeout, accept no further requests.
+    def handle_time_limit(self) -> None:
+        """Accept no further request; refuse one whose body is not complete.
 
-        The idle timeout applies between requests, the header timeout while a
-        head is being read.
+        The read in progress continues: it notices when the caller disconnects.
         """
-        parser = self.state.parser
-        while True:
-            timeout_s = self.service.idle_timeout_s
-            if parser.is_reading_head:
-                timeout_s = self.service.header_timeout_s
-            try:
-                async with asyncio.timeout(timeout_s):
-                    return await self.stream.read_bytes(READ_BYTES, partial=True)
-            except TimeoutError:
-                if parser.is_reading_head or self.state.is_idle:
-                    self.stop_accepting()
+        self.start_requests(self.state.expire())
 
     def stop_accepting(self) -> None:
         """Accept no further request on this connection."""
@@ -128,11 +122,16 @@
 
     def process_chunk(self, chunk: bytes) -> None:
         """Parse a chunk and start the requests that it completes."""
-        for request in self.state.receive(chunk):
-            self.state.exchanges.append(CallExchange(self.service, request))
-        self.state_changed.set()
+        self.start_requests(self.state.receive(chunk))
         if self.state.parser.consume_continue():
             self.stream.write(CONTINUE_RESPONSE)
+        self.time_limit.update()
+
+    def start_requests(self, requests: list[WireRequest]) -> None:
+        """Start requests, or the refusals of those that are malformed."""
+        for request in requests:
+            self.state.exchanges.append(CallExchange(self.service, request))
+        self.state_changed.set()
 
     async def write_replies(self) -> None:
         """Write the replies in the order of the requests."""
@@ -142,6 +141,7 @@
                 continue
             await self.write_reply(self.state.exchanges[0])
             self.state.finish_reply()
+            self.time_limit.update()
             self.state_changed.set()
         await self.close_gracefully()
 
--- a/packages/node/src/lavendermountd/caller/connection_state.py
+++ b/packages/node/src/lavendermountd/caller/connection_state.py
@@ -9,6 +9,7 @@
 
 import time
 from collections import deque
+from http import HTTPStatus
 
 from lavendermountd.caller.exchange import CallExchange
 from lavendermountd.caller.service import CallService
@@ -32,6 +33,7 @@
         'exchanges',
         'is_accepting',
         'used_at',
+        'head_since',
         'discarded_bytes',
     )
 
@@ -42,6 +44,7 @@
         self.exchanges: deque[CallExchange] = deque()
         self.is_accepting = True
         self.used_at = time.monotonic()
+        self.head_since: float = 0
         self.discarded_bytes = 0
 
     @property
@@ -69,13 +72,44 @@
             self.discarded_bytes += len(chunk)
             return []
         self.used_at = time.monotonic()
+        head_number = self.parser.head_count
         requests = self.parser.feed(chunk)
+        if self.parser.head_count != head_number:
+            self.head_since = self.used_at
         is_last = self.parser.has_failed or not all(
             request.keeps_alive for request in requests
         )
         self.is_accepting = not is_last
         return requests
 
+    def limit_at(self) -> float | None:
+        """Return when the time limit of the current state passes.
+
+        A head must be complete within the header timeout. Between requests, and between
+        the parts of a body, the caller may be idle for the idle timeout. Nothing limits
+        the time in which the caller waits for a reply.
+
+        :returns: ``None`` if the caller is not to send anything now.
+        """
+        if not self.is_accepting:
+            return None
+        if self.parser.is_reading_head:
+            return self.head_since + self.service.header_timeout_s
+        if self.exchanges and self.parser.is_between_messages:
+            return None
+        return self.used_at + self.service.idle_timeout_s
+
+    def expire(self) -> list[WireRequest]:
+        """Accept no further request, because a time limit has passed.
+
+        :returns: the request whose body did not arrive in time, to be refused; empty
+            between requests and in a head, which belongs to no request yet.
+        """
+        self.is_accepting = False
+        if self.parser.is_between_messages or self.parser.is_reading_head:
+            return []
+        return self.parser.give_up(HTTPStatus.REQUEST_TIMEOUT)
+
     def is_last_reply(self) -> bool:
         """Return whether the connection closes after the reply to the first request.
 
--- a/packages/node/src/lavendermountd/caller/exchange.py
+++ b/packages/node/src/lavendermountd/caller/exchange.py
@@ -40,6 +40,10 @@
 REFUSAL_BY_STATUS = MappingProxyType(
     {
         HTTPStatus.BAD_REQUEST: (Reason.MALFORMED, 'the request is malformed'),
+        HTTPStatus.REQUEST_TIMEOUT: (
+            Reason.REQUEST_TIMEOUT,
+            'the body did not arrive in time',
+        ),
         HTTPStatus.REQUEST_ENTITY_TOO_LARGE: (
             Reason.TOO_LARGE,
             'the body is too large',
--- a/packages/node/src/lavendermountd/caller/problems.py
+++ b/packages/node/src/lavendermountd/caller/problems.py
@@ -20,6 +20,7 @@
     {
         Reason.MALFORMED: 400,
         Reason.NO_ROUTE: 404,
+        Reason.REQUEST_TIMEOUT: 408,
         Reason.CLAIMED: 409,
         Reason.TOO_LARGE: 413,
         Reason.HEAD_TOO_LARGE: 431,
--- a/packages/node/src/lavendermountd/http1/request_parser.py
+++ b/packages/node/src/lavendermountd/http1/request_parser.py
@@ -100,6 +100,19 @@
         self.parse(chunk)
         if self.is_reading_head and self.head_count == head_number:
             self.count_head_bytes(len(chunk))
+        return self.take_complete()
+
+    def give_up(self, status: int) -> list[WireRequest]:
+        """Refuse the request that is being read; later data is ignored.
+
+        :param status: HTTP status of the refusal.
+        :returns: the refused request.
+        """
+        self.fail(status)
+        return self.take_complete()
+
+    def take_complete(self) -> list[WireRequest]:
+        """Return and remove the requests that are complete or refused."""
         complete = self.complete_requests
         self.complete_requests = []
         return complete
@@ -138,6 +151,7 @@
         if self.is_between_messages:
             return
         self.error_status = status
+        self.parts = []
         self.complete_requests.append(self.build_request(keeps_alive=False))
 
     def consume_continue(self) -> bool:
