--- a/features/connections.feature
+++ b/features/connections.feature
@@ -21,3 +21,7 @@
     Then an idle connection closes after the idle timeout
     And a head that does not end closes the connection after the header timeout
     And a body that stalls is refused as not run, and one that arrives slowly is accepted
+
+  Scenario: A request that offers an upgrade runs with its whole body, and is answered once
+    Then requests that offer an upgrade parse like those that do not, however they are split
+    And the next request on the connection of such a request gets its own answer
--- a/features/mutations.py
+++ b/features/mutations.py
@@ -122,6 +122,14 @@
         'connections',
         'A request that outlasts the idle timeout is answered, and its connection stays open',
     ),
+    Mutation(
+        'upgrade',
+        f'{NODE}/http1/request_parser.py',
+        'if self.offers_upgrade:',
+        'if False:',
+        'connections',
+        'A request that offers an upgrade runs with its whole body, and is answered once',
+    ),
     Mutation(
         'late-in-a-stop',
         f'{NODE}/stop_schedule.py',
--- a/features/steps/connection_steps.py
+++ b/features/steps/connection_steps.py
@@ -17,9 +17,13 @@
 )
 
 from lavendermountd.caller.service import CallService
+from lavendermountd.http1.request_parser import RequestLimits, RequestParser
 from lavendermountd.stop_schedule import StopSchedule
 
 LARGE_BODY = b'o' * 40_000
+UPGRADE = (
+    'Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AA\r\n'
+)
 FIRST_PART_BYTES = 30
 SEND_INTERVAL_S = 0.02
 IDLE_TIMEOUT_S = 0.2
@@ -216,3 +220,50 @@
         elapsed_s = time.monotonic() - started_at
         await asyncio.gather(sending, return_exceptions=True)
     return replies, elapsed_s
+
+
+@then(
+    'requests that offer an upgrade parse like those that do not, '
+    'however they are split'
+)
+def upgrade_offered(context: Any) -> None:
+    """Compare the requests of both, with bodies of each framing."""
+    chunked = b'Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n'
+    framings = (
+        b'Content-Length: 5\r\n\r\nhello',
+        b'Content-Length: 0\r\n\r\n',
+        chunked,
+    )
+    for framing in (*framings, b'\r\n'):
+        for closing in (b'', b'Connection: close\r\n'):
+            head = b'POST /order HTTP/1.1\r\nHost: x\r\n' + closing
+            following = b'GET /next HTTP/1.1\r\nHost: x\r\n\r\n'
+            plain = _parse(head + framing + following, 1000)
+            offering = head + UPGRADE.encode() + framing + following
+            for size in range(1, len(offering) + 1):
+                assert _parse(offering, size) == plain, (framing, closing, size)
+
+
+def _parse(payload: bytes, size: int) -> list[tuple[str, str, bytes, bool, int]]:
+    """Parse requests from parts of a size; return what the answers depend on."""
+    parser = RequestParser(RequestLimits(1000, 1000))
+    return [
+        (each.method, each.target, each.body, each.keeps_alive, each.error_status)
+        for start in range(0, len(payload), size)
+        for each in parser.feed(payload[start : start + size])
+    ]
+
+
+@then('the next request on the connection of such a request gets its own answer')
+def after_upgrade(context: Any) -> None:
+    """Send an order that offers an upgrade, and another one."""
+
+    async def send() -> list[Any]:
+        async with connected_caller(echo_service()) as (caller, _):
+            await caller.send(encode_order('/0', b'pump', UPGRADE))
+            replies = [await caller.read_reply()]
+            await caller.send(encode_order('/1', b'pipe'))
+            return [*replies, await caller.read_reply()]
+
+    bodies = [reply and reply.body for reply in asyncio.run(send())]
+    assert bodies == [echo_body('/0', b'pump'), echo_body('/1', b'pipe')], bodies
--- a/packages/node/src/lavendermountd/http1/request_parser.py
+++ b/packages/node/src/lavendermountd/http1/request_parser.py
@@ -15,6 +15,7 @@
     CONTENT_LENGTH,
     TRANSFER_ENCODING,
     WireRequest,
+    encode_head,
     find_header,
 )
 
@@ -57,6 +58,9 @@
         'is_reading_head',
         'has_failed',
         'expects_continue',
+        'offers_upgrade',
+        'is_resuming',
+        'method',
         'target',
         'headers',
         'parts',
@@ -76,6 +80,9 @@
         self.is_reading_head = False
         self.has_failed = False
         self.expects_continue = False
+        self.offers_upgrade = False
+        self.is_resuming = False
+        self.method = ''
         self.target = b''
         self.headers: Headers = []
         self.parts: list[bytes] = []
@@ -133,11 +140,32 @@
         """Pass a chunk to the parser; an error refuses the current request."""
         try:
             self.parser.feed_data(chunk)
-        except httptools.HttpParserUpgrade:
-            self.fail(HTTPStatus.BAD_REQUEST)
+        except httptools.HttpParserUpgrade as upgrade:
+            self.decline_upgrade()
+            self.parse(chunk[upgrade.args[0] :])
         except httptools.HttpParserError:
             self.fail(self.error_status or HTTPStatus.BAD_REQUEST)
 
+    def decline_upgrade(self) -> None:
+        """Continue with the body of a request that offers another protocol.
+
+        The parser takes all data after such a head for the other protocol. A server may
+        ignore the offer (RFC 9110, section 7.8), so a new parser continues after a head
+        that has the same framing and offers nothing.
+        """
+        kept = [
+            (name, text)
+            for name, text in self.headers
+            if name.lower() in {CONTENT_LENGTH, TRANSFER_ENCODING}
+        ]
+        if not self.parser.should_keep_alive():
+            kept.append(('Connection', 'close'))
+        self.offers_upgrade = False
+        self.parser = httptools.HttpRequestParser(self)
+        self.is_resuming = True
+        self.parser.feed_data(encode_head('POST / HTTP/1.1', kept))
+        self.is_resuming = False
+
     def fail(self, status: int) -> None:
         """Stop parsing, and refuse the request that has begun and is not complete.
 
@@ -162,6 +190,8 @@
 
     def on_message_begin(self) -> None:
         """Reset the state for a new request."""
+        if self.is_resuming:
+            return
         self.is_between_messages = False
         self.is_reading_head = True
         self.target = b''
@@ -175,11 +205,15 @@
 
     def on_url(self, url: bytes) -> None:
         """Append to the request target."""
+        if self.is_resuming:
+            return
         self.target += url
         self.check_head_size(len(url))
 
     def on_header(self, name: bytes, text: bytes) -> None:
         """Store a header."""
+        if self.is_resuming:
+            return
         self.headers.append((name.decode('latin-1'), text.decode('latin-1')))
         self.check_head_size(len(name) + len(text))
 
@@ -192,7 +226,11 @@
 
     def on_headers_complete(self) -> None:
         """Refuse ambiguous framing or a ``Content-Length`` above the limit."""
+        if self.is_resuming:
+            return
         self.is_reading_head = False
+        self.method = self.parser.get_method().decode('latin-1')
+        self.offers_upgrade = self.parser.should_upgrade()
         length = find_header(self.headers, CONTENT_LENGTH)
         if length and find_header(self.headers, TRANSFER_ENCODING):
             self.error_status = HTTPStatus.BAD_REQUEST
@@ -217,7 +255,9 @@
             raise ValueError('request body is too large')
 
     def on_message_complete(self) -> None:
-        """Complete the request."""
+        """Complete the request, unless its body follows an offer to upgrade."""
+        if self.offers_upgrade:
+            return
         self.is_between_messages = True
         self.expects_continue = False
         self.complete_requests.append(
@@ -226,9 +266,8 @@
 
     def build_request(self, keeps_alive: bool) -> WireRequest:
         """Build the current request from the parsed parts."""
-        method = b'' if self.has_failed else self.parser.get_method()
         return WireRequest(
-            method.decode('latin-1'),
+            '' if self.has_failed else self.method,
             self.target.decode('latin-1'),
             self.headers,
             b''.join(self.parts),
