--- a/features/connections.feature
+++ b/features/connections.feature
@@ -25,3 +25,6 @@
   Scenario: A request that offers an upgrade runs with its whole body, and is answered once
     Then requests that offer an upgrade parse like those that do not, however they are split
     And the next request on the connection of such a request gets its own answer
+
+  Scenario: A caller that leaves is noticed, however many requests it has in progress
+    Then a caller that leaves with 1, 16 or 40 requests in progress leaves no work behind
--- a/features/steps/connection_steps.py
+++ b/features/steps/connection_steps.py
@@ -16,6 +16,7 @@
     encode_order,
 )
 
+from lavendermountd.caller.connection_state import MAX_IN_PROGRESS
 from lavendermountd.caller.service import CallService
 from lavendermountd.http1.request_parser import RequestLimits, RequestParser
 from lavendermountd.stop_schedule import StopSchedule
@@ -28,6 +29,8 @@
 SEND_INTERVAL_S = 0.02
 IDLE_TIMEOUT_S = 0.2
 HEADER_TIMEOUT_S = 0.3
+# Time within which the work for a caller that has left must have ended.
+LEAVE_NOTICED_S = 0.4
 # Several requests are in progress at any moment.
 WORK_S = 0.07
 
@@ -267,3 +270,25 @@
 
     bodies = [reply and reply.body for reply in asyncio.run(send())]
     assert bodies == [echo_body('/0', b'pump'), echo_body('/1', b'pipe')], bodies
+
+
+@then(
+    'a caller that leaves with 1, 16 or 40 requests in progress leaves no work behind'
+)
+def caller_leaves(context: Any) -> None:
+    """Close the connection while all requests run."""
+    for count in (1, 16, 40):
+        started, left_over = asyncio.run(_leave_with(count))
+        assert started == min(count, MAX_IN_PROGRESS)
+        assert not left_over, (count, len(left_over))
+
+
+async def _leave_with(count: int) -> Any:
+    service = echo_service(READ_TIMEOUT_S)
+    async with connected_caller(service) as (caller, _):
+        lookups = [encode_order(f'/{each}', method='GET') for each in range(count)]
+        await caller.send(b''.join(lookups))
+        started = len(service.router.received)
+        await caller.close()
+        await asyncio.sleep(LEAVE_NOTICED_S)
+        return started, set(service.active_tasks)
--- a/packages/node/src/lavendermountd/caller/connection.py
+++ b/packages/node/src/lavendermountd/caller/connection.py
@@ -23,7 +23,6 @@
 from lavendermountd.http1.messages import (
     CONTENT_LENGTH,
     NO_BODY_STATUS,
-    WireRequest,
     encode_head,
     find_header,
 )
@@ -31,7 +30,6 @@
 log = logging.getLogger(__name__)
 
 READ_BYTES = 65536
-MAX_PIPELINED = 16
 LINGER_S = 1.0
 CONTINUE_RESPONSE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
@@ -88,12 +86,13 @@
     async def read_requests(self) -> None:
         """Start each request as soon as it is complete.
 
-        Data after the last request is read and discarded: closing a connection
-        with unread data resets it, and the caller could lose the last reply.
+        Reading goes on while as many requests as allowed are in progress, because it
+        notices when the caller disconnects. Data after the last request is read and
+        discarded: closing a connection with unread data resets it, and the caller could
+        lose the last reply.
         """
         while True:
-            is_full = len(self.state.exchanges) >= MAX_PIPELINED
-            if is_full and self.state.is_accepting:
+            if self.state.is_full and self.state.is_accepting:
                 await self.wait_for_change()
                 continue
             try:
@@ -113,7 +112,8 @@
 
         The read in progress continues: it notices when the caller disconnects.
         """
-        self.start_requests(self.state.expire())
+        self.state.expire()
+        self.start_requests()
 
     def stop_accepting(self) -> None:
         """Accept no further request on this connection."""
@@ -122,14 +122,15 @@
 
     def process_chunk(self, chunk: bytes) -> None:
         """Parse a chunk and start the requests that it completes."""
-        self.start_requests(self.state.receive(chunk))
+        self.state.receive(chunk)
+        self.start_requests()
         if self.state.parser.consume_continue():
             self.stream.write(CONTINUE_RESPONSE)
         self.time_limit.update()
 
-    def start_requests(self, requests: list[WireRequest]) -> None:
-        """Start requests, or the refusals of those that are malformed."""
-        for request in requests:
+    def start_requests(self) -> None:
+        """Start the requests that may start, or the refusals of malformed ones."""
+        for request in self.state.take_startable():
             self.state.exchanges.append(CallExchange(self.service, request))
         self.state_changed.set()
 
@@ -141,8 +142,8 @@
                 continue
             await self.write_reply(self.state.exchanges[0])
             self.state.finish_reply()
+            self.start_requests()
             self.time_limit.update()
-            self.state_changed.set()
         await self.close_gracefully()
 
     async def write_reply(self, exchange: CallExchange) -> None:
--- a/packages/node/src/lavendermountd/caller/connection_state.py
+++ b/packages/node/src/lavendermountd/caller/connection_state.py
@@ -16,6 +16,11 @@
 from lavendermountd.http1.messages import WireRequest
 from lavendermountd.http1.request_parser import RequestParser
 
+# Requests of one connection that are in progress at the same time, and complete ones
+# that may wait behind them.
+MAX_IN_PROGRESS = 16
+MAX_WAITING = 64
+
 
 class ConnectionState:
     """Decides which data is read as requests, and after which reply to close.
@@ -31,6 +36,7 @@
         'service',
         'parser',
         'exchanges',
+        'waiting',
         'is_accepting',
         'used_at',
         'head_since',
@@ -42,35 +48,48 @@
         self.service = service
         self.parser = RequestParser(service.limits)
         self.exchanges: deque[CallExchange] = deque()
+        # Complete requests that start once fewer are in progress.
+        self.waiting: deque[WireRequest] = deque()
         self.is_accepting = True
         self.used_at = time.monotonic()
         self.head_since: float = 0
         self.discarded_bytes = 0
 
+    @property
+    def owes_replies(self) -> bool:
+        """Return whether a complete request has not been answered."""
+        return bool(self.exchanges or self.waiting)
+
     @property
     def is_idle(self) -> bool:
         """Return whether no request is in progress or partially read."""
-        return not self.exchanges and self.parser.is_between_messages
+        return self.parser.is_between_messages and not self.owes_replies
+
+    @property
+    def is_full(self) -> bool:
+        """Return whether to read nothing until a request has ended."""
+        return len(self.waiting) >= MAX_WAITING
 
     @property
     def is_finished(self) -> bool:
         """Return whether every reply has been written and no request is accepted."""
-        return not self.exchanges and not self.is_accepting
+        return not self.owes_replies and not self.is_accepting
 
-    def receive(self, chunk: bytes) -> list[WireRequest]:
+    def receive(self, chunk: bytes) -> None:
         """Parse a chunk, or discard it if no further request is accepted.
 
+        The requests that it completes wait until ``take_startable`` returns them.
+
         While the node is stopping, a connection carries no request behind one that is
         in progress: its caller, who sends without waiting for replies, would always
         have one in progress, and the connection could not close before the node ends.
 
-        :returns: the requests completed by the chunk.
         """
         if self.service.is_stopping and self.exchanges:
             self.is_accepting = False
         if not self.is_accepting:
             self.discarded_bytes += len(chunk)
-            return []
+            return
         self.used_at = time.monotonic()
         head_number = self.parser.head_count
         requests = self.parser.feed(chunk)
@@ -80,7 +99,13 @@
             request.keeps_alive for request in requests
         )
         self.is_accepting = not is_last
-        return requests
+        self.waiting.extend(requests)
+
+    def take_startable(self) -> list[WireRequest]:
+        """Remove and return the requests that may start now, in order."""
+        room = MAX_IN_PROGRESS - len(self.exchanges)
+        count = min(max(room, 0), len(self.waiting))
+        return [self.waiting.popleft() for _ in range(count)]
 
     def limit_at(self) -> float | None:
         """Return when the time limit of the current state passes.
@@ -95,20 +120,20 @@
             return None
         if self.parser.is_reading_head:
             return self.head_since + self.service.header_timeout_s
-        if self.exchanges and self.parser.is_between_messages:
+        if self.owes_replies and self.parser.is_between_messages:
             return None
         return self.used_at + self.service.idle_timeout_s
 
-    def expire(self) -> list[WireRequest]:
+    def expire(self) -> None:
         """Accept no further request, because a time limit has passed.
 
-        :returns: the request whose body did not arrive in time, to be refused; empty
-            between requests and in a head, which belongs to no request yet.
+        A request whose body did not arrive in time is refused. A head belongs to no
+        request yet.
         """
         self.is_accepting = False
         if self.parser.is_between_messages or self.parser.is_reading_head:
-            return []
-        return self.parser.give_up(HTTPStatus.REQUEST_TIMEOUT)
+            return
+        self.waiting.extend(self.parser.give_up(HTTPStatus.REQUEST_TIMEOUT))
 
     def is_last_reply(self) -> bool:
         """Return whether the connection closes after the reply to the first request.
@@ -116,7 +141,7 @@
         If so, no further request is accepted. The connection never closes before
         an accepted request has been answered.
         """
-        if len(self.exchanges) > 1:
+        if len(self.exchanges) > 1 or self.waiting:
             return False
         if self.service.is_stopping:
             self.is_accepting = False
--- a/packages/node/src/lavendermountd/caller/exchange.py
+++ b/packages/node/src/lavendermountd/caller/exchange.py
@@ -79,7 +79,7 @@
         self.request = request
         self.metadata = service.dialect.read_call_metadata(request.headers)
         self.request_id = self.metadata.request_id or random_identifier()
-        self.arrived_at = time.monotonic()
+        self.arrived_at = request.received_at
         self.call_class: CallClass | None = None
         self.task = asyncio.create_task(self.serve())
         service.active_tasks.add(self.task)
--- a/packages/node/src/lavendermountd/http1/messages.py
+++ b/packages/node/src/lavendermountd/http1/messages.py
@@ -27,9 +27,19 @@
     :param keeps_alive: whether the connection may carry another request.
     :param error_status: HTTP status with which to refuse a malformed request or one
         that exceeds a limit; 0 for a valid request.
+    :param received_at: time at which it was complete, in seconds on the node's
+        monotonic clock.
     """
 
-    __slots__ = ('method', 'target', 'headers', 'body', 'keeps_alive', 'error_status')
+    __slots__ = (
+        'method',
+        'target',
+        'headers',
+        'body',
+        'keeps_alive',
+        'error_status',
+        'received_at',
+    )
 
     def __init__(
         self,
@@ -39,6 +49,7 @@
         body: bytes,
         keeps_alive: bool,
         error_status: int = 0,
+        received_at: float = 0,
     ) -> None:
         """Initialize the fields."""
         self.method = method
@@ -47,6 +58,7 @@
         self.body = body
         self.keeps_alive = keeps_alive
         self.error_status = error_status
+        self.received_at = received_at
 
 
 class WireReply:
--- a/packages/node/src/lavendermountd/http1/request_parser.py
+++ b/packages/node/src/lavendermountd/http1/request_parser.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import time
 from http import HTTPStatus
 
 import httptools
@@ -273,4 +274,5 @@
             b''.join(self.parts),
             keeps_alive,
             self.error_status,
+            time.monotonic(),
         )
