--- a/features/connections.feature
+++ b/features/connections.feature
@@ -28,3 +28,6 @@
 
   Scenario: A caller that leaves is noticed, however many requests it has in progress
     Then a caller that leaves with 1, 16 or 40 requests in progress leaves no work behind
+
+  Scenario: A caller that waits to send a body is prompted only once it is its turn
+    Then "100 Continue" follows the reply to the request before
--- a/features/steps/connection_steps.py
+++ b/features/steps/connection_steps.py
@@ -292,3 +292,20 @@
         await caller.close()
         await asyncio.sleep(LEAVE_NOTICED_S)
         return started, set(service.active_tasks)
+
+
+@then('"100 Continue" follows the reply to the request before')
+def continue_in_turn(context: Any) -> None:
+    """Send a head that expects to be continued while another request runs."""
+    asyncio.run(_expect_continue())
+
+
+async def _expect_continue() -> None:
+    async with connected_caller(echo_service(WORK_S)) as (caller, _):
+        payload = encode_order('/1', b'body', 'Expect: 100-continue\r\n')
+        await caller.send(encode_order('/0'), payload[:-4])
+        for status, sent in ((200, b''), (100, payload[-4:]), (200, b'')):
+            reply = await caller.read_reply()
+            assert reply is not None
+            assert reply.status == status, (reply.status, status)
+            await caller.send(sent)
--- a/packages/node/src/lavendermountd/caller/connection.py
+++ b/packages/node/src/lavendermountd/caller/connection.py
@@ -124,8 +124,7 @@
         """Parse a chunk and start the requests that it completes."""
         self.state.receive(chunk)
         self.start_requests()
-        if self.state.parser.consume_continue():
-            self.stream.write(CONTINUE_RESPONSE)
+        self.prompt_for_body()
         self.time_limit.update()
 
     def start_requests(self) -> None:
@@ -134,6 +133,11 @@
             self.state.exchanges.append(CallExchange(self.service, request))
         self.state_changed.set()
 
+    def prompt_for_body(self) -> None:
+        """Send ``100 Continue`` if the caller waits for it."""
+        if self.state.expects_continue():
+            self.stream.write(CONTINUE_RESPONSE)
+
     async def write_replies(self) -> None:
         """Write the replies in the order of the requests."""
         while not self.state.is_finished:
@@ -143,6 +147,7 @@
             await self.write_reply(self.state.exchanges[0])
             self.state.finish_reply()
             self.start_requests()
+            self.prompt_for_body()
             self.time_limit.update()
         await self.close_gracefully()
 
--- a/packages/node/src/lavendermountd/caller/connection_state.py
+++ b/packages/node/src/lavendermountd/caller/connection_state.py
@@ -107,6 +107,15 @@
         count = min(max(room, 0), len(self.waiting))
         return [self.waiting.popleft() for _ in range(count)]
 
+    def expects_continue(self) -> bool:
+        """Return whether to send ``100 Continue`` now, and clear that state.
+
+        Before the replies to earlier requests it would be read as a part of these.
+        """
+        if self.owes_replies or not self.is_accepting:
+            return False
+        return self.parser.consume_continue()
+
     def limit_at(self) -> float | None:
         """Return when the time limit of the current state passes.
 
--- a/packages/node/src/lavendermountd/http1/request_parser.py
+++ b/packages/node/src/lavendermountd/http1/request_parser.py
@@ -21,6 +21,7 @@
 )
 
 MAX_DISCARDED_BODY_BYTES = 268435456
+CONTINUE_EXPECTATION = '100-continue'
 
 
 class RequestLimits:
@@ -236,7 +237,8 @@
         if length and find_header(self.headers, TRANSFER_ENCODING):
             self.error_status = HTTPStatus.BAD_REQUEST
             raise ValueError('both Content-Length and Transfer-Encoding are set')
-        self.expects_continue = bool(find_header(self.headers, 'expect'))
+        expectation = find_header(self.headers, 'expect').lower()
+        self.expects_continue = expectation == CONTINUE_EXPECTATION
         if length.isdigit() and int(length) > self.limits.body_bytes:
             self.refuse_body(int(length))
 
