--- a/features/mutations.py
+++ b/features/mutations.py
@@ -74,6 +74,14 @@
         'presets',
         'A preset that was fetched from a peer is not read from the log again',
     ),
+    Mutation(
+        'start-from-peer',
+        f'{NODE}/presets/keyed_follower.py',
+        'self.offset = self.peer_position\n',
+        'return\n',
+        'presets',
+        'Nodes that start at the same time do not each read the whole preset from the log',
+    ),
     Mutation(
         'reader-role',
         f'{NODE}/presets/reachability.py',
--- a/features/presets.feature
+++ b/features/presets.feature
@@ -157,6 +157,11 @@
     And a position of another era of the log, or one that it has passed, is ignored
     And a node that has refused the latest preset tells no position
 
+  Scenario: Nodes that start at the same time do not each read the whole preset from the log
+    Then a node that starts beside a peer reads only what the peer has not read
+    And it reads the newest record if the peer tells no position, or one that is gone
+    And a node that was frozen reads on where it was
+
   Scenario: Parts of two presets are never mixed
     Then a preset that changes while its parts are fetched arrives whole
     And parts that are empty, truncated, too large or not compressed are refused
--- a/features/steps/peer_preset_steps.py
+++ b/features/steps/peer_preset_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 import zlib
 from typing import Any
 from unittest.mock import patch
@@ -13,7 +14,7 @@
 
 from lavendermount_core.config.findings import Finding
 from lavendermount_core.exceptions import ConfigurationError, RecordError
-from lavendermount_core.log.adapter import LogBatch, join_position
+from lavendermount_core.log.adapter import LogBatch, NewestRecords, join_position
 from lavendermount_core.presets.records import PresetSnapshot
 from lavendermountd.control.generated import control_pb2
 from lavendermountd.membership.evacuations import EvacuationTable
@@ -27,16 +28,25 @@
 
 
 class HeldLog(FakeLog):
-    """A log that holds the answer to a read back until it is released."""
+    """A log that holds the answer to a read back until it is released.
+
+    It counts how often its newest record is read.
+    """
 
     def __init__(self) -> None:
         """Start with one record and without a read."""
         super().__init__()
         self.records = [b'5']
         self.era = 0
+        self.newest_reads = 0
         self.is_asked = asyncio.Event()
         self.is_released = asyncio.Event()
 
+    async def newest(self, *arguments: Any) -> NewestRecords:
+        """Read the newest record."""
+        self.newest_reads += 1
+        return await super().newest(*arguments)
+
     async def read(self, *arguments: Any) -> LogBatch:
         """Answer with what is there once the read is released."""
         self.is_asked.set()
@@ -165,3 +175,62 @@
     partial = PartialPreset()
     assert partial.add(reply)
     assert partial.snapshot() == holder.fold.snapshot()
+
+
+async def _start_beside_peer(position: int, oldest: int = 0) -> FollowingNode:
+    """Start a node whose peer has preset 8 in force; version 9 follows on the log.
+
+    :param position: position of the log that the peer tells; 0 if it knows none.
+    :param oldest: oldest position that the log retains.
+    """
+    node = FollowingNode()
+    node.log.records = [b'5', b'6', b'', b'8', b'9']
+    node.log.oldest = oldest
+    node.log.is_released.set()
+
+    async def ask() -> None:
+        node.fetch_from_peer(8, position)
+
+    node.follower.ask_peers = ask
+    while not node.follower.is_caught_up.is_set():
+        await node.follower.step()
+    return node
+
+
+@then('a node that starts beside a peer reads only what the peer has not read')
+def starts_beside_peer(context: Any) -> None:
+    """Start from the position of a peer; nothing that the peer read is decoded."""
+    node = asyncio.run(_start_beside_peer(4))
+    assert node.log.newest_reads == 0
+    assert node.decoded == [9], node.decoded
+    assert node.holder.revision == 9
+    assert node.evacuations.evacuated == {'zone-a'}
+
+
+@then('it reads the newest record if the peer tells no position, or one that is gone')
+def starts_without_position(context: Any) -> None:
+    """Tell no position, an evicted one, and one of another era."""
+    for position, oldest in ((0, 0), (3, 4), (join_position(1, 4), 0)):
+        node = asyncio.run(_start_beside_peer(position, oldest))
+        assert node.log.newest_reads == 1, (position, oldest)
+        assert node.holder.revision == 9
+
+
+@then('a node that was frozen reads on where it was')
+def reads_on_after_freeze(context: Any) -> None:
+    """Restart a follower, as after a freeze, with a new version on the log."""
+
+    async def freeze() -> FollowingNode:
+        node = await _start_beside_peer(4)
+        node.log.records.append(b'11')
+        node.follower.restart()
+        assert not node.follower.is_caught_up.is_set()
+        started_at = time.monotonic()
+        await node.follower.step()
+        assert node.follower.is_caught_up.is_set()
+        assert time.monotonic() - started_at < 1
+        return node
+
+    node = asyncio.run(freeze())
+    assert node.log.newest_reads == 0
+    assert node.decoded == [9, 11], node.decoded
--- a/packages/node/src/lavendermountd/log_recovery.py
+++ b/packages/node/src/lavendermountd/log_recovery.py
@@ -10,17 +10,12 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import random
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from lavendermountd.node import Node
 
-log = logging.getLogger(__name__)
-
-# Longest time that a starting node waits for the presets of others.
-NEIGHBOUR_TIMEOUT_S = 0.5
 REWRITE_SPREAD_S = 1.5
 
 
@@ -53,16 +48,3 @@
         await asyncio.sleep(random.uniform(0, REWRITE_SPREAD_S))
         await self.node.joiner.rewrite()
         await self.node.claims.rewrite()
-
-    async def ask_neighbours(self) -> None:
-        """Learn the preset in force from other nodes, if there are any.
-
-        The log may have come back from an older copy, whose preset must not replace
-        the one that the running nodes have in force.
-        """
-        try:
-            async with asyncio.timeout(NEIGHBOUR_TIMEOUT_S):
-                await self.node.joiner.has_asked_peers.wait()
-                await self.node.catch_up.is_up_to_date.wait()
-        except TimeoutError:
-            log.warning('neighbours-unanswered')
--- a/packages/node/src/lavendermountd/node.py
+++ b/packages/node/src/lavendermountd/node.py
@@ -41,8 +41,8 @@
 from lavendermountd.presets.applier import PresetApplier
 from lavendermountd.presets.catchup import PresetCatchUp
 from lavendermountd.presets.holder import PresetHolder
-from lavendermountd.presets.keyed_follower import KeyedPresetFollower
 from lavendermountd.presets.peer_progress import PeerProgress
+from lavendermountd.presets.peer_start import start_from_peers
 from lavendermountd.recorder.recorder import Recorder
 from lavendermountd.routing.budgets import MeasuringBudget, TokenBucket
 from lavendermountd.routing.load_view import LoadView
@@ -212,8 +212,7 @@
         self.freeze_guard.on_freeze.append(self.reset_after_freeze)
         recovery = LogRecovery(self)
         self.platform_log.era_listeners.append(recovery.start)
-        if isinstance(self.follower, KeyedPresetFollower):
-            self.follower.prepare_first_preset = recovery.ask_neighbours
+        start_from_peers(self)
         self.links.on_ping_sent = self.charge_ping
         self.links.meter = self.gossip.meter
         self.peer_server.meter = self.gossip.meter
--- a/packages/node/src/lavendermountd/presets/catchup.py
+++ b/packages/node/src/lavendermountd/presets/catchup.py
@@ -131,6 +131,31 @@
         if snapshot.revision > self.holder.revision:
             self.adopt(snapshot, partial.head, member)
 
+    async def ask_progress(self, member: Member) -> None:
+        """Learn up to which position of the log a peer has read.
+
+        What it tells counts only if the preset that it has in force is the one in force
+        here; a newer one is fetched.
+
+        :param member: the peer.
+        """
+        request = control_pb2.PresetRequest(part_bytes=1)
+        try:
+            reply = await self.channels.call_member(
+                member, 'Preset', request, PART_TIMEOUT_S
+            )
+        except ControlCallError as error:
+            log.debug(
+                'progress-unknown',
+                extra={'peer': member.node_id, 'cause': str(error)},
+            )
+            return
+        if not reply.is_settled:
+            return
+        self.note_revision(member, reply.revision)
+        if reply.revision == self.holder.revision:
+            self.on_adopted(reply, member)
+
     async def receive(
         self, member: Member, partial: PartialPreset
     ) -> PresetSnapshot | None:
--- a/packages/node/src/lavendermountd/presets/keyed_follower.py
+++ b/packages/node/src/lavendermountd/presets/keyed_follower.py
@@ -19,6 +19,7 @@
     RecordError,
 )
 from lavendermount_core.log.adapter import (
+    UNKNOWN_ERA,
     KeyedLog,
     KeyedRecord,
     LogBatch,
@@ -36,6 +37,8 @@
 
 LONG_POLL_S = 28.0
 UNKNOWN_OFFSET = -1
+# How long a starting node waits for the presets of others before it reads the log.
+PEER_HEAD_START_S = 0.5
 # Changes in quick succession are coalesced into one read.
 COALESCE_S = 0.4
 
@@ -43,7 +46,10 @@
 class KeyedPresetFollower:
     """Reads the newest record of a key at the start, and then each change.
 
-    Records of evacuated zones in the same stream are passed on.
+    A node that knows the preset of a peer, and up to which position the peer has read
+    the log, continues there instead: the nodes of a region share a link to the log, and
+    many of them may start at the same time. Records of evacuated zones in the same
+    stream are passed on.
 
     :param keyed_log: log that contains the records.
     :param holder: holder that adopts each preset newer than its own.
@@ -70,17 +76,19 @@
         self.decode = decode
         self.evacuations = evacuations
         self.offset = UNKNOWN_OFFSET
+        # Position that a peer told while the own one is not known; 0 without one.
+        self.peer_position = 0
         self.reachability = LogReachability(LONG_POLL_S)
         self.is_caught_up = asyncio.Event()
-        self.has_read = False
+        self.asking: asyncio.Task[None] | None = None
         self.is_latest_refused = False
-        self.prepare_first_preset: Callable[[], Awaitable[None]] = _prepare_nothing
+        self.ask_peers: Callable[[], Awaitable[None]] = _ask_nobody
 
     def restart(self) -> None:
-        """Start again from the newest record, and abandon a read that is waiting.
+        """Read again at once, and abandon a read that is waiting.
 
         What was read before may be out of date, or the log may have come back from
-        an older copy.
+        an older copy; positions of an earlier era count as evicted.
         """
         self.is_caught_up.clear()
         self.reachability.restart()
@@ -100,8 +108,12 @@
 
         :param position: position below which the peer has applied all records.
         """
-        if self.offset != UNKNOWN_OFFSET and era_of(position) == self.keyed_log.era:
-            self.offset = max(self.offset, position)
+        if self.offset != UNKNOWN_OFFSET:
+            if era_of(position) == self.keyed_log.era:
+                self.offset = max(self.offset, position)
+        elif position > self.peer_position:
+            self.peer_position = position
+            self.reachability.restart()
 
     async def run(self) -> None:
         """Follow the record until cancelled."""
@@ -116,28 +128,56 @@
             self.reachability.mark_answered()
             log.info('presets-evicted', extra={'oldest': error.oldest})
             self.offset = UNKNOWN_OFFSET
+            self.peer_position = 0
         except LogUnavailableError as error:
             await self.reachability.wait_before_retry(error)
 
     async def read(self) -> None:
-        """Read the newest record at first, then wait for new records.
+        """Read the newest record if no position is known, otherwise new records."""
+        if self.offset == UNKNOWN_OFFSET:
+            await self.start_from_peer()
+        if self.offset == UNKNOWN_OFFSET:
+            await self.read_newest()
+        else:
+            await self.read_changes()
 
-        Of several new records of the key, only the last is adopted.
+    async def start_from_peer(self) -> None:
+        """Take the position of a peer whose preset is in force here, if one told it.
+
+        The peers have a short time to tell it before the log is read. If one tells it
+        during that read, the read is abandoned.
         """
-        if self.offset == UNKNOWN_OFFSET or not self.is_caught_up.is_set():
-            transfer = Transfer()
-            newest = await self.keyed_log.newest(self.stream, transfer)
-            self.reachability.mark_answered()
-            if not self.has_read:
-                await self.prepare_first_preset()
-                self.has_read = True
-            self.evacuations.read_newest(newest)
-            body = newest.bodies.get(self.key)
-            if body is not None:
-                self.adopt_if_newer(body, transfer)
-            self.offset = newest.end
-            self.is_caught_up.set()
+        if self.asking is None:
+            self.asking = asyncio.ensure_future(self.ask_peers())
+            await asyncio.wait({self.asking}, timeout=PEER_HEAD_START_S)
+        if not self.peer_position or not self.is_current_era(self.peer_position):
             return
+        self.offset = self.peer_position
+        log.info('log-position-taken', extra={'position': self.offset})
+
+    def is_current_era(self, position: int) -> bool:
+        """Return whether the log may be in the era of a position."""
+        return self.keyed_log.era in {UNKNOWN_ERA, era_of(position)}
+
+    async def read_newest(self) -> None:
+        """Read the newest record of each key."""
+        transfer = Transfer()
+        newest = await self.keyed_log.newest(self.stream, transfer)
+        self.reachability.mark_answered()
+        self.evacuations.read_newest(newest)
+        body = newest.bodies.get(self.key)
+        if body is not None:
+            self.adopt_if_newer(body, transfer)
+        self.offset = newest.end
+        self.is_caught_up.set()
+
+    async def read_changes(self) -> None:
+        """Read new records, and wait for them if all earlier ones were read.
+
+        Of several new records of the key, only the last is adopted.
+        """
+        if not self.is_caught_up.is_set():
+            self.reachability.read_at_once()
         batch = await self.reachability.read(
             lambda wait_s, transfer: self.keyed_log.read(
                 self.stream, self.offset, wait_s, transfer
@@ -148,6 +188,9 @@
         body = self.read_batch(batch, known_offset)
         if body:
             self.adopt_if_newer(body, self.reachability.transfer)
+        if self.offset >= batch.end:
+            self.is_caught_up.set()
+        if body:
             await asyncio.sleep(COALESCE_S)
 
     def read_batch(self, batch: LogBatch, known_offset: int) -> bytes:
@@ -211,5 +254,5 @@
             return None
 
 
-async def _prepare_nothing() -> None:
+async def _ask_nobody() -> None:
     """Do nothing; the node installs the real callback."""
--- a/packages/node/src/lavendermountd/presets/reachability.py
+++ b/packages/node/src/lavendermountd/presets/reachability.py
@@ -67,6 +67,10 @@
         """Abandon the current step of the follower."""
         self.restart_request.request()
 
+    def read_at_once(self) -> None:
+        """Let the next read neither wait before it is made nor for news."""
+        self.is_lost_read_suspected = True
+
     def suspect_lost_read(self) -> None:
         """Abandon a read that waits for news, and read at once.
 
