--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,7 @@
 
 search: setup
 	cd features && ../$(BIN)/python state_machines.py
+	cd features && ../$(BIN)/python connection_fuzz.py 10000
 
 report: setup
 	$(BIN)/python benches/report.py
--- a/features/connections.feature
+++ b/features/connections.feature
@@ -31,3 +31,6 @@
 
   Scenario: A caller that waits to send a body is prompted only once it is its turn
     Then "100 Continue" follows the reply to the request before
+
+  Scenario: Whatever a caller does on its connection, it gets whole answers in order
+    Then 150 generated sequences of requests, pauses, stops and closes agree with h11
--- a/features/steps/connection_steps.py
+++ b/features/steps/connection_steps.py
@@ -15,6 +15,7 @@
     echo_service,
     encode_order,
 )
+from connection_fuzz import search
 
 from lavendermountd.caller.connection_state import MAX_IN_PROGRESS
 from lavendermountd.caller.service import CallService
@@ -309,3 +310,11 @@
             assert reply is not None
             assert reply.status == status, (reply.status, status)
             await caller.send(sent)
+
+
+@then(
+    '{count:d} generated sequences of requests, pauses, stops and closes agree with h11'
+)
+def generated_sequences(context: Any, count: int) -> None:
+    """Play sequences, the same ones in each run."""
+    search(count)
