--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -121,3 +121,6 @@
 
   Scenario: A request that has completed before is not refused when targets crash
     Then a request that has completed before is not suspected
+
+  Scenario: A refusal by a target clears no request of the suspicion that it crashes targets
+    Then a request that a target refuses stays suspected, and one that a target completes does not
--- a/packages/node/src/lavendermountd/gate/gate.py
+++ b/packages/node/src/lavendermountd/gate/gate.py
@@ -267,7 +267,6 @@
             raise
         finally:
             self.record_end(attempt, started_at)
-        self.suspects.clear(attempt.fingerprint)
         refusal = self.refusal_from(answer.metadata)
         if attempt.target_start_number == self.target.start_number:
             self.apply_state(answer.metadata)
@@ -275,6 +274,7 @@
         self.observe(started_at, is_failure=is_failed)
         if refusal is not None:
             return Failure(refusal)
+        self.suspects.clear(attempt.fingerprint)
         if not is_failed:
             self.update_concurrency_limit(attempt, started_at, in_flight)
         return Success(answer.reply)
