--- a/features/admission.feature
+++ b/features/admission.feature
@@ -52,3 +52,6 @@
 
   Scenario: A target whose rate limit would make the reply late is chosen last
     Then a request goes to the target that its limit would not make late, if there is one
+
+  Scenario: An attempt that is cancelled while its target is examined keeps no connection
+    Then the place of such a connection under the limit is free again
--- a/features/steps/suspect_steps.py
+++ b/features/steps/suspect_steps.py
@@ -11,6 +11,7 @@
 
 from lavendermount_core.models.calls import CallReply
 from lavendermountd.dialects.base import ReplyMetadata
+from lavendermountd.gate import gate as gate_module
 from lavendermountd.gate.attempts import Attempt
 from lavendermountd.gate.suspects import Verdict
 from lavendermountd.gate.target_client import TargetAnswer
@@ -51,3 +52,26 @@
     request.deadline = time.monotonic() + 5
     await gate.execute(Attempt('a-1', request, 'f'))
     return gate.suspects.verdict('f')
+
+
+@then('the place of such a connection under the limit is free again')
+def place_is_free(context: Any) -> None:
+    """Cancel the check whether a target is down while it waits."""
+    asyncio.run(_cancel_examination())
+
+
+async def _cancel_examination() -> None:
+    async def ignore(reader: asyncio.StreamReader, writer: object) -> None:
+        await reader.read()
+
+    server = await asyncio.start_server(ignore, '127.0.0.1', 0)
+    gate = gate_with_target(server.sockets[0].getsockname()[1])
+    examining = asyncio.create_task(gate.is_target_down())
+    while not gate.client.open_count:
+        await asyncio.sleep(0)
+    await asyncio.sleep(gate_module.EXIT_GRACE_S / 3)
+    examining.cancel()
+    await asyncio.gather(examining, return_exceptions=True)
+    gate.client.close_idle()
+    assert gate.client.open_count == 0
+    server.close()
--- a/packages/node/src/lavendermountd/gate/gate.py
+++ b/packages/node/src/lavendermountd/gate/gate.py
@@ -368,8 +368,10 @@
                 connection = await self.client.connect()
             except TargetError as error:
                 return error.reason == Reason.TARGET_DOWN
-            await asyncio.wait({connection.reader}, timeout=EXIT_GRACE_S)
-            self.client.put_back(connection)
+            try:
+                await asyncio.wait({connection.reader}, timeout=EXIT_GRACE_S)
+            finally:
+                self.client.put_back(connection)
             if not connection.reader.done():
                 return False
         return False
