--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -49,3 +49,7 @@
 
   Scenario: An answer that says the target is leaving closes the gate only to the start that answered
     Then such an answer of the current start closes the gate, and one of an earlier start does not
+
+  Scenario: Late reports do not bring back a target that says in health checks that it leaves
+    Then late reports confirm a target that a restarted node does not know only if health checks do not contradict them
+    And reports that go on for longer than one can be late outweigh its health checks
--- a/features/steps/stop_steps.py
+++ b/features/steps/stop_steps.py
@@ -8,10 +8,15 @@
 import time
 from collections.abc import Callable
 from typing import Any
-from unittest.mock import Mock
+from unittest.mock import Mock, patch
 
 from behave import then
-from builders import call_request, gate_with_target, gate_without_target
+from builders import (
+    FakeClock,
+    call_request,
+    gate_with_target,
+    gate_without_target,
+)
 from tornado.iostream import IOStream
 
 from lavendermount_core.models.calls import CallReply
@@ -21,10 +26,16 @@
 from lavendermountd.gate.admission import Ticket
 from lavendermountd.gate.attempts import Attempt
 from lavendermountd.gate.gate import Gate
-from lavendermountd.gate.reports import ReportedState, TargetReport
+from lavendermountd.gate.reports import (
+    MIN_DISPUTED_INTERVAL_S,
+    ReportedState,
+    TargetReport,
+)
 from lavendermountd.gate.target import TargetState
 from lavendermountd.gate.target_client import TargetAnswer
 from lavendermountd.gate.target_lifecycle import TargetLifecycle
+from lavendermountd.gate.target_monitor import TargetMonitor
+from lavendermountd.http1.messages import WireReply
 from lavendermountd.http1.request_parser import RequestLimits
 
 # Time between two reports of a target.
@@ -184,3 +195,38 @@
     queue.set_slots(2)
     async with asyncio.timeout(1):
         assert await waiting is None
+
+
+def report_beside_health(gap_s: float, status: int) -> str:
+    """Report twice to a node that has just started, with health checks between.
+
+    :param gap_s: time between the reports.
+    :param status: status of the health checks.
+    :returns: state of the target.
+    """
+    clock = FakeClock()
+    gate, lifecycle = gate_without_target(1)
+    lifecycle.set_target_address(report_of(0, 0))
+    monitor = TargetMonitor(gate, needs_health=True)
+    with patch('lavendermountd.gate.reports.time', clock):
+        lifecycle.handle_report(report_of(1000, 1))
+        monitor.handle_health_reply(WireReply(status, '', [], b'', True))
+        clock.now += gap_s
+        lifecycle.handle_report(report_of(1000, 2))
+    return gate.target.state
+
+
+@then(
+    'late reports confirm a target that a restarted node does not know '
+    'only if health checks do not contradict them'
+)
+def late_reports_disputed(context: Any) -> None:
+    """Let two reports arrive late, while the target is leaving and while it is not."""
+    assert report_beside_health(1.5, 200) == TargetState.UP
+    assert report_beside_health(1.5, 503) != TargetState.UP
+
+
+@then('reports that go on for longer than one can be late outweigh its health checks')
+def long_reports_outweigh(context: Any) -> None:
+    """Report for longer than a report can be late."""
+    assert report_beside_health(MIN_DISPUTED_INTERVAL_S, 503) == TargetState.UP
--- a/packages/node/src/lavendermountd/gate/reports.py
+++ b/packages/node/src/lavendermountd/gate/reports.py
@@ -82,6 +82,9 @@
 NO_START = ('', 0)
 # Least time between two reports of which the second confirms the first.
 MIN_REPORT_INTERVAL_S = 0.5
+# The same while health checks say that the target is leaving or failing: longer than a
+# report may be late.
+MIN_DISPUTED_INTERVAL_S = 8.0
 NOT_DEPARTED_MS = -1
 
 
@@ -92,7 +95,14 @@
     leaving never returns; only a later start can replace it.
     """
 
-    __slots__ = ('current', 'sequence', 'departed', 'unconfirmed', 'unconfirmed_at')
+    __slots__ = (
+        'current',
+        'sequence',
+        'departed',
+        'unconfirmed',
+        'unconfirmed_at',
+        'is_disputed',
+    )
 
     def __init__(self) -> None:
         """Create a history without reports."""
@@ -101,6 +111,12 @@
         self.departed: dict[tuple[str, int], int] = {}
         self.unconfirmed: TargetReport | None = None
         self.unconfirmed_at: float = 0
+        # Whether a health check contradicts the unconfirmed report.
+        self.is_disputed = False
+
+    def dispute(self) -> None:
+        """Record that the target says in a health check that it is not ready."""
+        self.is_disputed = True
 
     def confirm(self, report: TargetReport) -> bool:
         """Return whether a report of a ready target is known not to be outdated.
@@ -113,7 +129,9 @@
         start with a higher sequence number.
 
         The two must not arrive together, as late ones may: in the time between
-        them, health checks tell whether the target is leaving.
+        them, health checks tell whether the target is leaving. If they say that it
+        is not ready, only reports that can't both be late outweigh them, as the health
+        check of a sound target may be wrong.
 
         The same holds after a departure without a start time, because reports
         can't be ordered relative to it.
@@ -128,8 +146,12 @@
         if previous is None or previous.start != report.start:
             self.unconfirmed = report
             self.unconfirmed_at = now
+            self.is_disputed = False
             return False
-        is_later = now - self.unconfirmed_at >= MIN_REPORT_INTERVAL_S
+        interval_s = MIN_REPORT_INTERVAL_S
+        if self.is_disputed:
+            interval_s = MIN_DISPUTED_INTERVAL_S
+        is_later = now - self.unconfirmed_at >= interval_s
         return is_later and report.sequence > previous.sequence
 
     def is_late(self, report: TargetReport) -> bool:
--- a/packages/node/src/lavendermountd/gate/target_monitor.py
+++ b/packages/node/src/lavendermountd/gate/target_monitor.py
@@ -148,6 +148,8 @@
         target = self.gate.target
         metadata = self.gate.client.dialect.read_reply(reply.status, reply.headers)
         self.apply_evidence(metadata)
+        if reply.status != HTTP_OK and not metadata.is_not_run:
+            target.history.dispute()
         is_valid_instance = bool(metadata.instance) and not target.history.has_departed(
             metadata.instance
         )
