--- a/features/presets.feature
+++ b/features/presets.feature
@@ -161,6 +161,8 @@
     Then a node that starts beside a peer reads only what the peer has not read
     And it reads the newest record if the peer tells no position, or one that is gone
     And a node that was frozen reads on where it was
+    And a node that learns a position while it reads the newest record abandons that read
+    And a starting node goes on asking while those that it asked know no position
 
   Scenario: Parts of two presets are never mixed
     Then a preset that changes while its parts are fetched arrives whole
--- a/features/steps/peer_preset_steps.py
+++ b/features/steps/peer_preset_steps.py
@@ -6,7 +6,7 @@
 import time
 import zlib
 from typing import Any
-from unittest.mock import patch
+from unittest.mock import Mock, patch
 
 from behave import then
 from builders import large_preset_snapshot, member, preset_snapshot
@@ -23,6 +23,7 @@
 from lavendermountd.presets.keyed_follower import KeyedPresetFollower
 from lavendermountd.presets.parts import PartialPreset, PresetParts
 from lavendermountd.presets.peer_progress import PeerProgress
+from lavendermountd.presets.peer_start import PeerStart
 
 INVALID_REVISION = 10
 
@@ -39,12 +40,15 @@
         self.records = [b'5']
         self.era = 0
         self.newest_reads = 0
+        # Time that the newest record takes to arrive.
+        self.newest_s = 0.0
         self.is_asked = asyncio.Event()
         self.is_released = asyncio.Event()
 
     async def newest(self, *arguments: Any) -> NewestRecords:
         """Read the newest record."""
         self.newest_reads += 1
+        await asyncio.sleep(self.newest_s)
         return await super().newest(*arguments)
 
     async def read(self, *arguments: Any) -> LogBatch:
@@ -234,3 +238,56 @@
     node = asyncio.run(freeze())
     assert node.log.newest_reads == 0
     assert node.decoded == [9, 11], node.decoded
+
+
+@then(
+    'a node that learns a position while it reads the newest record abandons that read'
+)
+def newest_read_abandoned(context: Any) -> None:
+    """Let the newest record arrive slowly, and a peer tell its position meanwhile."""
+
+    async def start() -> FollowingNode:
+        node = FollowingNode()
+        node.log.records = [b'5', b'6', b'', b'8', b'9']
+        node.log.newest_s = 5
+        node.log.is_released.set()
+        asyncio.get_running_loop().call_later(0.2, node.fetch_from_peer, 8, 4)
+        async with asyncio.timeout(2):
+            while not node.follower.is_caught_up.is_set():
+                await node.follower.step()
+        return node
+
+    node = asyncio.run(start())
+    assert node.log.newest_reads == 1
+    assert node.decoded == [9], node.decoded
+
+
+@then('a starting node goes on asking while those that it asked know no position')
+def goes_on_asking(context: Any) -> None:
+    """Tell a position only to the eighth question."""
+    follower = FollowingNode().follower
+    asked = []
+
+    async def answer(peer: object) -> None:
+        asked.append(peer)
+        if len(asked) == 8:
+            follower.skip_to(4)
+
+    async def start() -> None:
+        known, up_to_date = asyncio.Event(), asyncio.Event()
+        known.set()
+        up_to_date.set()
+        node = Mock()
+        node.joiner.has_asked_peers = known
+        node.catch_up.is_up_to_date = up_to_date
+        node.catch_up.ask_progress = answer
+        members = [member(f'n-{number}') for number in range(5)]
+        node.gossip.living_in_region.return_value = members
+        node.table.living.return_value = members
+        peer_start = PeerStart(node, follower)
+        await peer_start.run()
+        async with asyncio.timeout(5):
+            await peer_start.later_rounds
+
+    asyncio.run(start())
+    assert len(asked) == 8
--- a/packages/node/src/lavendermountd/caller/connection_state.py
+++ b/packages/node/src/lavendermountd/caller/connection_state.py
@@ -83,7 +83,6 @@
         While the node is stopping, a connection carries no request behind one that is
         in progress: its caller, who sends without waiting for replies, would always
         have one in progress, and the connection could not close before the node ends.
-
         """
         if self.service.is_stopping and self.exchanges:
             self.is_accepting = False
--- a/packages/node/src/lavendermountd/presets/keyed_follower.py
+++ b/packages/node/src/lavendermountd/presets/keyed_follower.py
@@ -108,9 +108,10 @@
 
         :param position: position below which the peer has applied all records.
         """
+        if not self.is_current_era(position):
+            return
         if self.offset != UNKNOWN_OFFSET:
-            if era_of(position) == self.keyed_log.era:
-                self.offset = max(self.offset, position)
+            self.offset = max(self.offset, position)
         elif position > self.peer_position:
             self.peer_position = position
             self.reachability.restart()
--- a/packages/node/src/lavendermountd/presets/peer_start.py
+++ b/packages/node/src/lavendermountd/presets/peer_start.py
@@ -1,4 +1,4 @@
-"""Lets a starting node learn from other nodes before it reads the preset from the log.
+"""Lets a starting node learn from other nodes while it reads the preset from the log.
 
 :units: seconds.
 :errors: none are raised; a node that learns nothing reads the log.
@@ -14,15 +14,18 @@
 from lavendermountd.presets.keyed_follower import KeyedPresetFollower
 
 if TYPE_CHECKING:
+    from lavendermount_core.models.members import Member
     from lavendermountd.node import Node
 
 log = logging.getLogger(__name__)
 
-# Longest time that a starting node waits for what other nodes know.
+# Longest time that a starting node waits for the presets of others.
 PEER_TIMEOUT_S = 1.5
-# Nodes of the region that are asked how far they have read the log. Some of them may
-# have started at the same time, and know no position either.
-MAX_PROGRESS_ASKS = 6
+# Nodes of the region that are asked at first how far they have read the log, and nodes
+# of any region that are asked in each later round.
+FIRST_ASKS = 4
+LATER_ASKS = 2
+ROUND_INTERVAL_S = 0.3
 
 
 class PeerStart:
@@ -35,34 +38,49 @@
     :param follower: its follower.
     """
 
-    __slots__ = ('node', 'follower')
+    __slots__ = ('node', 'follower', 'later_rounds')
 
     def __init__(self, node: Node, follower: KeyedPresetFollower) -> None:
         """Initialize the fields."""
         self.node = node
         self.follower = follower
+        self.later_rounds: asyncio.Task[None] | None = None
 
     async def run(self) -> None:
-        """Ask the other nodes, if there are any."""
+        """Ask the other nodes, if there are any.
+
+        If none of those asked tells a position, because they have started at the same
+        time, others are asked until the follower has read the log.
+        """
         try:
             async with asyncio.timeout(PEER_TIMEOUT_S):
                 await self.node.joiner.has_asked_peers.wait()
                 await self.node.catch_up.is_up_to_date.wait()
-                await self.ask_progress()
+                await self.ask(self.node.gossip.living_in_region(), FIRST_ASKS)
         except TimeoutError:
             log.warning('neighbours-unanswered')
+        self.later_rounds = asyncio.create_task(self.ask_in_rounds())
+
+    async def ask_in_rounds(self) -> None:
+        """Ask nodes of any region until a position is known or no longer needed."""
+        while self.needs_position():
+            await self.ask(self.node.table.living(), LATER_ASKS)
+            await asyncio.sleep(ROUND_INTERVAL_S)
 
-    async def ask_progress(self) -> None:
-        """Ask nodes of the region how far they have read, until one tells.
+    async def ask(self, members: list[Member], count: int) -> None:
+        """Ask some nodes how far they have read, until one tells.
 
-        The node that the preset was fetched from may have started itself just now.
+        :param members: nodes to choose from at random.
+        :param count: how many to ask.
         """
-        living = self.node.gossip.living_in_region()
-        count = min(len(living), MAX_PROGRESS_ASKS)
-        for member in random.sample(living, count):
-            if self.follower.peer_position or self.node.holder.current is None:
-                return
-            await self.node.catch_up.ask_progress(member)
+        for member in random.sample(members, min(len(members), count)):
+            if self.needs_position() and self.node.holder.current is not None:
+                await self.node.catch_up.ask_progress(member)
+
+    def needs_position(self) -> bool:
+        """Return whether the follower knows no position of the log."""
+        is_caught_up = self.follower.is_caught_up.is_set()
+        return not is_caught_up and not self.follower.peer_position
 
 
 def start_from_peers(node: Node) -> None:
