Connections: say why each ends, and which requests it leaves unanswered

Callers saw requests that ended without an answer, and the logs could not tell the hypotheses apart. A connection whose task fails, or that ends with requests in progress, left no line; request-discarded did not say why the connection was closed, and was lost when the caller closed its end at once, because the end of the reader cancelled the writer that was to write it.

Added: request-unanswered with its cause, connection-failed with the traceback, the cause in request-discarded, event-loop-stalled, and metrics of closed connections, unanswered requests and the lag of the event loop. The lag is measured by the tick that detects freezes, so nothing wakes up more often. The scenario of the warning for a caller that closes at once failed before.

--- a/features/connection_builders.py
+++ b/features/connection_builders.py
@@ -4,8 +4,9 @@
 
 import asyncio
 import contextlib
+import logging
 import socket
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterator
 from unittest.mock import Mock
 
 from builders import preset_snapshot
@@ -48,6 +49,10 @@
     def abandon(self, request_id: str) -> None:
         """Do nothing; the target continues."""
 
+    def is_in_progress(self, request_id: str) -> bool:
+        """Return whether any request runs; tests have one at a time."""
+        return len(self.received) > len(self.answered)
+
 
 class Reply:
     """A reply as a caller received it.
@@ -157,6 +162,26 @@
     return service
 
 
+@contextlib.contextmanager
+def captured_records(name: str) -> Iterator[list[logging.LogRecord]]:
+    """Capture what a logger and those below it write.
+
+    :param name: name of the logger.
+    """
+    records: list[logging.LogRecord] = []
+    handler = logging.Handler()
+    handler.emit = records.append  # type: ignore[method-assign]
+    logger = logging.getLogger(name)
+    level = logger.level
+    logger.addHandler(handler)
+    logger.setLevel(logging.INFO)
+    try:
+        yield records
+    finally:
+        logger.removeHandler(handler)
+        logger.setLevel(level)
+
+
 async def connect_to_node(port: int) -> Caller:
     """Connect a caller to the caller port of a node in a process of its own."""
     return Caller(*await asyncio.open_connection('127.0.0.1', port))
--- a/features/connections.feature
+++ b/features/connections.feature
@@ -34,3 +34,10 @@
 
   Scenario: Whatever a caller does on its connection, it gets whole answers in order
     Then 150 generated sequences of requests, pauses, stops and closes agree with h11
+
+  Scenario: A request whose connection ends without its reply leaves a warning with the cause
+    Then an error of a connection's task, and the end of the process, name the requests that they cut
+    And a caller that leaves is counted and leaves no such warning
+
+  Scenario: A busy event loop is logged and counted
+    Then a tick that is late is logged with its lag, and each lag is counted
--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -37,6 +37,7 @@
 
   Scenario: Bytes that arrive after the close of an idle connection are logged
     Then a request that crosses the close of its connection leaves a warning
+    And it leaves the warning also if its caller closes the connection at once
 
   Scenario: A repeated departure of an earlier start does not drain the later one
     Then a target that started again under its name stays up when its old departure is repeated
--- a/features/steps/stop_steps.py
+++ b/features/steps/stop_steps.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import socket
 import time
 from collections.abc import Callable
@@ -17,6 +16,7 @@
     gate_with_target,
     gate_without_target,
 )
+from connection_builders import captured_records
 from tornado.iostream import IOStream
 
 from lavendermount_core.models.calls import CallReply
@@ -61,25 +61,32 @@
 @then('a request that crosses the close of its connection leaves a warning')
 def crossing_request(context: Any) -> None:
     """Send a request right after the node has decided to close the connection."""
-    handler = logging.Handler()
-    records: list[logging.LogRecord] = []
-    handler.emit = records.append  # type: ignore[method-assign]
-    connection_module.log.addHandler(handler)
-    try:
-        asyncio.run(_cross_the_close())
-    finally:
-        connection_module.log.removeHandler(handler)
+    _check_discard_warning(is_closed_at_once=False)
+
+
+@then('it leaves the warning also if its caller closes the connection at once')
+def crossing_request_closed(context: Any) -> None:
+    """Send a request, and close the connection when the node closes its end."""
+    _check_discard_warning(is_closed_at_once=True)
+
+
+def _check_discard_warning(is_closed_at_once: bool) -> None:
+    with captured_records(connection_module.__name__) as records:
+        asyncio.run(_cross_the_close(is_closed_at_once))
     warning = next(each for each in records if each.getMessage() == 'request-discarded')
     assert warning.__dict__['bytes'] == len(REQUEST)
+    assert warning.__dict__['cause'] == 'stopping'
 
 
-async def _cross_the_close() -> None:
+async def _cross_the_close(is_closed_at_once: bool) -> None:
     caller_end, node_end = socket.socketpair()
     connection = idle_connection(node_end)
     task = asyncio.create_task(connection.run())
     await asyncio.sleep(0.05)
     connection.close_if_idle(0)
     caller_end.sendall(REQUEST)
+    if is_closed_at_once:
+        caller_end.shutdown(socket.SHUT_WR)
     started_at = time.monotonic()
     await task
     assert time.monotonic() - started_at < 5
--- a/packages/node/src/lavendermountd/caller/connection.py
+++ b/packages/node/src/lavendermountd/caller/connection.py
@@ -16,6 +16,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from lavendermount_core.models.calls import CallReply
+from lavendermountd.caller.closing import CloseCause, report_close
 from lavendermountd.caller.connection_state import ConnectionState
 from lavendermountd.caller.exchange import CallExchange
 from lavendermountd.caller.service import CallService
@@ -58,9 +59,12 @@
         writer = asyncio.create_task(self.write_replies())
         self.time_limit.update()
         tasks = {self.reader, writer}
+        cause = CloseCause.PROCESS_END
         try:
             await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            cause = self.find_cause(tasks)
         finally:
+            self.report_close(cause)
             await self.cancel_tasks(tasks)
 
     async def cancel_tasks(self, tasks: set[asyncio.Task[None]]) -> None:
@@ -72,6 +76,32 @@
         self.abandon_all()
         self.stream.close()
 
+    def find_cause(self, tasks: set[asyncio.Task[None]]) -> CloseCause:
+        """Return why the first of the tasks has ended; log an error."""
+        for task in filter(asyncio.Task.done, tasks):
+            error = task.exception()
+            if error is not None:
+                log.error('connection-failed', exc_info=error)
+                return CloseCause.FAILURE
+        if self.state.owes_replies:
+            return CloseCause.CALLER
+        return self.state.close_cause or CloseCause.CALLER
+
+    def report_close(self, cause: CloseCause) -> None:
+        """Count the closed connection; log what it leaves unread or unanswered."""
+        report_close(self.service, cause, self.state.exchanges)
+        if not self.state.discarded_bytes:
+            return
+        log.warning(
+            'request-discarded',
+            extra={
+                'bytes': self.state.discarded_bytes,
+                'idle_s': round(time.monotonic() - self.state.used_at, 3),
+                'cause': str(self.state.close_cause),
+                'is_stopping': self.service.is_stopping,
+            },
+        )
+
     def handle_disconnect(self) -> None:
         """Abandon the requests of a caller that closed its connection."""
         in_progress = len(self.state.exchanges)
@@ -115,11 +145,6 @@
         self.state.expire()
         self.start_requests()
 
-    def stop_accepting(self) -> None:
-        """Accept no further request on this connection."""
-        self.state.is_accepting = False
-        self.state_changed.set()
-
     def process_chunk(self, chunk: bytes) -> None:
         """Parse a chunk and start the requests that it completes."""
         self.state.receive(chunk)
@@ -174,15 +199,6 @@
             self.stream.socket.shutdown(socket.SHUT_WR)
         if self.reader is not None:
             await asyncio.wait({self.reader}, timeout=LINGER_S)
-        if self.state.discarded_bytes:
-            log.warning(
-                'request-discarded',
-                extra={
-                    'bytes': self.state.discarded_bytes,
-                    'idle_s': round(time.monotonic() - self.state.used_at, 3),
-                    'is_stopping': self.service.is_stopping,
-                },
-            )
 
     def close_if_idle(self, idle_s: float) -> None:
         """Close the connection if it was unused for some time.
@@ -194,7 +210,8 @@
         :param idle_s: minimum time without use.
         """
         if self.state.has_been_idle(idle_s):
-            self.stop_accepting()
+            self.state.stop_accepting(CloseCause.STOPPING)
+            self.state_changed.set()
 
 
 def _encode(reply: CallReply, method: str, is_last: bool) -> bytes:
--- a/packages/node/src/lavendermountd/caller/connection_state.py
+++ b/packages/node/src/lavendermountd/caller/connection_state.py
@@ -11,6 +11,7 @@
 from collections import deque
 from http import HTTPStatus
 
+from lavendermountd.caller.closing import CloseCause
 from lavendermountd.caller.exchange import CallExchange
 from lavendermountd.caller.service import CallService
 from lavendermountd.http1.messages import WireRequest
@@ -37,7 +38,7 @@
         'parser',
         'exchanges',
         'waiting',
-        'is_accepting',
+        'close_cause',
         'used_at',
         'head_since',
         'discarded_bytes',
@@ -50,11 +51,17 @@
         self.exchanges: deque[CallExchange] = deque()
         # Complete requests that start once fewer are in progress.
         self.waiting: deque[WireRequest] = deque()
-        self.is_accepting = True
+        # ``None`` as long as further requests are accepted.
+        self.close_cause: CloseCause | None = None
         self.used_at = time.monotonic()
         self.head_since: float = 0
         self.discarded_bytes = 0
 
+    @property
+    def is_accepting(self) -> bool:
+        """Return whether further requests are accepted."""
+        return self.close_cause is None
+
     @property
     def owes_replies(self) -> bool:
         """Return whether a complete request has not been answered."""
@@ -85,7 +92,7 @@
         have one in progress, and the connection could not close before the node ends.
         """
         if self.service.is_stopping and self.exchanges:
-            self.is_accepting = False
+            self.stop_accepting(CloseCause.STOPPING)
         if not self.is_accepting:
             self.discarded_bytes += len(chunk)
             return
@@ -94,12 +101,16 @@
         requests = self.parser.feed(chunk)
         if self.parser.head_count != head_number:
             self.head_since = self.used_at
-        is_last = self.parser.has_failed or not all(
-            request.keeps_alive for request in requests
-        )
-        self.is_accepting = not is_last
+        if self.parser.has_failed:
+            self.stop_accepting(CloseCause.MALFORMED)
+        elif not all(request.keeps_alive for request in requests):
+            self.stop_accepting(CloseCause.REQUEST)
         self.waiting.extend(requests)
 
+    def stop_accepting(self, cause: CloseCause) -> None:
+        """Accept no further request; the first cause is kept."""
+        self.close_cause = self.close_cause or cause
+
     def take_startable(self) -> list[WireRequest]:
         """Remove and return the requests that may start now, in order."""
         room = MAX_IN_PROGRESS - len(self.exchanges)
@@ -138,9 +149,13 @@
         A request whose body did not arrive in time is refused. A head belongs to no
         request yet.
         """
-        self.is_accepting = False
-        if self.parser.is_between_messages or self.parser.is_reading_head:
+        if self.parser.is_reading_head:
+            self.stop_accepting(CloseCause.HEADER_TIMEOUT)
+            return
+        if self.parser.is_between_messages:
+            self.stop_accepting(CloseCause.IDLE_TIMEOUT)
             return
+        self.stop_accepting(CloseCause.BODY_TIMEOUT)
         self.waiting.extend(self.parser.give_up(HTTPStatus.REQUEST_TIMEOUT))
 
     def is_last_reply(self) -> bool:
@@ -152,7 +167,7 @@
         if len(self.exchanges) > 1 or self.waiting:
             return False
         if self.service.is_stopping:
-            self.is_accepting = False
+            self.stop_accepting(CloseCause.STOPPING)
         return not self.is_accepting
 
     def finish_reply(self) -> None:
--- a/packages/node/src/lavendermountd/caller/exchange.py
+++ b/packages/node/src/lavendermountd/caller/exchange.py
@@ -85,6 +85,11 @@
         service.active_tasks.add(self.task)
         self.task.add_done_callback(service.active_tasks.discard)
 
+    @property
+    def is_passed_on(self) -> bool:
+        """Return whether an attempt of the request is in progress."""
+        return self.service.router.is_in_progress(self.request_id)
+
     def abandon(self) -> None:
         """Abandon a request whose caller has disconnected.
 
--- a/packages/node/src/lavendermountd/metrics.py
+++ b/packages/node/src/lavendermountd/metrics.py
@@ -55,6 +55,22 @@
             'Tasks restarted by their supervisor.',
             registry=self.registry,
         )
+        self.closed_connections = Counter(
+            'lavendermount_closed_connections_total',
+            'Connections of callers that have ended, by cause.',
+            registry=self.registry,
+        )
+        self.unanswered_requests = Counter(
+            'lavendermount_unanswered_requests_total',
+            'Requests whose connection ended before their reply, by cause.',
+            registry=self.registry,
+        )
+        self.loop_lag = Histogram(
+            'lavendermount_event_loop_lag_seconds',
+            'Time by which periodic ticks were late because the event loop was busy.',
+            registry=self.registry,
+            buckets=list(CALL_SECONDS_BUCKETS),
+        )
         self.measuring_bytes = Gauge(
             'lavendermount_measuring_bytes',
             'Bytes spent on measuring, by kind and link.',
@@ -106,6 +122,20 @@
         """Record how long a stage of putting a preset in force took."""
         self.preset_stages.observe({'stage': str(stage)}, seconds)
 
+    def count_closed_connection(self, cause: str, unanswered_count: int) -> None:
+        """Count a connection of a caller that has ended.
+
+        :param unanswered_count: its requests that got no reply.
+        """
+        labels = {'cause': str(cause)}
+        self.closed_connections.inc(labels)
+        if unanswered_count:
+            self.unanswered_requests.add(labels, unanswered_count)
+
+    def observe_loop_lag(self, lag_s: float) -> None:
+        """Record by how much a tick of the event loop was late."""
+        self.loop_lag.observe({}, max(0, lag_s))
+
     def tenant_label(self, tenant: str) -> str:
         """Return the label of a tenant; ``OTHER_TENANT`` beyond ``MAX_TENANTS``."""
         if tenant in self.tenants:
--- a/packages/node/src/lavendermountd/node.py
+++ b/packages/node/src/lavendermountd/node.py
@@ -210,6 +210,7 @@
         self.gate.on_slowness_change = self.broadcast_slowness
         self.gate.refresh_load = self.target_monitor.refresh
         self.freeze_guard.on_freeze.append(self.reset_after_freeze)
+        self.freeze_guard.on_lag = self.metrics.observe_loop_lag
         recovery = LogRecovery(self)
         self.platform_log.era_listeners.append(recovery.start)
         start_from_peers(self)
--- a/packages/node/src/lavendermountd/routing/router.py
+++ b/packages/node/src/lavendermountd/routing/router.py
@@ -142,6 +142,11 @@
                 return state.final_outcome(outcome)
             cause = Cause.RETRY
 
+    def is_in_progress(self, request_id: str) -> bool:
+        """Return whether an attempt of a request waits for its outcome."""
+        state = self.active_requests.get(request_id)
+        return state is not None and bool(state.active_attempts)
+
     def abandon(self, request_id: str) -> None:
         """Stop retrying a request whose caller has disconnected.
 
--- a/packages/node/src/lavendermountd/supervision/freeze.py
+++ b/packages/node/src/lavendermountd/supervision/freeze.py
@@ -11,9 +11,13 @@
 import time
 from collections.abc import Callable
 
+from lavendermount_core.utils.units import MS_PER_S
+
 log = logging.getLogger(__name__)
 
 TICK_INTERVAL_S = 0.25
+# A tick that is later than this is logged.
+STALL_THRESHOLD_S = 0.1
 FREEZE_THRESHOLD_S = 2.0
 
 
@@ -29,13 +33,15 @@
     connections that were open, nor trust its view of the other nodes.
     """
 
-    __slots__ = ('last_tick', 'freezes', 'on_freeze')
+    __slots__ = ('last_tick', 'freezes', 'on_freeze', 'on_lag')
 
     def __init__(self) -> None:
         """Start at the current time."""
         self.last_tick = boot_clock_s()
         self.freezes = 0
         self.on_freeze: list[Callable[[], None]] = []
+        # Called with the time by which each tick was late.
+        self.on_lag: Callable[[float], None] = _ignore_lag
 
     def check(self) -> bool:
         """Check the clock for a gap and run the callbacks if there is one.
@@ -63,4 +69,16 @@
         while True:
             self.check()
             self.last_tick = boot_clock_s()
+            due_at = time.monotonic() + TICK_INTERVAL_S
             await asyncio.sleep(TICK_INTERVAL_S)
+            self.observe_lag(time.monotonic() - due_at)
+
+    def observe_lag(self, lag_s: float) -> None:
+        """Report by how much a tick was late because the event loop was busy."""
+        self.on_lag(lag_s)
+        if lag_s >= STALL_THRESHOLD_S:
+            log.info('event-loop-stalled', extra={'lag_ms': round(lag_s * MS_PER_S)})
+
+
+def _ignore_lag(lag_s: float) -> None:
+    """Do nothing; the node installs the real callback."""
