Connections: a request that has arrived is answered, however busy the node is

Callers on kept connections saw requests end without an answer, although the node had received them whole and in time.

Cause: time limits and the shutdown compared the time of the last byte that was processed. While the event loop is busy (a large preset, a busy machine), bytes wait in the kernel; when it returns, the timer runs before the reader does, the connection accepts no further request, and the order is discarded. A body that was complete in time was refused with 408 the same way.

Change: a connection with unread bytes, in the kernel or in a read that has ended, is neither expired nor idle. No limit runs while the connection does not read. Class: a decision by the clock that ignores what has arrived.

--- a/features/connections.feature
+++ b/features/connections.feature
@@ -22,6 +22,10 @@
     And a head that does not end closes the connection after the header timeout
     And a body that stalls is refused as not run, and one that arrives slowly is accepted
 
+  Scenario: A request that has arrived is answered, however busy the node is as its connection would close
+    Then requests that arrive in time are answered, though the node is busy until the time limit has passed
+    And a request that arrives in time on an idle connection of a busy stopping node is answered
+
   Scenario: A request that offers an upgrade runs with its whole body, and is answered once
     Then requests that offer an upgrade parse like those that do not, however they are split
     And the next request on the connection of such a request gets its own answer
--- a/features/steps/connection_steps.py
+++ b/features/steps/connection_steps.py
@@ -226,6 +226,58 @@
     return replies, elapsed_s
 
 
+@then(
+    'requests that arrive in time are answered, '
+    'though the node is busy until the time limit has passed'
+)
+def arrived_before_limit(context: Any) -> None:
+    """Complete a head, a body and a request on an idle connection before the limit."""
+    order = encode_order('/', b'pump')
+    for sent in (0, FIRST_PART_BYTES, len(order) - 1):
+        reply = asyncio.run(_complete_while_busy(order, sent))
+        assert reply is not None, sent
+        assert (reply.status, reply.body) == (200, echo_body('/', b'pump')), sent
+
+
+async def _complete_while_busy(order: bytes, sent: int) -> Any:
+    async with connected_caller(impatient_service()) as (caller, _):
+        await caller.send(encode_order('/first'))
+        await caller.read_reply()
+        if sent:
+            await caller.send(order[:sent])
+        await asyncio.sleep(IDLE_TIMEOUT_S / 2)
+        _send_then_block(caller, order[sent:])
+        return await caller.read_reply()
+
+
+def _send_then_block(caller: Caller, payload: bytes) -> None:
+    """Send bytes, and keep the event loop busy beyond all time limits."""
+    caller.writer.write(payload)
+    time.sleep(HEADER_TIMEOUT_S + IDLE_TIMEOUT_S)
+
+
+@then(
+    'a request that arrives in time on an idle connection '
+    'of a busy stopping node is answered'
+)
+def arrived_before_stop_closes(context: Any) -> None:
+    """Let the shutdown look for idle connections before the reader runs."""
+    reply = asyncio.run(_send_to_busy_stopping_node())
+    assert reply is not None
+    assert (reply.status, reply.is_last) == (200, True)
+
+
+async def _send_to_busy_stopping_node() -> Any:
+    service = echo_service()
+    async with connected_caller(service) as (caller, connection):
+        await caller.send(encode_order('/first'))
+        await caller.read_reply()
+        service.is_stopping = True
+        _send_then_block(caller, encode_order('/'))
+        connection.close_if_idle(IDLE_TIMEOUT_S)
+        return await caller.read_reply()
+
+
 @then(
     'requests that offer an upgrade parse like those that do not, '
     'however they are split'
--- a/packages/node/src/lavendermountd/caller/connection.py
+++ b/packages/node/src/lavendermountd/caller/connection.py
@@ -10,6 +10,7 @@
 import asyncio
 import contextlib
 import logging
+import select
 import socket
 import time
 
@@ -42,7 +43,15 @@
     :param stream: the connection.
     """
 
-    __slots__ = ('service', 'stream', 'state', 'time_limit', 'state_changed', 'reader')
+    __slots__ = (
+        'service',
+        'stream',
+        'state',
+        'time_limit',
+        'state_changed',
+        'reader',
+        'pending_read',
+    )
 
     def __init__(self, service: CallService, stream: IOStream) -> None:
         """Take ownership of the connection."""
@@ -52,6 +61,7 @@
         self.time_limit = TimeLimit(self.state.limit_at, self.handle_time_limit)
         self.state_changed = asyncio.Event()
         self.reader: asyncio.Task[None] | None = None
+        self.pending_read: asyncio.Future[bytes] | None = None
 
     async def run(self) -> None:
         """Serve requests until either side closes the connection."""
@@ -126,7 +136,10 @@
                 await self.wait_for_change()
                 continue
             try:
-                chunk = await self.stream.read_bytes(READ_BYTES, partial=True)
+                self.pending_read = asyncio.ensure_future(
+                    self.stream.read_bytes(READ_BYTES, partial=True)
+                )
+                chunk = await self.pending_read
             except StreamClosedError:
                 self.handle_disconnect()
                 return
@@ -140,11 +153,27 @@
     def handle_time_limit(self) -> None:
         """Accept no further request; refuse one whose body is not complete.
 
-        The read in progress continues: it notices when the caller disconnects.
+        The read in progress continues: it notices when the caller disconnects. What
+        has arrived in time is processed first, however late this is called.
         """
+        if self.has_unread_data():
+            return
         self.state.expire()
         self.start_requests()
 
+    def has_unread_data(self) -> bool:
+        """Return whether data has arrived that the reader has not processed.
+
+        It waits in the kernel while the event loop is busy.
+        """
+        if self.stream.closed():
+            return False
+        if self.pending_read is not None and self.pending_read.done():
+            return True
+        poll = select.poll()
+        poll.register(self.stream.socket, select.POLLIN)
+        return bool(poll.poll(0))
+
     def process_chunk(self, chunk: bytes) -> None:
         """Parse a chunk and start the requests that it completes."""
         self.state.receive(chunk)
@@ -209,7 +238,7 @@
 
         :param idle_s: minimum time without use.
         """
-        if self.state.has_been_idle(idle_s):
+        if self.state.has_been_idle(idle_s) and not self.has_unread_data():
             self.state.stop_accepting(CloseCause.STOPPING)
             self.state_changed.set()
 
--- a/packages/node/src/lavendermountd/caller/connection_state.py
+++ b/packages/node/src/lavendermountd/caller/connection_state.py
@@ -133,9 +133,10 @@
         the parts of a body, the caller may be idle for the idle timeout. Nothing limits
         the time in which the caller waits for a reply.
 
-        :returns: ``None`` if the caller is not to send anything now.
+        :returns: ``None`` if the caller is not to send anything now, or if what it
+            sends is not read.
         """
-        if not self.is_accepting:
+        if not self.is_accepting or self.is_full:
             return None
         if self.parser.is_reading_head:
             return self.head_since + self.service.header_timeout_s
