Connections: a caller that leaves before its 100 Continue is no failure

The task of a connection ended with an error when its caller had left before it was prompted for a body, so the new log line and metric would blame the node. Nothing is written to a closed stream now; the step failed before with StreamClosedError.

--- a/features/connections.feature
+++ b/features/connections.feature
@@ -42,6 +42,7 @@
   Scenario: A request whose connection ends without its reply leaves a warning with the cause
     Then an error of a connection's task, and the end of the process, name the requests that they cut
     And a caller that leaves is counted and leaves no such warning
+    And a caller that leaves while it waits to send a body is no failure of its connection
 
   Scenario: A busy event loop is logged and counted
     Then a tick that is late is logged with its lag, and each lag is counted
--- a/features/steps/close_report_steps.py
+++ b/features/steps/close_report_steps.py
@@ -84,6 +84,23 @@
         await caller.send(encode_order('/', method='GET'))
 
 
+@then(
+    'a caller that leaves while it waits to send a body is no failure of its connection'
+)
+def leave_before_body(context: Any) -> None:
+    """Close the stream before its caller is prompted for the body."""
+    asyncio.run(_leave_before_body())
+
+
+async def _leave_before_body() -> None:
+    async with connected_caller(echo_service(WORK_S)) as (caller, connection):
+        head = encode_order('/1', b'body', 'Expect: 100-continue\r\n')[:-4]
+        await caller.send(encode_order('/0', method='GET') + head)
+        connection.stream.close()
+        connection.state.exchanges.clear()
+        connection.prompt_for_body()
+
+
 @then('a tick that is late is logged with its lag, and each lag is counted')
 def busy_loop(context: Any) -> None:
     """Keep the event loop busy for a part of its run."""
--- a/packages/node/src/lavendermountd/caller/connection.py
+++ b/packages/node/src/lavendermountd/caller/connection.py
@@ -189,7 +189,7 @@
 
     def prompt_for_body(self) -> None:
         """Send ``100 Continue`` if the caller waits for it."""
-        if self.state.expects_continue():
+        if self.state.expects_continue() and not self.stream.closed():
             self.stream.write(CONTINUE_RESPONSE)
 
     async def write_replies(self) -> None:
