Soak: count requests that end without an answer

Callers saw requests on kept connections end without an answer around planned work. The soak that exists keeps few connections and no idle times, and did not count them.

loss-soak starts four nodes as real processes. Callers keep 40 connections to each node and reuse them after up to four fifths of the idle timeout in force; some pipeline, send heads and bodies in parts, or open new connections. Disturbances are drawn by seed and overlap: stops (also twice, with a reload, or during the node's start), reloads, presets with timeouts of 15 to 0.5 s and 600 routes, stalls of 0.1 to 0.9 s, a slowed node, a target that announces that it leaves, and the log away. Verdicts are those of the users' rule: without an answer after it was passed on, or held by the node for over 200 ms.

--- a/packages/testbed/src/lavendermount_testbed/__main__.py
+++ b/packages/testbed/src/lavendermount_testbed/__main__.py
@@ -9,6 +9,7 @@
 import click
 
 MAX_PORT = 65535
+DEFAULT_CONNECTIONS = 40
 PORT_TYPE = click.IntRange(1, MAX_PORT)
 
 
@@ -102,6 +103,45 @@
     sys.exit(run_soak(seeds, seconds, log_folder))
 
 
+@cli.command(name='loss-soak')
+@click.option('--seed', type=int, default=1, help='First seed.')
+@click.option('--count', type=int, default=1, help='Number of consecutive seeds.')
+@click.option(
+    '--seconds',
+    type=float,
+    default=10,
+    help='How long disturbances are started, in seconds.',
+)
+@click.option(
+    '--connections',
+    type=int,
+    default=DEFAULT_CONNECTIONS,
+    help="Callers' connections to each node.",
+)
+@click.option(
+    '--without', multiple=True, help='Disturbance that is not started; repeatable.'
+)
+@click.option(
+    '--logs',
+    'log_folder',
+    type=click.Path(path_type=Path),
+    help='Folder that gets the files of each run that failed.',
+)
+def loss_soak(
+    seed: int,
+    count: int,
+    seconds: float,
+    connections: int,
+    without: tuple[str, ...],
+    log_folder: Path | None,
+) -> None:
+    """Count requests without an answer while real processes are disturbed."""
+    from lavendermount_testbed.loss_soak import run_loss_soak
+
+    seeds = list(range(seed, seed + count))
+    sys.exit(run_loss_soak(seeds, seconds, connections, without, log_folder))
+
+
 @cli.command()
 @click.option('--check', is_flag=True, help='Compare only; write no file.')
 def reference(check: bool) -> None:
