Connections: a caller that leaves as its connection is closed is no failure

No caller lost anything: the node closes its sending side after the last reply, and the caller, who had read Connection: close, had already closed the connection. The line and the metric blamed the node.

Change: nothing is closed twice. The step failed before with AttributeError.

--- a/features/connections.feature
+++ b/features/connections.feature
@@ -43,6 +43,7 @@
     Then an error of a connection's task, and the end of the process, name the requests that they cut
     And a caller that leaves is counted and leaves no such warning
     And a caller that leaves while it waits to send a body is no failure of its connection
+    And a caller that leaves as its connection is being closed is no failure of it
 
   Scenario: A busy event loop is logged and counted
     Then a tick that is late is logged with its lag, and each lag is counted
--- a/features/steps/close_report_steps.py
+++ b/features/steps/close_report_steps.py
@@ -7,7 +7,7 @@
 import logging
 import time
 from typing import Any
-from unittest.mock import Mock
+from unittest.mock import Mock, patch
 
 from behave import then
 from connection_builders import (
@@ -17,6 +17,8 @@
     encode_order,
 )
 
+from lavendermountd.caller.connection import CallerConnection
+from lavendermountd.caller.exchange import CallExchange
 from lavendermountd.caller.service import CallService
 from lavendermountd.supervision.freeze import (
     STALL_THRESHOLD_S,
@@ -101,6 +103,28 @@
         connection.prompt_for_body()
 
 
+@then('a caller that leaves as its connection is being closed is no failure of it')
+def leave_during_close(context: Any) -> None:
+    """Close the stream while the last reply is written."""
+    with captured_records(LOGGER) as records:
+        asyncio.run(_leave_during_close())
+    messages = [record.getMessage() for record in records]
+    assert 'connection-failed' not in messages, messages
+
+
+async def _leave_during_close() -> None:
+    async with connected_caller(echo_service()) as (caller, connection):
+        write_reply = connection.write_reply
+
+        async def write_and_leave(exchange: CallExchange) -> None:
+            await write_reply(exchange)
+            connection.stream.close()
+
+        with patch.object(CallerConnection, 'write_reply', side_effect=write_and_leave):
+            await caller.send(encode_order('/', headers='Connection: close\r\n'))
+            await asyncio.sleep(0.1)
+
+
 @then('a tick that is late is logged with its lag, and each lag is counted')
 def busy_loop(context: Any) -> None:
     """Keep the event loop busy for a part of its run."""
--- a/packages/node/src/lavendermountd/caller/connection.py
+++ b/packages/node/src/lavendermountd/caller/connection.py
@@ -224,6 +224,8 @@
 
         The wait ends after ``LINGER_S``.
         """
+        if self.stream.closed():
+            return
         with contextlib.suppress(OSError):
             self.stream.socket.shutdown(socket.SHUT_WR)
         if self.reader is not None:
