--- a/packages/testbed/src/lavendermount_testbed/loss_callers.py
+++ b/packages/testbed/src/lavendermount_testbed/loss_callers.py
@@ -160,6 +160,9 @@
         for awaited in sent:
             if awaited.ended_at:
                 continue
+            if Ending.SILENT in {request.ending for request in sent}:
+                awaited.end(Ending.SILENT)
+                continue
             await self.read_reply(awaited)
 
     def encode(self, request: SentRequest, body: bytes) -> bytes:
@@ -222,6 +225,8 @@
         If this would send more requests than ``rate_per_s`` in total, the connection is
         left unused for longer, and is not used again.
         """
+        if not self.is_open:
+            return
         callers = self.callers
         idle_s = callers.rng.triangular(0, callers.max_idle_s, callers.max_idle_s)
         cycle_s = callers.connection_count / callers.rate_per_s
