Connections: a caller learns at once that its idle connection closes

Cause: the time limit only recorded that the connection accepts no further request. Callers in time sent requests on a connection that was already given up.

Change: the sending side of a connection that owes no reply is closed in the same step as the decision, at a time limit and at a stop. Class: a decision that takes effect later than it is made.

The step failed before for both; connections.feature and leaving.feature pass.

--- a/features/steps/connection_steps.py
+++ b/features/steps/connection_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import time
 from typing import Any
 
@@ -278,6 +279,29 @@
         return await caller.read_reply()
 
 
+@then(
+    'a caller learns that its idle connection closes before the node does anything else'
+)
+def close_at_once(context: Any) -> None:
+    """Decide to close an idle connection, at its time limit and at a stop."""
+    for is_stopping in (False, True):
+        assert asyncio.run(_close_idle(is_stopping)) == [False, True], is_stopping
+
+
+async def _close_idle(is_stopping: bool) -> list[bool]:
+    async with connected_caller(echo_service()) as (caller, connection):
+        await caller.send(encode_order('/first'))
+        await caller.read_reply()
+        poll = select.poll()
+        poll.register(caller.writer.get_extra_info('socket'), select.POLLIN)
+        was_closed = bool(poll.poll(0))
+        if is_stopping:
+            connection.close_if_idle(0)
+        else:
+            connection.handle_time_limit()
+        return [was_closed, bool(poll.poll(0))]
+
+
 @then(
     'requests that offer an upgrade parse like those that do not, '
     'however they are split'
--- a/packages/node/src/lavendermountd/caller/connection.py
+++ b/packages/node/src/lavendermountd/caller/connection.py
@@ -160,6 +160,7 @@
             return
         self.state.expire()
         self.start_requests()
+        self.announce_close()
 
     def has_unread_data(self) -> bool:
         """Return whether data has arrived that the reader has not processed.
@@ -226,11 +227,20 @@
         """
         if self.stream.closed():
             return
-        with contextlib.suppress(OSError):
-            self.stream.socket.shutdown(socket.SHUT_WR)
+        self.announce_close()
         if self.reader is not None:
             await asyncio.wait({self.reader}, timeout=LINGER_S)
 
+    def announce_close(self) -> None:
+        """Close the sending side if nothing more will be sent.
+
+        The caller learns of it at once, and sends no request that would be discarded
+        while the event loop is busy.
+        """
+        if self.state.is_finished and not self.stream.closed():
+            with contextlib.suppress(OSError):
+                self.stream.socket.shutdown(socket.SHUT_WR)
+
     def close_if_idle(self, idle_s: float) -> None:
         """Close the connection if it was unused for some time.
 
@@ -242,6 +252,7 @@
         """
         if self.state.has_been_idle(idle_s) and not self.has_unread_data():
             self.state.stop_accepting(CloseCause.STOPPING)
+            self.announce_close()
             self.state_changed.set()
 
 
