Stop: a stopped node exits, whatever its tasks and peers leave open

Operators saw a node log node-stopped 1.7 s after SIGTERM and its process still there 20 s later, beside a paused peer. Callers had their replies.

Cause: grpc.aio joins its poller thread when the event loop goes, and that thread ends only after the control server has stopped. A supervisor cancelled its children without waiting for them, so that the end of the event loop cancelled the server's stop in the middle.

Change: a supervisor cancels each child once and waits until it has ended. A process that has not exited 1 s after node-stopped ends with its exit code, because worker threads can hold it too.

--- a/features/operations.feature
+++ b/features/operations.feature
@@ -5,6 +5,10 @@
     And a child that fails too often ends its supervisor
     And a cancelled supervisor cancels its children
 
+  Scenario: A stopping process does not wait forever for what its tasks left open
+    Then supervisors that are cancelled more than once let their children clean up
+    And a process that does not exit by itself ends in time with its exit code
+
   Scenario: Every task of the node's supervision tree is restarted
     Given a deployment of 1 nodes
     Then a node still serves after each of its tasks was cancelled in turn
--- a/packages/node/src/lavendermountd/control/server.py
+++ b/packages/node/src/lavendermountd/control/server.py
@@ -173,8 +173,9 @@
     server = grpc.aio.server(options=options)
     control_pb2_grpc.add_ControlServicer_to_server(ControlServicer(node), server)  # type: ignore[no-untyped-call]
     server.add_insecure_port(f'{host}:{port}')
-    await server.start()
     try:
+        await server.start()
         await server.wait_for_termination()
     finally:
+        # Until the server has stopped, the library keeps the process from exiting.
         await server.stop(None)
--- a/packages/node/src/lavendermountd/process.py
+++ b/packages/node/src/lavendermountd/process.py
@@ -13,12 +13,16 @@
 
 from lavendermount_core.config.node import NodeSchema
 from lavendermount_core.exceptions import ConfigurationError
+from lavendermountd.exit_limit import limit_exit
 from lavendermountd.node import Node
 from lavendermountd.shutdown import GracefulShutdown
 from lavendermountd.supervisor_tree import NodeTree
 
 log = logging.getLogger(__name__)
 
+# Time within which the process exits once the node has stopped.
+EXIT_TIMEOUT_S = 1.0
+
 ReloadSettings = Callable[[], NodeSchema]
 
 
@@ -46,6 +50,12 @@
     if tree.done():
         tree.result()
     await GracefulShutdown(node).run()
+    limit_exit(EXIT_TIMEOUT_S, 0)
+    await _close(node, tree)
+
+
+async def _close(node: Node, tree: asyncio.Task[None]) -> None:
+    """End the tasks of a stopped node and close its connections to other nodes."""
     tree.cancel()
     await asyncio.gather(tree, return_exceptions=True)
     node.links.close_all()
--- a/packages/node/src/lavendermountd/supervision/supervisor.py
+++ b/packages/node/src/lavendermountd/supervision/supervisor.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import time
 from collections import deque
@@ -81,7 +82,7 @@
         try:
             await asyncio.gather(*supervision_tasks)
         finally:
-            await _cancel_all(supervision_tasks)
+            await end_tasks(supervision_tasks)
 
     async def supervise_child(self, child: Child) -> None:
         """Run one child and restart it with backoff whenever it ends.
@@ -104,7 +105,7 @@
         try:
             await asyncio.wait({task})
         finally:
-            task.cancel()
+            await end_tasks([task])
         failure = None if task.cancelled() else task.exception()
         log.error(
             'task-restarted',
@@ -132,7 +133,14 @@
     return min(backoff_s, MAX_BACKOFF_S)
 
 
-async def _cancel_all(tasks: Sequence[asyncio.Task[None]]) -> None:
+async def end_tasks(tasks: Sequence[asyncio.Task[None]]) -> None:
+    """Cancel tasks and wait until all have ended.
+
+    Each is cancelled once, and the wait continues if the waiting task is cancelled
+    again: a second cancellation would interrupt the cleanup of a task.
+    """
     for task in tasks:
         task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
+    while not all(map(asyncio.Task.done, tasks)):
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.wait(tasks)
