Stop: orders in the accept queue of a stopping node are answered

Found by reading: the connection of an order was reset, although the node had accepted it from its accept queue.

Cause: a connection counted as work only once its task had begun. A node with nothing else to do asked before that, found no work, and ended.

Change: a connection counts from the moment it is accepted.

The scenario failed before: 5 orders in the accept queue, none answered; now all.

--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -22,6 +22,9 @@
     Then every order that was passed on is answered, and the others are refused as not run
     And node 1 exited with code 0
 
+  Scenario: A stopping node answers orders on connections that it has not accepted yet
+    Then orders that wait in the accept queue are answered before the node has finished its work
+
   Scenario: A rolling restart under load loses no request and repeats none
     Given a deployment of 3 nodes
     When every node is restarted in turn under load
--- a/packages/node/src/lavendermountd/caller/server.py
+++ b/packages/node/src/lavendermountd/caller/server.py
@@ -9,6 +9,7 @@
 import contextlib
 import logging
 import socket
+from collections.abc import Awaitable
 
 from tornado.iostream import IOStream
 from tornado.netutil import bind_sockets
@@ -38,12 +39,21 @@
         self.backlog_tasks: set[asyncio.Task[None]] = set()
         self.listeners: list[socket.socket] = []
 
-    async def handle_stream(self, stream: IOStream, address: object) -> None:
-        """Serve one connection until it closes."""
-        configure_socket(stream)
+    def handle_stream(self, stream: IOStream, address: object) -> Awaitable[None]:
+        """Register a connection.
+
+        It counts as open before its task begins, so that a stopping node waits for it.
+
+        :returns: serves the connection until it closes.
+        """
         connection = CallerConnection(self.service, stream)
         self.connections.add(connection)
+        return self.serve(connection)
+
+    async def serve(self, connection: CallerConnection) -> None:
+        """Serve one connection until it closes."""
         try:
+            configure_socket(connection.stream)
             await connection.run()
         finally:
             self.connections.discard(connection)
