Stop: no request ends without an answer when the drain is over

Found by reading: at the end of the drain the process ended with its requests in progress. Their callers saw a closed connection, which promises nothing: it is the same for an order that ran, one that never left the node, and one whose body was still being sent.

What no target can have received is refused as not run, a request without its whole body with 408, and all others are answered as unknown; a request with an idempotency key counts as one that may have run. Callers have what is left to read.

--- a/features/connection_builders.py
+++ b/features/connection_builders.py
@@ -24,6 +24,8 @@
 BODY_BYTES = 100_000
 HEAD_END = b'\r\n\r\n'
 READ_TIMEOUT_S = 6.0
+# Path of requests that wait at the node.
+NOT_PASSED_ON = '/not-passed-on'
 
 
 class EchoRouter:
@@ -49,6 +51,10 @@
     def abandon(self, request_id: str) -> None:
         """Do nothing; the target continues."""
 
+    def may_have_run(self, request_id: str) -> bool:
+        """Return whether the target has got the request, unless its path says not."""
+        return self.received[-1].path != NOT_PASSED_ON
+
     def is_in_progress(self, request_id: str) -> bool:
         """Return whether any request runs; tests have one at a time."""
         return len(self.received) > len(self.answered)
--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -25,6 +25,10 @@
   Scenario: A stopping node answers orders on connections that it has not accepted yet
     Then orders that wait in the accept queue are answered before the node has finished its work
 
+  Scenario: A node that ends resets no connection with an unanswered request
+    Then a request that a target runs at the end of the drain is answered as unknown
+    And one that was not passed on, and one without its whole body, are refused as not run
+
   Scenario: A rolling restart under load loses no request and repeats none
     Given a deployment of 3 nodes
     When every node is restarted in turn under load
--- a/features/steps/stop_end_steps.py
+++ b/features/steps/stop_end_steps.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 import time
 from typing import Any
 from unittest.mock import Mock
 
 from behave import then
-from connection_builders import HEAD_END, echo_service, encode_order
+from connection_builders import NOT_PASSED_ON, echo_service, encode_order
 from tornado.netutil import bind_sockets
 
 from lavendermountd.caller.server import CallerServer
@@ -21,6 +22,8 @@
 DRAIN_S = 2.0
 READ_BYTES = 65536
 QUEUED = 5
+LONG_WORK_S = 5.0
+SHORT_DRAIN_S = 0.4
 
 
 def stopping_node(service: CallService) -> Mock:
@@ -44,34 +47,58 @@
 )
 def accept_queue_answered(context: Any) -> None:
     """Connect and send orders while the event loop is busy, then finish the work."""
-    callers = asyncio.run(_finish_with_queued(echo_service(WORK_S)))
-    for caller in callers:
-        assert read_until_end(caller).startswith(b'HTTP/1.1 200'), callers
+    orders = [encode_order('/order') for _ in range(QUEUED)]
+    for reply in finish_work_with(orders, WORK_S, DRAIN_S):
+        assert reply.startswith(b'HTTP/1.1 200'), reply
 
 
-async def _finish_with_queued(service: CallService) -> list[socket.socket]:
+@then('a request that a target runs at the end of the drain is answered as unknown')
+def running_unknown(context: Any) -> None:
+    """End a node while a target runs an order."""
+    replies = finish_work_with([encode_order('/order')], LONG_WORK_S, SHORT_DRAIN_S)
+    assert b'X-Outcome: unknown' in replies[0], replies
+
+
+@then(
+    'one that was not passed on, and one without its whole body, are refused as not run'
+)
+def waiting_not_run(context: Any) -> None:
+    """End a node while orders wait, one of them for the rest of its body."""
+    orders = [encode_order(NOT_PASSED_ON), encode_order('/order', b'xx')[:-1]]
+    for reply in finish_work_with(orders, LONG_WORK_S, SHORT_DRAIN_S):
+        assert b'X-Outcome: not-run' in reply, reply
+
+
+def finish_work_with(orders: list[bytes], work_s: float, drain_s: float) -> list[bytes]:
+    """Let a stopping node finish its work and end.
+
+    :param orders: bytes that wait in its accept queue, each on a connection.
+    :param work_s: time that its target takes.
+    :param drain_s: time that it has.
+    :returns: what each caller received until the end.
+    """
+    callers = asyncio.run(_finish_work(orders, echo_service(work_s), drain_s))
+    return [read_until_end(caller) for caller in callers]
+
+
+async def _finish_work(
+    orders: list[bytes], service: CallService, drain_s: float
+) -> list[socket.socket]:
     node = stopping_node(service)
     address = node.caller_server.listeners[0].getsockname()
-    callers = [socket.create_connection(address) for _ in range(QUEUED)]
-    for caller in callers:
-        caller.sendall(encode_order('/order'))
+    callers = [socket.create_connection(address) for _ in orders]
+    for caller, order in zip(callers, orders, strict=True):
+        caller.sendall(order)
     service.is_stopping = True
-    await GracefulShutdown(node).finish_work(time.monotonic() + DRAIN_S)
+    await GracefulShutdown(node).finish_work(time.monotonic() + drain_s)
     return callers
 
 
 def read_until_end(caller: socket.socket) -> bytes:
-    """Read what a node sent before it closed the connection."""
+    """Read what a node sent before its end of the connection was closed."""
     caller.settimeout(DRAIN_S)
     received = b''
-    try:
-        while HEAD_END not in received:
-            chunk = caller.recv(READ_BYTES)
-            if not chunk:
-                break
+    with caller, contextlib.suppress(ConnectionError):
+        while chunk := caller.recv(READ_BYTES):
             received += chunk
-    except ConnectionError:
-        return received
-    finally:
-        caller.close()
     return received
--- a/packages/node/src/lavendermountd/caller/connection.py
+++ b/packages/node/src/lavendermountd/caller/connection.py
@@ -212,9 +212,9 @@
         Cancelling the writer task doesn't cancel the exchange.
         """
         await asyncio.wait({exchange.task})
-        if exchange.task.cancelled():
+        reply = exchange.find_reply()
+        if reply is None:
             return
-        reply = exchange.task.result()
         is_last = self.state.is_last_reply()
         payload = _encode(reply, exchange.request.method, is_last)
         with contextlib.suppress(StreamClosedError):
@@ -241,6 +241,14 @@
             with contextlib.suppress(OSError):
                 self.stream.socket.shutdown(socket.SHUT_WR)
 
+    def end(self) -> None:
+        """Answer what a stopping node can't complete, and accept no further request."""
+        self.state.end()
+        self.start_requests()
+        for exchange in self.state.exchanges:
+            exchange.end()
+        self.announce_close()
+
     def close_if_idle(self, idle_s: float) -> None:
         """Close the connection if it was unused for some time.
 
--- a/packages/node/src/lavendermountd/caller/connection_state.py
+++ b/packages/node/src/lavendermountd/caller/connection_state.py
@@ -159,6 +159,12 @@
         self.stop_accepting(CloseCause.BODY_TIMEOUT)
         self.waiting.extend(self.parser.give_up(HTTPStatus.REQUEST_TIMEOUT))
 
+    def end(self) -> None:
+        """Accept no further request, because the node ends."""
+        if self.is_accepting:
+            self.stop_accepting(CloseCause.STOPPING)
+            self.expire()
+
     def is_last_reply(self) -> bool:
         """Return whether the connection closes after the reply to the first request.
 
--- a/packages/node/src/lavendermountd/caller/exchange.py
+++ b/packages/node/src/lavendermountd/caller/exchange.py
@@ -33,6 +33,7 @@
 from lavendermountd.gate.attempts import AttemptResult
 from lavendermountd.http1.messages import WireRequest
 from lavendermountd.presets.holder import InForcePreset
+from lavendermountd.stop_schedule import stopping_refusal
 
 log = logging.getLogger(__name__)
 
@@ -70,6 +71,8 @@
         'request_id',
         'arrived_at',
         'call_class',
+        'routed',
+        'end_refusal',
         'task',
     )
 
@@ -81,6 +84,10 @@
         self.request_id = self.metadata.request_id or random_identifier()
         self.arrived_at = request.received_at
         self.call_class: CallClass | None = None
+        # What the router gets; ``None`` until the request is classified.
+        self.routed: CallRequest | None = None
+        # Set if the node ends before the request has an outcome.
+        self.end_refusal: Refusal | None = None
         self.task = asyncio.create_task(self.serve())
         service.active_tasks.add(self.task)
         self.task.add_done_callback(service.active_tasks.discard)
@@ -105,6 +112,24 @@
             return
         self.service.router.abandon(self.request_id)
 
+    def end(self) -> None:
+        """Answer a request that a stopping node can't complete."""
+        if self.task.done():
+            return
+        self.end_refusal = stopping_refusal()
+        if self.routed is not None and self.service.may_have_run(self.routed):
+            self.end_refusal = unknown_refusal(
+                Reason.STOPPING, 'the node stopped before the target answered'
+            )
+        self.service.router.abandon(self.request_id)
+        self.task.cancel()
+
+    def find_reply(self) -> CallReply | None:
+        """Return the reply once the task is done; ``None`` if it was abandoned."""
+        if not self.task.cancelled():
+            return self.task.result()
+        return None if self.end_refusal is None else self.refuse(self.end_refusal)
+
     async def serve(self) -> CallReply:
         """Handle the request; an unexpected exception becomes a refusal.
 
@@ -133,6 +158,7 @@
             return self.refuse(classification)
         self.call_class = classification.call_class
         request = self.to_request(classification, preset)
+        self.routed = request
         refusal = self.service.refusal_at_stop(self.arrived_at, request.deadline)
         if refusal is not None:
             return self.refuse(refusal)
--- a/packages/node/src/lavendermountd/caller/server.py
+++ b/packages/node/src/lavendermountd/caller/server.py
@@ -99,6 +99,11 @@
         for connection in tuple(self.connections):
             connection.close_if_idle(idle_s)
 
+    def end_requests(self) -> None:
+        """Answer the requests that a stopping node can't complete."""
+        for connection in tuple(self.connections):
+            connection.end()
+
     def close_all(self) -> None:
         """Close every connection."""
         for connection in tuple(self.connections):
--- a/packages/node/src/lavendermountd/caller/service.py
+++ b/packages/node/src/lavendermountd/caller/service.py
@@ -92,6 +92,15 @@
             return None
         return self.stop_schedule.refusal_of(received_at, deadline)
 
+    def may_have_run(self, request: CallRequest) -> bool:
+        """Return whether a target may have run a request that has no outcome yet.
+
+        One with an idempotency key may run at another node that holds the key.
+        """
+        if self.router.may_have_run(request.request_id):
+            return True
+        return self.claims.key_digest(request) is not None
+
     async def wait_until_caught_up(self) -> None:
         """After a freeze, wait until the log has been read again.
 
--- a/packages/node/src/lavendermountd/routing/request_state.py
+++ b/packages/node/src/lavendermountd/routing/request_state.py
@@ -77,6 +77,11 @@
         call_class = self.request.call_class
         return f'{call_class.service}/{call_class.name}'
 
+    @property
+    def was_passed_on(self) -> bool:
+        """Return whether a target may have received the request."""
+        return bool(self.active_attempts or self.delivered_count or self.may_have_run)
+
     def next_attempt_number(self) -> int:
         """Count a new attempt and return its number."""
         self.attempt_count += 1
--- a/packages/node/src/lavendermountd/routing/router.py
+++ b/packages/node/src/lavendermountd/routing/router.py
@@ -147,6 +147,11 @@
         state = self.active_requests.get(request_id)
         return state is not None and bool(state.active_attempts)
 
+    def may_have_run(self, request_id: str) -> bool:
+        """Return whether a target may have run a request in progress."""
+        state = self.active_requests.get(request_id)
+        return state is not None and state.was_passed_on
+
     def abandon(self, request_id: str) -> None:
         """Stop retrying a request whose caller has disconnected.
 
--- a/packages/node/src/lavendermountd/shutdown.py
+++ b/packages/node/src/lavendermountd/shutdown.py
@@ -77,18 +77,21 @@
         """Accept no new connections, and wait for requests in progress.
 
         A connection is closed only after it was idle for a while, so that the
-        close does not cross a request that the caller is sending.
+        close does not cross a request that the caller is sending. Shortly before the
+        deadline, requests that still have no outcome are answered without it.
 
-        :param deadline: time by which the requests must have finished.
+        :param deadline: time by which all replies must have been written.
         """
         server = self.node.caller_server
         server.stop_listening()
         idle_s = min(DRAIN_IDLE_S, (deadline - time.monotonic()) * IDLE_WAIT_RATIO)
-        while self.has_work() and time.monotonic() < deadline:
+        while self.has_work_before(deadline - REPLY_MARGIN_S):
             await asyncio.sleep(STOP_POLL_S)
             server.close_idle(idle_s)
             self.node.router.abandon_late()
-        server.close_idle(0)
+        server.end_requests()
+        while self.has_work_before(deadline):
+            await asyncio.sleep(STOP_POLL_S)
 
     def close_gate(self) -> None:
         """Admit no new requests to the target; queued ones go to other targets."""
@@ -100,6 +103,10 @@
         """Sleep until a time on the node's monotonic clock."""
         await asyncio.sleep(max(0, deadline - time.monotonic()))
 
+    def has_work_before(self, deadline: float) -> bool:
+        """Return whether there is work, and time left for it."""
+        return self.has_work() and time.monotonic() < deadline
+
     def has_work(self) -> bool:
         """Return whether requests are in progress or callers are connected."""
         admission = self.node.gate.admission
