Stop: other nodes get an outcome of each attempt before a node ends

Found by reading: an outcome that waited to be sent to a slow node did not count as work, so that the process could end in the middle of it; attempts that still ran were cut with their link, and the other node asked three times for their outcome before its caller got a 502; a link that is closed with unread data is reset, which discards what has not been sent.

Change: an outcome counts as work until it is written. At the end of the drain the attempts of other nodes are cancelled and their outcomes sent. The sending side of each link closes first; the other nodes have 0.1 s for theirs.

--- a/packages/node/src/lavendermountd/peer/frame_stream.py
+++ b/packages/node/src/lavendermountd/peer/frame_stream.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 import time
 from collections.abc import Awaitable, Callable
@@ -140,6 +141,13 @@
                 raise PeerLinkError('connection closed') from error
             await asyncio.sleep(0)
 
+    def close_sending(self) -> None:
+        """Close the sending side, unless frames have not been written yet."""
+        if self.stream.closed() or self.stream.writing():
+            return
+        with contextlib.suppress(OSError):
+            self.stream.socket.shutdown(socket.SHUT_WR)
+
     def close(self) -> None:
         """Close the connection."""
         self.stream.close()
--- a/packages/node/src/lavendermountd/peer/server.py
+++ b/packages/node/src/lavendermountd/peer/server.py
@@ -55,6 +55,8 @@
 
 log = logging.getLogger(__name__)
 
+CLOSE_POLL_S = 0.01
+
 FrameHandler = Callable[['PeerSession', Record], Awaitable[None]]
 frame_handlers: Registry[type[Record], FrameHandler] = Registry('frame handler')
 
@@ -172,13 +174,16 @@
         outcome: Result[CallReply, Refusal],
         load: list[object],
     ) -> None:
-        """Send a reply or a refusal together with the load of the target."""
+        """Send a reply or a refusal together with the load of the target.
+
+        A node that stops waits until all of it has been written to the socket.
+        """
         if not isinstance(outcome, Success):
             refusal = outcome.failure().to_row()
-            self.frames.send(Refused(attempt_id, refusal, load))
+            await self.frames.send(Refused(attempt_id, refusal, load))
             return
         reply = outcome.unwrap()
-        self.frames.send(
+        await self.frames.send(
             Answer(
                 attempt_id,
                 reply.status,
@@ -330,6 +335,26 @@
         finally:
             self.stop()
 
+    def cancel_attempts(self) -> None:
+        """Cancel the attempts of other nodes, which are sent an outcome for each."""
+        for attempt in tuple(self.gate.attempt_table.running.values()):
+            if attempt.is_remote:
+                self.gate.cancel(attempt.attempt_id)
+
+    async def close_after_replies(self, timeout_s: float) -> None:
+        """Close the sending side, and wait until the other nodes close theirs.
+
+        Closing a connection with unread data resets it, and the other node could lose
+        the last replies.
+
+        :param timeout_s: time that a node that does not respond is waited for.
+        """
+        for session in tuple(self.sessions):
+            session.frames.close_sending()
+        deadline = time.monotonic() + timeout_s
+        while self.sessions and time.monotonic() < deadline:
+            await asyncio.sleep(CLOSE_POLL_S)
+
     def broadcast(self, frame: Record) -> None:
         """Send a frame on every open connection."""
         for session in tuple(self.sessions):
--- a/packages/node/src/lavendermountd/shutdown.py
+++ b/packages/node/src/lavendermountd/shutdown.py
@@ -22,6 +22,7 @@
 
 STOP_POLL_S = 0.02
 FINAL_FLUSH_TIMEOUT_S = 0.3
+CLOSE_TIMEOUT_S = 0.1
 # Time before the end of the drain by which replies must be written.
 REPLY_MARGIN_S = 0.1
 # Maximum idle time required to close a connection, as a ratio of the time left for
@@ -63,7 +64,9 @@
         flushing = asyncio.create_task(self.node.recorder.flush())
         await self.finish_work(started_at + self.node.settings.drain_s)
         flushing.cancel()
-        await self.flush()
+        await asyncio.gather(
+            self.flush(), self.node.peer_server.close_after_replies(CLOSE_TIMEOUT_S)
+        )
         log.info('node-stopped', extra={'work_left': self.has_work()})
 
     async def announce_leaving(self) -> None:
@@ -90,6 +93,7 @@
             server.close_idle(idle_s)
             self.node.router.abandon_late()
         server.end_requests()
+        self.node.peer_server.cancel_attempts()
         while self.has_work_before(deadline):
             await asyncio.sleep(STOP_POLL_S)
 
