Stop: a request that has arrived unread as the node ends is answered

At the end of the drain a connection accepted no further request although one had arrived: while the event loop is busy, it waits in the kernel, and it was discarded. Such a connection is read first, and what is found is refused as not run; a request that was given its last answer keeps it.

--- a/features/connections.feature
+++ b/features/connections.feature
@@ -25,6 +25,7 @@
   Scenario: A request that has arrived is answered, however busy the node is as its connection would close
     Then requests that arrive in time are answered, though the node is busy until the time limit has passed
     And a request that arrives in time on an idle connection of a busy stopping node is answered
+    And a request that has arrived unread as the node ends gets an answer
     And a caller learns that its idle connection closes before the node does anything else
 
   Scenario: A request that offers an upgrade runs with its whole body, and is answered once
--- a/features/steps/connection_steps.py
+++ b/features/steps/connection_steps.py
@@ -31,6 +31,8 @@
 SEND_INTERVAL_S = 0.02
 IDLE_TIMEOUT_S = 0.2
 HEADER_TIMEOUT_S = 0.3
+# Long enough for a request to arrive in time on a busy machine.
+ARRIVAL_TIMEOUT_S = 0.7
 # Time within which the work for a caller that has left must have ended.
 LEAVE_NOTICED_S = 0.4
 # Several requests are in progress at any moment.
@@ -241,12 +243,14 @@
 
 
 async def _complete_while_busy(order: bytes, sent: int) -> Any:
-    async with connected_caller(impatient_service()) as (caller, _):
+    service = echo_service()
+    service.idle_timeout_s = ARRIVAL_TIMEOUT_S
+    service.header_timeout_s = ARRIVAL_TIMEOUT_S
+    async with connected_caller(service) as (caller, _):
         await caller.send(encode_order('/first'))
         await caller.read_reply()
         if sent:
             await caller.send(order[:sent])
-        await asyncio.sleep(IDLE_TIMEOUT_S / 2)
         _send_then_block(caller, order[sent:])
         return await caller.read_reply()
 
@@ -254,7 +258,7 @@
 def _send_then_block(caller: Caller, payload: bytes) -> None:
     """Send bytes, and keep the event loop busy beyond all time limits."""
     caller.writer.write(payload)
-    time.sleep(HEADER_TIMEOUT_S + IDLE_TIMEOUT_S)
+    time.sleep(1.1 * ARRIVAL_TIMEOUT_S)
 
 
 @then(
@@ -279,6 +283,27 @@
         return await caller.read_reply()
 
 
+@then('a request that has arrived unread as the node ends gets an answer')
+def arrived_before_end(context: Any) -> None:
+    """Send a request to a busy node; end its connection before the reader runs."""
+    reply = asyncio.run(_send_as_node_ends())
+    assert reply is not None
+    assert reply.is_last
+
+
+async def _send_as_node_ends() -> Any:
+    service = echo_service(WORK_S)
+    async with connected_caller(service) as (caller, connection):
+        await caller.send(encode_order('/first'))
+        await caller.read_reply()
+        service.is_stopping = True
+        _send_then_block(caller, encode_order('/'))
+        connection.end()
+        await asyncio.sleep(WORK_S / 2)
+        connection.end()
+        return await caller.read_reply()
+
+
 @then(
     'a caller learns that its idle connection closes before the node does anything else'
 )
--- a/packages/node/src/lavendermountd/caller/connection.py
+++ b/packages/node/src/lavendermountd/caller/connection.py
@@ -242,8 +242,12 @@
                 self.stream.socket.shutdown(socket.SHUT_WR)
 
     def end(self) -> None:
-        """Answer what a stopping node can't complete, and accept no further request."""
-        self.state.end()
+        """Answer what a stopping node can't complete, and accept no further request.
+
+        While data is unread, a request that has arrived may be among it.
+        """
+        if not self.has_unread_data():
+            self.state.end()
         self.start_requests()
         for exchange in self.state.exchanges:
             exchange.end()
--- a/packages/node/src/lavendermountd/caller/exchange.py
+++ b/packages/node/src/lavendermountd/caller/exchange.py
@@ -114,7 +114,7 @@
 
     def end(self) -> None:
         """Answer a request that a stopping node can't complete."""
-        if self.task.done():
+        if self.task.done() or self.end_refusal is not None:
             return
         self.end_refusal = stopping_refusal()
         if self.routed is not None and self.service.may_have_run(self.routed):
--- a/packages/node/src/lavendermountd/shutdown.py
+++ b/packages/node/src/lavendermountd/shutdown.py
@@ -96,6 +96,7 @@
         self.node.peer_server.cancel_attempts()
         while self.has_work_before(deadline):
             await asyncio.sleep(STOP_POLL_S)
+            server.end_requests()
 
     def close_gate(self) -> None:
         """Admit no new requests to the target; queued ones go to other targets."""
