Process: signals before and after the event loop do not kill a node

Found by reading: SIGHUP while a node starts, and a second SIGTERM or SIGINT while one that has stopped exits, had their default effect, because the handlers belonged to the event loop.

Change: the command receives signals from its first line on, keeps those that come before the node can handle them, and ignores further ones once the node has stopped. Left: the start of the interpreter, before that line.

--- a/features/operations.feature
+++ b/features/operations.feature
@@ -9,6 +9,11 @@
     Then supervisors that are cancelled more than once let their children clean up
     And a process that does not exit by itself ends in time with its exit code
 
+  Scenario: Signals at an inconvenient time do not kill a node
+    Given a deployment of 1 nodes
+    Then a SIGHUP while a node reads its settings does not end it
+    And signals that go on until a stopping node has exited do not change its exit code
+
   Scenario: Every task of the node's supervision tree is restarted
     Given a deployment of 1 nodes
     Then a node still serves after each of its tasks was cancelled in turn
--- a/features/steps/exit_steps.py
+++ b/features/steps/exit_steps.py
@@ -3,19 +3,25 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import signal
 import subprocess
 import sys
 import time
+from pathlib import Path
 from typing import Any
 
 from behave import then
+from deployment_steps import instance_of
 
+from lavendermount_testbed.processes import wait_until
 from lavendermountd.supervision.supervisor import Child, Supervisor
 
 CLEANUP_S = 0.05
 EXIT_TIMEOUT_S = 0.2
 EXIT_CODE = 70
 MAX_RUN_S = 10.0
+SIGNAL_INTERVAL_S = 0.002
 # A worker thread that never ends keeps an interpreter from exiting.
 BLOCKED_PROCESS = f"""
 import threading
@@ -60,3 +66,32 @@
     )
     assert process.returncode == EXIT_CODE, process.returncode
     assert time.monotonic() - started_at >= EXIT_TIMEOUT_S
+
+
+@then('a SIGHUP while a node reads its settings does not end it')
+def hangup_at_start(context: Any) -> None:
+    """Restart a node with a pipe as its settings file, and signal before writing it."""
+    instance = instance_of(context, 1)
+    deployment = context.deployment
+    assert instance.node.terminate() == 0
+    path = Path(instance.node.arguments[-1])
+    path.unlink()
+    os.mkfifo(path)
+    instance.node.restart()
+    # Opening blocks until the node opens the other end.
+    with path.open('w') as pipe:
+        instance.node.popen.send_signal(signal.SIGHUP)
+        time.sleep(SIGNAL_INTERVAL_S)
+        pipe.write(deployment.node_settings(instance))
+    wait_until(instance.is_ready, 'the node is ready')
+
+
+@then('signals that go on until a stopping node has exited do not change its exit code')
+def signals_at_exit(context: Any) -> None:
+    """Send signals to a stopping node until it is gone."""
+    process = instance_of(context, 1).node
+    while process.is_running:
+        for signum in (signal.SIGTERM, signal.SIGHUP, signal.SIGINT):
+            process.popen.send_signal(signum)
+        time.sleep(SIGNAL_INTERVAL_S)
+    assert process.popen.returncode == 0, process.popen.returncode
--- a/packages/node/src/lavendermountd/__main__.py
+++ b/packages/node/src/lavendermountd/__main__.py
@@ -12,6 +12,7 @@
 import click
 
 from lavendermount_core.exceptions import LavendermountError
+from lavendermountd.process_signals import ProcessSignals
 
 SETTINGS_FILE = click.Path(path_type=Path, dir_okay=False)
 
@@ -35,9 +36,11 @@
 @click.argument('settings_file', type=SETTINGS_FILE)
 def run(settings_file: Path) -> None:
     """Run the node with a settings file until it is asked to stop."""
+    signals = ProcessSignals()
+    signals.install()
     from lavendermountd.commands.run import run_node
 
-    _run(lambda: run_node(settings_file))
+    _run(lambda: run_node(settings_file, signals))
 
 
 def _run(command: object) -> None:
--- a/packages/node/src/lavendermountd/process.py
+++ b/packages/node/src/lavendermountd/process.py
@@ -10,11 +10,13 @@
 import logging
 import signal
 from collections.abc import Callable
+from functools import partial
 
 from lavendermount_core.config.node import NodeSchema
 from lavendermount_core.exceptions import ConfigurationError
 from lavendermountd.exit_limit import limit_exit
 from lavendermountd.node import Node
+from lavendermountd.process_signals import ProcessSignals
 from lavendermountd.shutdown import GracefulShutdown
 from lavendermountd.supervisor_tree import NodeTree
 
@@ -28,20 +30,25 @@
 
 async def run_process(
     settings: NodeSchema,
+    signals: ProcessSignals,
     reload_settings: ReloadSettings | None = None,
 ) -> None:
     """Run a node until it is asked to stop.
 
     :param settings: validated settings.
+    :param signals: signals that the process receives.
     :param reload_settings: reads the settings again on SIGHUP; ``None`` if they
         are read only at startup.
     :raises SupervisionError: if the supervisor tree fails too often.
     """
     node = Node(settings)
-    loop = asyncio.get_running_loop()
-    for signum in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signum, node.stop_requested.set)
-    loop.add_signal_handler(signal.SIGHUP, _handle_reload, node, reload_settings)
+    signals.attach(
+        {
+            signal.SIGTERM: node.stop_requested.set,
+            signal.SIGINT: node.stop_requested.set,
+            signal.SIGHUP: partial(_handle_reload, node, reload_settings),
+        }
+    )
     tree = asyncio.create_task(NodeTree(node).root().run())
     stop = asyncio.create_task(node.stop_requested.wait())
     gc.freeze()
@@ -52,6 +59,7 @@
     await GracefulShutdown(node).run()
     limit_exit(EXIT_TIMEOUT_S, 0)
     await _close(node, tree)
+    signals.ignore()
 
 
 async def _close(node: Node, tree: asyncio.Task[None]) -> None:
