Stop: a node whose tasks fail too often answers what it has accepted

Found by reading: when the supervisor tree fails, the process ended with its error at once; all connections closed, with requests in progress.

Connections in the accept queue are accepted before the listener closes, whatever closes it.

The scenario failed before: no reply to an order that ran as the tree failed.

--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -29,6 +29,9 @@
     Then a request that a target runs at the end of the drain is answered as unknown
     And one that was not passed on, and one without its whole body, are refused as not run
 
+  Scenario: A node that fails cuts no accepted request
+    Then requests in progress are answered when the tasks of a node fail too often
+
   Scenario: A node that ends leaves no other node without an outcome
     Then an outcome counts as work until the other node has been sent all of it
     And an attempt that runs at the end of the drain gets the outcome unknown
--- a/features/steps/stop_end_steps.py
+++ b/features/steps/stop_end_steps.py
@@ -7,15 +7,17 @@
 import socket
 import time
 from typing import Any
-from unittest.mock import Mock
+from unittest.mock import AsyncMock, Mock, patch
 
 from behave import then
 from connection_builders import NOT_PASSED_ON, echo_service, encode_order
 from tornado.netutil import bind_sockets
 
+from lavendermountd import process
 from lavendermountd.caller.server import CallerServer
 from lavendermountd.caller.service import CallService
 from lavendermountd.shutdown import GracefulShutdown
+from lavendermountd.supervision.supervisor import SupervisionError
 
 HOST = '127.0.0.1'
 WORK_S = 0.1
@@ -31,13 +33,18 @@
     server = CallerServer(service)
     server.listeners = bind_sockets(0, HOST)
     server.add_sockets(server.listeners)
-    gate = Mock(admission=Mock(in_flight=0, queued=0))
     return Mock(
         service=service,
         caller_server=server,
-        peer_server=Mock(sessions=set()),
-        gate=gate,
+        peer_server=Mock(sessions=set(), close_after_replies=AsyncMock()),
+        gate=Mock(admission=Mock(in_flight=0, queued=0)),
         router=Mock(),
+        settings=Mock(drain_s=DRAIN_S, listen_s=WORK_S),
+        period_s=WORK_S,
+        gossip_nearby=AsyncMock(),
+        recorder=Mock(flush=AsyncMock()),
+        channels=Mock(close=AsyncMock()),
+        stop_requested=asyncio.Event(),
     )
 
 
@@ -69,6 +76,44 @@
         assert b'X-Outcome: not-run' in reply, reply
 
 
+@then('requests in progress are answered when the tasks of a node fail too often')
+def failure_answers(context: Any) -> None:
+    """Let the supervisor tree of a node fail while an order runs."""
+    callers: list[socket.socket] = []
+    try:
+        asyncio.run(_fail_with_order(callers))
+    except SupervisionError:
+        assert read_until_end(callers[0]).startswith(b'HTTP/1.1 200')
+        return
+    raise AssertionError('the failure was not raised')
+
+
+async def _fail_with_order(callers: list[socket.socket]) -> None:
+    service = echo_service(LONG_WORK_S / 10)
+    # The router of this node has neither attempts nor queues.
+    service.router.stops_at = 0
+    node = stopping_node(service)
+    callers.append(
+        socket.create_connection(node.caller_server.listeners[0].getsockname())
+    )
+    callers[0].sendall(encode_order('/order'))
+
+    async def fail_later() -> None:
+        await asyncio.sleep(WORK_S)
+        raise SupervisionError('a task failed too often')
+
+    tree = Mock(root=Mock(return_value=Mock(run=fail_later)))
+    with (
+        patch.object(process, 'Node', return_value=node),
+        patch.object(process, 'NodeTree', return_value=tree),
+        patch.object(process, 'limit_exit') as limit_exit,
+    ):
+        try:
+            await process.run_process(Mock(), Mock())
+        finally:
+            assert limit_exit.call_args.args[-1] == SupervisionError.exit_code
+
+
 def finish_work_with(orders: list[bytes], work_s: float, drain_s: float) -> list[bytes]:
     """Let a stopping node finish its work and end.
 
--- a/packages/node/src/lavendermountd/caller/server.py
+++ b/packages/node/src/lavendermountd/caller/server.py
@@ -65,7 +65,7 @@
         try:
             await asyncio.Event().wait()
         finally:
-            self.stop()
+            self.stop_listening()
 
     def stop_listening(self) -> None:
         """Stop accepting connections; open ones continue.
--- a/packages/node/src/lavendermountd/process.py
+++ b/packages/node/src/lavendermountd/process.py
@@ -18,6 +18,7 @@
 from lavendermountd.node import Node
 from lavendermountd.process_signals import ProcessSignals
 from lavendermountd.shutdown import GracefulShutdown
+from lavendermountd.supervision.supervisor import SupervisionError
 from lavendermountd.supervisor_tree import NodeTree
 
 log = logging.getLogger(__name__)
@@ -54,12 +55,14 @@
     gc.freeze()
     log.info('node-started', extra={'incarnation': node.identity.incarnation})
     await asyncio.wait({tree, stop}, return_when=asyncio.FIRST_COMPLETED)
-    if tree.done():
-        tree.result()
-    await GracefulShutdown(node).run()
-    limit_exit(EXIT_TIMEOUT_S, 0)
+    has_failed = tree.done()
+    # The tree listened for callers; without it, none can connect.
+    await GracefulShutdown(node, 0 if has_failed else None).run()
+    limit_exit(EXIT_TIMEOUT_S, SupervisionError.exit_code if has_failed else 0)
     await _close(node, tree)
     signals.ignore()
+    if has_failed:
+        tree.result()
 
 
 async def _close(node: Node, tree: asyncio.Task[None]) -> None:
--- a/packages/node/src/lavendermountd/shutdown.py
+++ b/packages/node/src/lavendermountd/shutdown.py
@@ -34,13 +34,18 @@
     """Takes a node out of service without interrupting requests.
 
     :param node: the node to stop.
+    :param listen_s: time for which it still accepts connections; ``None`` for that
+        of its settings.
     """
 
-    __slots__ = ('node',)
+    __slots__ = ('node', 'listen_s')
 
-    def __init__(self, node: Node) -> None:
-        """Store the node."""
+    def __init__(self, node: Node, listen_s: float | None = None) -> None:
+        """Store the node and the time."""
         self.node = node
+        if listen_s is None:
+            listen_s = node.settings.listen_s or node.period_s
+        self.listen_s = listen_s
 
     async def run(self) -> None:
         """Stop the node without interrupting requests in progress.
@@ -55,12 +60,11 @@
         log.info('node-stopping')
         self.node.phase = Phase.STOPPING
         started_at = time.monotonic()
-        listen_s = self.node.settings.listen_s or self.node.period_s
         ends_at = started_at + self.node.settings.drain_s - REPLY_MARGIN_S
-        self.node.service.begin_stop(StopSchedule(started_at + listen_s, ends_at))
-        await self.wait_until(started_at + listen_s - self.node.period_s)
+        self.node.service.begin_stop(StopSchedule(started_at + self.listen_s, ends_at))
+        await self.wait_until(started_at + self.listen_s - self.node.period_s)
         await self.announce_leaving()
-        await self.wait_until(started_at + listen_s)
+        await self.wait_until(started_at + self.listen_s)
         flushing = asyncio.create_task(self.node.recorder.flush())
         await self.finish_work(started_at + self.node.settings.drain_s)
         flushing.cancel()
