Soak: time in which the callers were late is not the node's

Only late ticks that came before the request ended were subtracted.

Now each late interval is subtracted as far as it overlaps the wait.

--- a/packages/testbed/src/lavendermount_testbed/loss_callers.py
+++ b/packages/testbed/src/lavendermount_testbed/loss_callers.py
@@ -59,6 +59,7 @@
 class SentRequest:
     """One request and how it ended.
 
+    ``idle_s`` is for how long its connection was unused, as its caller saw it,
     ``sent_at`` is when its last byte was sent, ``ended_at`` when the reply was
     complete or the connection closed.
 
@@ -74,6 +75,7 @@
         'method',
         'is_behind',
         'pattern',
+        'idle_s',
         'sent_at',
         'ended_at',
         'ending',
@@ -88,6 +90,7 @@
         self.method = method
         self.is_behind = is_behind
         self.pattern = ''
+        self.idle_s: float = 0
         self.sent_at: float = 0
         self.ended_at: float = 0
         self.ending = Ending.UNSENT
@@ -116,7 +119,15 @@
     :param writer: sends to the node.
     """
 
-    __slots__ = ('callers', 'node', 'reader', 'writer', 'pattern', 'is_open')
+    __slots__ = (
+        'callers',
+        'node',
+        'reader',
+        'writer',
+        'pattern',
+        'is_open',
+        'used_at',
+    )
 
     def __init__(
         self,
@@ -132,6 +143,7 @@
         self.writer = writer
         self.pattern = ''
         self.is_open = True
+        self.used_at = time.monotonic()
 
     @property
     def goes_on(self) -> bool:
@@ -154,6 +166,7 @@
         for method in methods:
             request = self.callers.create_request(self.node, method, bool(sent))
             request.pattern = self.pattern
+            request.idle_s = time.monotonic() - self.used_at
             sent.append(request)
             body = b'x' * body_bytes
             await self.send(request, self.encode(request, body), max_parts)
@@ -164,6 +177,7 @@
                 awaited.end(Ending.SILENT)
                 continue
             await self.read_reply(awaited)
+        self.used_at = time.monotonic()
 
     def encode(self, request: SentRequest, body: bytes) -> bytes:
         """Encode a request."""
@@ -298,7 +312,7 @@
         self.is_over = False
         self.requests: list[SentRequest] = []
         self.stray_counts = dict.fromkeys(ports, 0)
-        # Time of each late tick of the callers' event loop, and by how much.
+        # When each late tick of the callers' event loop was due, and when it came.
         self.lags: list[tuple[float, float]] = []
 
     @property
@@ -311,6 +325,11 @@
         """Maximum time between two parts of a request."""
         return min(self.timeout_s * MAX_PART_PAUSE_RATIO, MAX_PART_PAUSE_S)
 
+    @property
+    def late_s(self) -> float:
+        """Time for which the callers themselves were late, in the whole run."""
+        return sum(late_until - due_at for due_at, late_until in self.lags)
+
     def create_request(self, node: str, method: str, is_behind: bool) -> SentRequest:
         """Create the record of a request that is about to be sent."""
         run_id = f'{self.seed}-{len(self.requests)}'
@@ -320,7 +339,11 @@
 
     def lag_between(self, start: float, end: float) -> float:
         """Return for how long the callers themselves were late in a period."""
-        return sum(lag for at, lag in self.lags if start <= at <= end + LAG_TICK_S)
+        overlaps = (
+            min(late_until, end) - max(due_at, start)
+            for due_at, late_until in self.lags
+        )
+        return sum(overlap for overlap in overlaps if overlap > 0)
 
     async def run(self) -> None:
         """Use all connections until ``is_over``, and wait for the last replies."""
@@ -356,6 +379,6 @@
         while True:
             due_at = time.monotonic() + LAG_TICK_S
             await asyncio.sleep(LAG_TICK_S)
-            lag_s = time.monotonic() - due_at
-            if lag_s > LAG_TICK_S:
-                self.lags.append((due_at + lag_s, lag_s))
+            now = time.monotonic()
+            if now > due_at + LAG_TICK_S:
+                self.lags.append((due_at, now))
--- a/packages/testbed/src/lavendermount_testbed/loss_soak.py
+++ b/packages/testbed/src/lavendermount_testbed/loss_soak.py
@@ -119,6 +119,8 @@
         self.counts: Counter[str] = Counter()
         self.findings: list[str] = []
         self.announcement_count = 0
+        # Name under which each target announced itself last.
+        self.target_ids: dict[str, str] = {}
         self.preset_count = 0
         # Presets of which one must be in force after the run.
         self.allowed_presets: set[str] = set()
@@ -162,6 +164,8 @@
         self.switch_preset(FIRST_TIMEOUT_MS, 0)
         self.deployment.wait_ready()
         self.deployment.wait_for_members()
+        for instance in self.deployment.instances.values():
+            self.announce_ready(instance)
 
     def disturb(self, ends_at: float) -> None:
         """Start disturbances until a time, and wait until all have ended."""
@@ -224,7 +228,8 @@
     def announce_ready(self, instance: Instance) -> None:
         """Announce the target of a node as one that has just started."""
         self.announcement_count += 1
-        announce(instance, f'{instance.name}-{self.announcement_count}', 'ready')
+        self.target_ids[instance.name] = f'start-{self.announcement_count}'
+        announce(instance, self.target_ids[instance.name], 'ready')
 
     def switch_preset(self, timeout_ms: int, route_count: int) -> None:
         """Publish a preset and switch to it.
@@ -280,6 +285,8 @@
             'requests': len(requests),
             **endings,
             **statuses,
+            # While the callers are late, no time counts as waited.
+            'callers_late_ms': round(self.callers.late_s * MS_PER_S),
             'closed_behind': sum(1 for request in closed if request.is_behind),
             **self.counts,
             'findings': len(self.findings),
@@ -326,7 +333,7 @@
 @disturbances.register((Scope.PROCESS, 'leave'))
 def leave(soak: LossSoak, instance: Instance, rng: random.Random) -> None:
     """Announce that a target drains, and check what it gets after the drain bound."""
-    announce(instance, '', 'draining')
+    announce(instance, soak.target_ids[instance.name], 'draining')
     time.sleep(DRAIN_BOUND_S)
     earlier = run_counts(instance)
     time.sleep(LEAVE_S)
