--- a/packages/testbed/src/lavendermount_testbed/loss_callers.py
+++ b/packages/testbed/src/lavendermount_testbed/loss_callers.py
@@ -27,6 +27,7 @@
 MAX_PART_PAUSE_S = 1.0
 MAX_PARTS = 4
 MAX_BODY_BYTES = 3000
+MAX_LONG_BODY_BYTES = 1000000
 MAX_PIPELINED = 4
 RECONNECT_S = 0.1
 REPLY_TIMEOUT_S = 10.0
@@ -271,8 +272,9 @@
 async def send_in_parts(session: Session) -> None:
     """Send orders with a body, whose heads and bodies arrive in parts."""
     while session.goes_on:
-        size = session.callers.rng.randrange(MAX_BODY_BYTES)
-        await session.call(['POST'], MAX_PARTS, size)
+        rng = session.callers.rng
+        limit = rng.choice((MAX_BODY_BYTES, MAX_LONG_BODY_BYTES))
+        await session.call(['POST'], MAX_PARTS, rng.randrange(limit))
         await session.idle()
 
 
--- a/packages/testbed/src/lavendermount_testbed/target_server.py
+++ b/packages/testbed/src/lavendermount_testbed/target_server.py
@@ -48,7 +48,9 @@
     """Service time, faults and counters; set by name through ``/.control``.
 
     ``factor`` multiplies the service time, and ``fail_status`` is the status that
-    requests get without being run, 0 for none. ``asked`` counts the requests
+    requests get without being run, 0 for none. With ``answer_early``, a request is
+    answered once its head has arrived; with ``drop_reused``, a connection that was
+    used before is closed when the next request arrives. ``asked`` counts the requests
     received, ``started`` those run, ``ran`` and ``ran_posts`` runs by ``X-Run-Id``.
 
     :param service_ms: mean service time of a request.
@@ -64,6 +66,8 @@
         'retry_after',
         'truncate',
         'endless',
+        'answer_early',
+        'drop_reused',
         'second_copy_ms',
         'silent',
         'ran',
@@ -83,6 +87,8 @@
         self.retry_after = ''
         self.truncate = False
         self.endless = False
+        self.answer_early = False
+        self.drop_reused = False
         self.second_copy_ms = 0
         self.silent = False
         self.ran: Counter[str] = Counter()
@@ -116,6 +122,7 @@
     :param server: the target.
     :param connection: connection that the reply is written to.
     :param opened_at: time of the first request on the connection.
+    :param is_reused: whether the connection was used before.
     """
 
     def __init__(
@@ -123,9 +130,12 @@
         server: TargetServer,
         connection: HTTPConnection,
         opened_at: float,
+        is_reused: bool,
     ) -> None:
         """Start without a request."""
         self.opened_at = opened_at
+        self.is_reused = is_reused
+        self.is_started = False
         self.server = server
         self.connection = connection
         self.start_line = RequestStartLine('', '', '')
@@ -141,13 +151,26 @@
         assert isinstance(start_line, RequestStartLine)
         self.start_line = start_line
         self.headers = headers
+        if start_line.path == CONTROL_PATH:
+            return
+        behaviour = self.server.behaviour
+        if behaviour.drop_reused and self.is_reused:
+            self.connection.stream.close()  # type: ignore[attr-defined]
+        elif behaviour.answer_early:
+            self.start_response()
 
     def data_received(self, chunk: bytes) -> None:
         """Store a chunk of the body."""
         self.body_chunks.append(chunk)
 
     def finish(self) -> None:
+        """Respond to the request, unless that was done early."""
+        if not self.is_started:
+            self.start_response()
+
+    def start_response(self) -> None:
         """Start a task that responds to the request."""
+        self.is_started = True
         task = asyncio.create_task(self.respond())
         self.server.tasks.add(task)
         task.add_done_callback(self.server.tasks.discard)
@@ -313,8 +336,9 @@
         request_conn: HTTPConnection,
     ) -> HTTPMessageDelegate:
         """Create the exchange of a request; called by tornado."""
+        is_reused = server_conn in self.opened_at
         opened_at = self.opened_at.setdefault(server_conn, time.monotonic())
-        return TargetExchange(self, request_conn, opened_at)
+        return TargetExchange(self, request_conn, opened_at, is_reused)
 
 
 async def run_target(settings_file: Path) -> None:
