Time limits: what has arrived from targets, nodes and the log is used

Callers saw orders end as "unknown" (502, 504) although their target had answered in time, and refusals because a sound target counted as down.

While the event loop of a node is busy, bytes wait in the kernel; when it returns, timers that are due run before the tasks that read. A stall of 0.3 s was enough to close a link as silent, with all its attempts, and to mark a target as down that had accepted the connection.

Change: one mechanism, lavendermount_core.utils.deadlines. Before a time limit acts, the event loop makes four passes over its sockets and tasks. It is used by links, attempts, lookups of outcomes, queues, connections, health checks, hedges, claims and reads of the log.

Ruled out by a trial: control calls. gRPC receives in a thread of its own; 15 of 15 calls with a limit of 0.3 s succeeded over a stall of 0.7 s, unless the call was made in the pass of the stall (10 of 10 failed, not sent).

--- a/packages/core/src/lavendermount_core/log/transfer.py
+++ b/packages/core/src/lavendermount_core/log/transfer.py
@@ -14,28 +14,27 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+from lavendermount_core.utils.deadlines import Deadline, deadline_in
 from lavendermount_core.utils.units import MS_PER_S
 
 
 class SilenceLimit:
     """Time limit that each part of an answer extends.
 
-    :param timeout: the running timeout.
+    :param deadline: the running time limit.
     :param silence_s: longest time without a byte.
     """
 
-    __slots__ = ('timeout', 'silence_s')
+    __slots__ = ('deadline', 'silence_s')
 
-    def __init__(self, timeout: asyncio.Timeout, silence_s: float) -> None:
+    def __init__(self, deadline: Deadline, silence_s: float) -> None:
         """Initialize the fields."""
-        self.timeout = timeout
+        self.deadline = deadline
         self.silence_s = silence_s
 
     def extend(self) -> None:
         """Start the silence anew, unless it was too long already."""
-        if not self.timeout.expired():
-            now = asyncio.get_running_loop().time()
-            self.timeout.reschedule(now + self.silence_s)
+        self.deadline.move(asyncio.get_running_loop().time() + self.silence_s)
 
 
 class Transfer:
@@ -78,8 +77,8 @@
         :param silence_s: longest time without a byte.
         :raises TimeoutError: if it takes longer.
         """
-        async with asyncio.timeout(wait_s + silence_s) as timeout:
-            limit = SilenceLimit(timeout, silence_s)
+        async with deadline_in(wait_s + silence_s) as deadline:
+            limit = SilenceLimit(deadline, silence_s)
             self.limits.append(limit)
             try:
                 yield
--- a/packages/node/src/lavendermountd/claims/claims.py
+++ b/packages/node/src/lavendermountd/claims/claims.py
@@ -34,6 +34,7 @@
     not_run_refusal,
     unknown_refusal,
 )
+from lavendermount_core.utils.deadlines import Deadline, deadline_in
 from lavendermount_core.utils.digests import random_identifier
 from lavendermountd.claims.holders import HolderClient, HolderResponse
 from lavendermountd.claims.records import (
@@ -247,7 +248,7 @@
         if local.claim.payload != _payload_digest(request):
             return Failure(_reused_key_refusal())
         try:
-            async with asyncio.timeout_at(request.deadline):
+            async with Deadline(request.deadline):
                 return await asyncio.shield(local.outcome_future)
         except TimeoutError:
             return Failure(_still_running_refusal())
@@ -260,7 +261,7 @@
     ) -> AttemptResult:
         """Claim the key and run the request if the claim wins."""
         try:
-            async with asyncio.timeout_at(request.deadline):
+            async with Deadline(request.deadline):
                 settled_outcome = await self.acquire_or_query_holder(local, request)
         except (LogUnavailableError, TimeoutError) as error:
             cause = str(error) or 'no answer from the log before the deadline'
@@ -373,7 +374,7 @@
         release = Release(local.claim.claim_id, local.claim.key)
         stream = self.stream(request.call_class.service)
         try:
-            async with asyncio.timeout(RELEASE_TIMEOUT_S):
+            async with deadline_in(RELEASE_TIMEOUT_S):
                 await stream.append(release)
         except (LogUnavailableError, TimeoutError) as error:
             cause = str(error) or f'no answer from the log in {RELEASE_TIMEOUT_S} s'
--- a/packages/node/src/lavendermountd/gate/gate.py
+++ b/packages/node/src/lavendermountd/gate/gate.py
@@ -25,6 +25,7 @@
     unknown_refusal,
 )
 from lavendermount_core.models.loads import LoadReport
+from lavendermount_core.utils.deadlines import Deadline
 from lavendermount_core.utils.units import MS_PER_S
 from lavendermountd.dialects.base import Dialect, ReplyMetadata, TargetLoad
 from lavendermountd.gate.admission import Admission
@@ -255,7 +256,7 @@
         attempt.started_at = started_at
         self.target.begin(attempt.attempt_id, started_at)
         try:
-            async with asyncio.timeout_at(attempt.request.deadline):
+            async with Deadline(attempt.request.deadline):
                 answer = await self.client.exchange(attempt)
         except TargetError as error:
             return Failure(await self.refusal_for(attempt, error))
--- a/packages/node/src/lavendermountd/gate/queue.py
+++ b/packages/node/src/lavendermountd/gate/queue.py
@@ -20,6 +20,7 @@
     Refusal,
     not_run_refusal,
 )
+from lavendermount_core.utils.deadlines import Deadline
 from lavendermount_core.utils.units import MS_PER_S
 from lavendermountd.gate.admission import Admission, wait_cause
 from lavendermountd.gate.cost_order import CostOrder
@@ -102,7 +103,7 @@
         if ticket.patience_s:
             give_up_at = min(give_up_at, time.monotonic() + ticket.patience_s)
         try:
-            async with asyncio.timeout_at(give_up_at):
+            async with Deadline(give_up_at):
                 has_slot = await ticket.slot_granted
         except TimeoutError:
             self.cancel_wait(ticket)
--- a/packages/node/src/lavendermountd/gate/silence.py
+++ b/packages/node/src/lavendermountd/gate/silence.py
@@ -14,6 +14,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from lavendermount_core.utils.deadlines import AfterReads
 from lavendermount_core.utils.units import MS_PER_S
 from lavendermountd.http1.client import HttpConnection
 
@@ -45,17 +46,24 @@
             SERVICE_TIME_FACTOR * client.target.service_ms / MS_PER_S
         )
         self.interval_s = max(client.silence_timeout_s, scaled_service_time_s)
+        self.timer: asyncio.TimerHandle | AfterReads = self.schedule_check()
+
+    def schedule_check(self) -> asyncio.TimerHandle:
+        """Schedule the next check."""
         loop = asyncio.get_running_loop()
-        self.timer = loop.call_later(self.interval_s, self.check)
+        return loop.call_later(self.interval_s, self.check)
 
     def check(self) -> None:
+        """Check the connection once the replies that have arrived are processed."""
+        self.timer = AfterReads(self.close_if_broken)
+
+    def close_if_broken(self) -> None:
         """Close the connection if it is presumably broken, or check again later."""
         has_later_reply = self.client.last_replied_exchange > self.exchange_number
         if has_later_reply or self.client.active_exchanges == 1:
             self.connection.close()
             return
-        loop = asyncio.get_running_loop()
-        self.timer = loop.call_later(self.interval_s, self.check)
+        self.timer = self.schedule_check()
 
     def stop(self) -> None:
         """Cancel the next check."""
--- a/packages/node/src/lavendermountd/gate/target_monitor.py
+++ b/packages/node/src/lavendermountd/gate/target_monitor.py
@@ -11,6 +11,7 @@
 import logging
 import time
 
+from lavendermount_core.utils.deadlines import deadline_in
 from lavendermountd.dialects.base import ReplyMetadata
 from lavendermountd.gate.gate import Gate
 from lavendermountd.gate.reports import TargetReport
@@ -72,7 +73,7 @@
         if not self.probe_s or not self.health_path:
             return
         try:
-            async with asyncio.timeout(REFRESH_TIMEOUT_S):
+            async with deadline_in(REFRESH_TIMEOUT_S):
                 await self.probe_if_due(self.probe_s / 4)
         except TimeoutError:
             log.debug('load-refresh-timeout')
@@ -121,7 +122,7 @@
     async def check_health(self, connection: HttpConnection) -> None:
         """Request the health of the target and apply the reply."""
         try:
-            async with asyncio.timeout(HEALTH_TIMEOUT_S):
+            async with deadline_in(HEALTH_TIMEOUT_S):
                 reply = await connection.exchange(self.health_request())
         except (ExchangeError, TimeoutError) as error:
             log.debug('health-unanswered', extra={'cause': repr(error)})
--- a/packages/node/src/lavendermountd/http1/client.py
+++ b/packages/node/src/lavendermountd/http1/client.py
@@ -14,6 +14,7 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
+from lavendermount_core.utils.deadlines import deadline_in
 from lavendermountd.http1.messages import WireReply
 from lavendermountd.http1.reply_parser import ReplyError, ReplyParser
 
@@ -199,7 +200,7 @@
     """
     stream = IOStream(socket.socket())
     try:
-        async with asyncio.timeout(timeout_s):
+        async with deadline_in(timeout_s):
             await stream.connect((host, port))
     except (StreamClosedError, TimeoutError) as error:
         stream.close()
--- a/packages/node/src/lavendermountd/peer/link.py
+++ b/packages/node/src/lavendermountd/peer/link.py
@@ -20,6 +20,7 @@
 from lavendermount_core.models.loads import LoadReport
 from lavendermount_core.models.members import Member
 from lavendermount_core.models.records import Record
+from lavendermount_core.utils.deadlines import AfterReads, deadline_in
 from lavendermount_core.utils.registry import Registry
 from lavendermountd.gate.attempts import AttemptResult
 from lavendermountd.peer.bodies import BodyAssembler
@@ -99,7 +100,7 @@
         self.pending: dict[str, asyncio.Future[AttemptResult]] = {}
         self.last_received_at = time.monotonic()
         self.last_ping_at: float = 0
-        self.silence_timer: asyncio.TimerHandle | None = None
+        self.silence_timer: asyncio.TimerHandle | AfterReads | None = None
         self.reader: asyncio.Task[None] | None = None
         self.frames: FrameStream = None  # type: ignore[assignment]
         self.on_ping_sent: Callable[[Member, int], None] | None = None
@@ -120,7 +121,7 @@
         stream = IOStream(socket.socket())
         address = (self.host, self.member.peer_port)
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            async with deadline_in(CONNECT_TIMEOUT_S):
                 await stream.connect(address)
         except (StreamClosedError, OSError, TimeoutError) as error:
             stream.close()
@@ -215,28 +216,37 @@
         self.silence_timer = None
         if not self.pending or not self.is_open:
             return
-        heard_at = max(self.last_received_at, self.frames.last_received_at)
-        silence_s = time.monotonic() - heard_at
-        if self.is_silent(silence_s):
-            log.warning('link-silent', extra={'peer': self.member.node_id})
-            self.close()
+        if self.is_silent():
+            self.silence_timer = AfterReads(self.close_if_silent)
             return
-        if silence_s >= self.silence_timeout_s / CHECKS_PER_SILENCE_TIMEOUT:
+        if self.silence_s() >= self.silence_timeout_s / CHECKS_PER_SILENCE_TIMEOUT:
             self.ping()
         self.schedule_silence_check()
 
-    def is_silent(self, silence_s: float) -> bool:
+    def close_if_silent(self) -> None:
+        """Close the link unless a frame had arrived that was not processed."""
+        if not self.pending or not self.is_open or not self.is_silent():
+            self.check_silence()
+            return
+        log.warning('link-silent', extra={'peer': self.member.node_id})
+        self.close()
+
+    def silence_s(self) -> float:
+        """Return the time since the last part of a frame was received."""
+        heard_at = max(self.last_received_at, self.frames.last_received_at)
+        return time.monotonic() - heard_at
+
+    def is_silent(self) -> bool:
         """Return whether the peer failed to respond to a ping in time.
 
         The timeout is extended while data is being written, because the ping
         may be queued behind a large body.
-
-        :param silence_s: time since the last frame was received.
         """
         timeout_s = self.silence_timeout_s
         if self.frames.stream.writing():
             timeout_s *= WRITING_TIMEOUT_FACTOR
-        return silence_s >= timeout_s and self.last_ping_at > self.last_received_at
+        is_unanswered = self.last_ping_at > self.last_received_at
+        return is_unanswered and self.silence_s() >= timeout_s
 
     def ping(self) -> None:
         """Send a ping unless one was sent since the last received frame."""
--- a/packages/node/src/lavendermountd/routing/router.py
+++ b/packages/node/src/lavendermountd/routing/router.py
@@ -26,6 +26,7 @@
 )
 from lavendermount_core.models.loads import LoadReport
 from lavendermount_core.routing.expected_time import SLOWNESS_THRESHOLD
+from lavendermount_core.utils.deadlines import process_arrived
 from lavendermount_core.utils.units import MS_PER_S
 from lavendermountd.gate.attempts import AttemptResult, outcome_label
 from lavendermountd.gate.suspects import SuspectTable, Verdict
@@ -451,6 +452,8 @@
             timeout=timeout_s,
             return_when=asyncio.FIRST_COMPLETED,
         )
+        if not any(map(asyncio.Future.done, awaited)):
+            await process_arrived()
     except asyncio.CancelledError:
         for task in tasks:
             task.cancel()
--- a/packages/node/src/lavendermountd/routing/sender.py
+++ b/packages/node/src/lavendermountd/routing/sender.py
@@ -16,6 +16,7 @@
 from lavendermount_core.exceptions import PeerLinkError
 from lavendermount_core.models.calls import Reason, not_run_refusal, unknown_refusal
 from lavendermount_core.models.members import Member
+from lavendermount_core.utils.deadlines import Deadline
 from lavendermount_core.utils.units import MS_PER_S
 from lavendermountd.gate.attempts import Attempt, AttemptResult
 from lavendermountd.gate.gate import Gate
@@ -76,7 +77,7 @@
         frame = _dispatch_frame(state, member, attempt_id, patience_s)
         sent_at = time.monotonic()
         try:
-            async with asyncio.timeout_at(state.request.deadline):
+            async with Deadline(state.request.deadline):
                 return await link.dispatch(frame, state.request.body)
         except PeerLinkError:
             return await self.query_outcome(state, member, attempt_id, sent_at)
@@ -132,7 +133,7 @@
         """
         for _ in range(QUERY_ATTEMPTS):
             try:
-                async with asyncio.timeout_at(state.request.deadline):
+                async with Deadline(state.request.deadline):
                     return await self.query_once(member, attempt_id, sent_at)
             except PeerLinkError as error:
                 log.info(
