Links: a body within the limit of one node breaks no link to another node

Callers saw all requests on a link between two nodes fail, orders among them as "unknown", because one request was larger than the limit of the other node.

Cause: each end of a link checked bodies against the limit that was in force when the link was opened, and closed the link on a larger one. While a preset raises the limit, and on links opened before, that is any order above the old limit. Kept connections to a target also had an old limit for replies.

Change: the limits of a preset apply where a body enters, at the node that reads it from a caller or a target. Refusing the one request was weighed: every config that may be in force allows it, and a refused reply would belong to an order that has run.

The scenario failed before (both ends logged a malformed frame, and the small order beside the large one got no reply); it passes now.

--- /dev/null
+++ b/features/links.feature
@@ -0,0 +1,4 @@
+Feature: A fault of one request on a link between nodes leaves the other requests alone
+
+  Scenario: A body within the limit of one node does not break the links to nodes with a lower limit
+    Then an order and its reply pass between nodes that have different body limits in force
--- a/features/stall_builders.py
+++ b/features/stall_builders.py
@@ -8,6 +8,8 @@
 import threading
 import time
 from collections.abc import AsyncIterator, Callable, Iterator
+from functools import partial
+from typing import BinaryIO
 from unittest.mock import Mock
 
 from builders import DEALER, call_request, gate_with_target, member, preset_snapshot
@@ -24,8 +26,7 @@
 from lavendermountd.routing.sender import Sender
 from lavendermountd.supervision.freeze import FreezeGuard
 
-HEAD_END = b'\r\n\r\n'
-READ_BYTES = 65536
+HEAD_END_LINE = b'\r\n'
 # Time after which the limits pass that the tests set.
 LIMIT_S = 1.0
 # By how much a stall outlasts such a limit.
@@ -42,21 +43,28 @@
 
 
 class HeldReplies:
-    """A target that holds its replies back until the event loop is busy."""
+    """A target that holds its replies back until a test allows them.
 
-    def __init__(self) -> None:
+    :param reply_body: body of each reply.
+    """
+
+    def __init__(self, reply_body: bytes = REPLY_BODY) -> None:
         """Start without requests."""
+        self.reply_body = reply_body
+        self.request_sizes: list[int] = []
         self.received = threading.Event()
         self.may_reply = threading.Event()
         self.replied = threading.Event()
 
     def serve(self, connection: socket.socket) -> None:
         """Answer the requests of a connection, each once that is allowed."""
-        while read_head(connection):
-            self.received.set()
-            self.may_reply.wait()
-            connection.sendall(encode_reply(REPLY_BODY))
-            self.replied.set()
+        with connection.makefile('rb') as stream:
+            for body in iter(partial(read_request, stream), None):
+                self.request_sizes.append(len(body))
+                self.received.set()
+                self.may_reply.wait()
+                connection.sendall(encode_reply(self.reply_body))
+                self.replied.set()
 
     async def wait_until_received(self) -> None:
         """Wait until the target has received a request."""
@@ -82,15 +90,16 @@
     time.sleep(max(0, limit_at - time.monotonic()) + EXCESS_S)
 
 
-def read_head(connection: socket.socket) -> bytes:
-    """Read the head of a request without a body; empty at the end."""
-    head = b''
-    while not head.endswith(HEAD_END):
-        part = connection.recv(READ_BYTES)
-        if not part:
-            return b''
-        head += part
-    return head
+def read_request(stream: BinaryIO) -> bytes | None:
+    """Read a request and return its body; ``None`` at the end of the connection."""
+    size = 0
+    for line in iter(stream.readline, HEAD_END_LINE):
+        if not line:
+            return None
+        name, _, text = line.partition(b':')
+        if name.lower() == b'content-length':
+            size = int(text)
+    return stream.read(size)
 
 
 @contextlib.contextmanager
--- a/packages/core/src/lavendermount_core/config/preset.py
+++ b/packages/core/src/lavendermount_core/config/preset.py
@@ -12,6 +12,7 @@
 from lavendermount_core.config.findings import Finding
 from lavendermount_core.config.loader import load_text
 from lavendermount_core.routing.policies import policy_names
+from lavendermount_core.utils.units import MAX_BODY_BYTES
 
 SAFE_METHODS = ('GET', 'HEAD', 'OPTIONS')
 FIRST_MATCH = 'first-match'
@@ -410,7 +411,7 @@
         'Maximum size of the body of a request or reply.',
         'bytes',
         low=1024,
-        high=1024**3,
+        high=MAX_BODY_BYTES,
     )
     connections = opt.Integer(
         200,
--- a/packages/core/src/lavendermount_core/utils/units.py
+++ b/packages/core/src/lavendermount_core/utils/units.py
@@ -10,3 +10,5 @@
 MS_PER_S: Final = 1000
 NS_PER_MS: Final = 1_000_000
 DEFAULT_MAX_BODY_BYTES: Final = 16_777_216
+# Largest limit that a preset may set.
+MAX_BODY_BYTES: Final = 1_073_741_824
--- a/packages/node/src/lavendermountd/gate/target_client.py
+++ b/packages/node/src/lavendermountd/gate/target_client.py
@@ -140,6 +140,7 @@
         """Send the request and read its reply."""
         self.exchange_count += 1
         number = self.exchange_count
+        connection.parser.max_body = self.max_body
         attempt.progress = Progress.WRITTEN
         attempt.target_start_number = self.target.start_number
         try:
--- a/packages/node/src/lavendermountd/peer/bodies.py
+++ b/packages/node/src/lavendermountd/peer/bodies.py
@@ -1,13 +1,16 @@
 """Reassembly of bodies that are split over several frames.
 
+The limits of the preset are applied where a body enters: by the node that receives it
+from a caller or a target. While a preset changes them, the nodes have different limits.
+
 :units: bytes.
-:errors: ``RecordError`` for a part of an unknown attempt, or for more bytes than
-    announced.
+:errors: ``RecordError`` for more bytes than announced.
 """
 
 from __future__ import annotations
 
 from lavendermount_core.exceptions import RecordError
+from lavendermount_core.utils.units import MAX_BODY_BYTES
 from lavendermountd.peer.frames import Answer, BodyPart, Dispatch
 
 
@@ -44,26 +47,22 @@
 
 
 class BodyAssembler:
-    """The partially received bodies of one connection, by attempt.
-
-    :param max_body_bytes: largest accepted body.
-    """
+    """The partially received bodies of one connection, by attempt."""
 
-    __slots__ = ('max_body_bytes', 'incomplete')
+    __slots__ = ('incomplete',)
 
-    def __init__(self, max_body_bytes: int) -> None:
+    def __init__(self) -> None:
         """Start with no partial body."""
-        self.max_body_bytes = max_body_bytes
         self.incomplete: dict[str, PartialBody] = {}
 
     def begin(self, head: Dispatch | Answer) -> bool:
         """Process a head frame.
 
-        :raises RecordError: if the announced size exceeds the limit or is
+        :raises RecordError: if no preset allows the announced size, or if it is
             smaller than the first part.
         :returns: whether its body is already complete.
         """
-        if head.body_size > self.max_body_bytes or head.body_size < len(head.body):
+        if head.body_size > MAX_BODY_BYTES or head.body_size < len(head.body):
             raise RecordError('announced body size is out of bounds')
         if head.body_size == len(head.body):
             return True
@@ -73,10 +72,9 @@
     def add(self, part: BodyPart) -> Dispatch | Answer | None:
         """Process a body part.
 
-        :raises RecordError: if no body of this attempt is incomplete, or if the
-            part exceeds the announced size.
-        :returns: the head frame with the complete body, or ``None`` if parts
-            are missing.
+        :raises RecordError: if the part exceeds the announced size.
+        :returns: the head frame with the complete body; ``None`` if parts are
+            missing, or if the body was discarded.
         """
         body = self.incomplete.get(part.attempt_id)
         if body is None:
--- a/packages/node/src/lavendermountd/peer/link.py
+++ b/packages/node/src/lavendermountd/peer/link.py
@@ -59,7 +59,6 @@
     :param host: IP address of the node.
     :param on_load: called with each load report.
     :param on_suspect: called with each crash suspicion.
-    :param max_body: largest accepted body of a reply in bytes.
     :param silence_timeout_s: silence timeout, after which the link is closed.
     """
 
@@ -87,7 +86,6 @@
         host: str,
         on_load: Callable[[LoadReport], object],
         on_suspect: Callable[[CrashSuspicion], object],
-        max_body: int,
         silence_timeout_s: float,
     ) -> None:
         """Create the link without connecting it; ``open`` connects it."""
@@ -95,7 +93,7 @@
         self.host = host
         self.on_load = on_load
         self.on_suspect = on_suspect
-        self.bodies = BodyAssembler(max_body)
+        self.bodies = BodyAssembler()
         self.silence_timeout_s = silence_timeout_s
         self.pending: dict[str, asyncio.Future[AttemptResult]] = {}
         self.last_received_at = time.monotonic()
--- a/packages/node/src/lavendermountd/peer/link_pool.py
+++ b/packages/node/src/lavendermountd/peer/link_pool.py
@@ -14,7 +14,6 @@
 from lavendermount_core.models.loads import LoadReport
 from lavendermount_core.models.members import Member
 from lavendermount_core.models.records import Record
-from lavendermount_core.utils.units import DEFAULT_MAX_BODY_BYTES
 from lavendermountd.identity import Identity
 from lavendermountd.peer.backoff import NodeBackoff
 from lavendermountd.peer.frames import CrashSuspicion
@@ -43,7 +42,6 @@
         self.links: dict[str, PeerLink] = {}
         self.locks: dict[str, asyncio.Lock] = {}
         self.backoff = NodeBackoff()
-        self.max_body = DEFAULT_MAX_BODY_BYTES
         self.silence_timeout_s = 0.3
         self.on_ping_sent: Callable[[Member, int], None] | None = None
         self.meter: TrafficMeter | None = None
@@ -85,7 +83,6 @@
             self.identity.host_of(member),
             self.on_load_report,
             self.on_suspect,
-            self.max_body,
             self.silence_timeout_s,
         )
         link.on_ping_sent = self.on_ping_sent
--- a/packages/node/src/lavendermountd/peer/server.py
+++ b/packages/node/src/lavendermountd/peer/server.py
@@ -27,7 +27,7 @@
 from lavendermount_core.models.records import Record
 from lavendermount_core.routing.candidates import Distance
 from lavendermount_core.utils.registry import Registry
-from lavendermount_core.utils.units import DEFAULT_MAX_BODY_BYTES, MS_PER_S
+from lavendermount_core.utils.units import MS_PER_S
 from lavendermountd.allotments.owner import AllotmentOwner
 from lavendermountd.gate.attempts import Attempt, AttemptResult
 from lavendermountd.gate.gate import Gate
@@ -66,7 +66,6 @@
 
     :param stream: the connection.
     :param gate: gate that runs the requests.
-    :param max_body: largest accepted body in bytes.
     """
 
     __slots__ = (
@@ -79,11 +78,11 @@
         'allotments',
     )
 
-    def __init__(self, stream: FrameStream, gate: Gate, max_body: int) -> None:
+    def __init__(self, stream: FrameStream, gate: Gate) -> None:
         """Take ownership of the connection."""
         self.frames = stream
         self.gate = gate
-        self.bodies = BodyAssembler(max_body)
+        self.bodies = BodyAssembler()
         self.tasks: set[asyncio.Task[None]] = set()
         self.last_dispatch_at: float = 0
         # Whether the other node is in another zone.
@@ -198,11 +197,18 @@
 
     def refuse_other_service(self, frame: Dispatch) -> None:
         """Refuse a request for a service that the target doesn't provide."""
-        refusal = not_run_refusal(
-            Reason.OTHER_SERVICE, 'the node does not serve the service of the request'
+        self.refuse(
+            frame.attempt_id,
+            not_run_refusal(
+                Reason.OTHER_SERVICE,
+                'the node does not serve the service of the request',
+            ),
         )
+
+    def refuse(self, attempt_id: str, refusal: Refusal) -> None:
+        """Send the refusal of a request that did not reach the gate."""
         load = self.gate.load().to_row()
-        self.frames.send(Refused(frame.attempt_id, refusal.to_row(), load))
+        self.frames.send(Refused(attempt_id, refusal.to_row(), load))
 
 
 @frame_handlers.register(Dispatch)
@@ -305,7 +311,6 @@
         super().__init__()
         self.gate = gate
         self.guard = guard
-        self.max_body = DEFAULT_MAX_BODY_BYTES
         self.sessions: set[PeerSession] = set()
         self.meter: TrafficMeter | None = None
         self.allotments: AllotmentOwner | None = None
@@ -314,7 +319,7 @@
 
     async def handle_stream(self, stream: IOStream, address: object) -> None:
         """Serve one connection until it closes."""
-        session = PeerSession(FrameStream(stream), self.gate, self.max_body)
+        session = PeerSession(FrameStream(stream), self.gate)
         session.allotments = self.allotments
         if self.meter is not None:
             host = str(stream.socket.getpeername()[0])
