Links: an order cancelled while its body arrives does not run

Callers that left while a large order was on its way to the target's node had it run nevertheless; of a body that was never completed, the parts stayed in memory for as long as the link was open.

Cause: a cancellation was looked up among the attempts, and an attempt exists only from the last part of its body on.

Change: a cancellation discards an incomplete body, and the attempt is refused as not run. Parts of a body that is not known are ignored; they closed the link and failed all its requests. By reading, the sender sends none after a hard cancellation, but it does after one that only stops waiting.

The step failed before (the order ran) and passes now.

--- a/features/steps/link_steps.py
+++ b/features/steps/link_steps.py
@@ -8,6 +8,7 @@
 from behave import then
 from stall_builders import (
     HeldReplies,
+    ThreadedNode,
     connected_sender,
     order,
     state_of,
@@ -17,9 +18,11 @@
 from lavendermount_core.models.members import Member
 from lavendermount_core.utils.units import DEFAULT_MAX_BODY_BYTES
 from lavendermountd.gate.attempts import AttemptResult
+from lavendermountd.peer.frames import BodyPart, Cancel, Dispatch
 
 DEADLINE_S = 10.0
 LARGE_BODY = bytes(DEFAULT_MAX_BODY_BYTES + 1)
+PART_BYTES = 1000
 
 
 @then(
@@ -47,3 +50,35 @@
         target.may_reply.set()
         large = sender.send(state_of(order(DEADLINE_S, LARGE_BODY)), peer, 'a-2')
         return list(await asyncio.gather(small, large))
+
+
+@then(
+    'an order that is cancelled while its body arrives does not run, and its link goes on'
+)
+def cancelled_body(context: Any) -> None:
+    """Cancel an order after the first of its two parts; send the second one late."""
+    target = HeldReplies()
+    target.may_reply.set()
+    with threaded_node(target.serve) as (node, peer):
+        outcome, is_open = asyncio.run(_cancel_body(node, peer))
+        assert not any(session.bodies.incomplete for session in node.server.sessions)
+    assert outcome.unwrap().status == 200
+    assert is_open
+    assert target.request_sizes == [0]
+
+
+async def _cancel_body(node: ThreadedNode, peer: Member) -> tuple[AttemptResult, bool]:
+    request = order(DEADLINE_S)
+    row = request.call_class.to_row()
+    part = bytes(PART_BYTES)
+    async with connected_sender() as sender:
+        link = await sender.links.get(peer)
+        link.frames.send(
+            Dispatch(
+                'a-1', 1, 'POST', '/', [], row, 9000, 0, 0, 'f', 2 * PART_BYTES, part
+            )
+        )
+        link.frames.send(Cancel('a-1', is_waiting_only=True))
+        link.frames.send(BodyPart('a-1', part))
+        outcome = await sender.send(state_of(request), peer, 'a-2')
+        return outcome, link.is_open
--- a/packages/node/src/lavendermountd/peer/bodies.py
+++ b/packages/node/src/lavendermountd/peer/bodies.py
@@ -78,9 +78,16 @@
         """
         body = self.incomplete.get(part.attempt_id)
         if body is None:
-            raise RecordError('body part for an unknown attempt')
+            return None
         body.add(part.body)
         if not body.is_complete:
             return None
         self.incomplete.pop(part.attempt_id)
         return body.assemble()
+
+    def discard(self, attempt_id: str) -> bool:
+        """Discard the body of an attempt; parts that follow are ignored.
+
+        :returns: whether it was incomplete.
+        """
+        return self.incomplete.pop(attempt_id, None) is not None
--- a/packages/node/src/lavendermountd/peer/server.py
+++ b/packages/node/src/lavendermountd/peer/server.py
@@ -205,6 +205,14 @@
             ),
         )
 
+    def cancel(self, frame: Cancel) -> None:
+        """Cancel an attempt, also one whose body is not complete."""
+        if not self.bodies.discard(frame.attempt_id):
+            self.gate.cancel(frame.attempt_id, frame.is_waiting_only)
+            return
+        detail = 'the attempt was cancelled before its body had arrived'
+        self.refuse(frame.attempt_id, not_run_refusal(Reason.CANCELLED, detail))
+
     def refuse(self, attempt_id: str, refusal: Refusal) -> None:
         """Send the refusal of a request that did not reach the gate."""
         load = self.gate.load().to_row()
@@ -232,7 +240,7 @@
 async def on_cancel(session: PeerSession, frame: Record) -> None:
     """Cancel an attempt."""
     assert isinstance(frame, Cancel)
-    session.gate.cancel(frame.attempt_id, frame.is_waiting_only)
+    session.cancel(frame)
 
 
 @frame_handlers.register(OutcomeQuery)
