--- a/features/steps/peer_stop_steps.py
+++ b/features/steps/peer_stop_steps.py
@@ -33,7 +33,7 @@
 
 async def _send_to_busy_node() -> None:
     stream, other = await _connected_pair()
-    session = PeerSession(FrameStream(stream), Mock(), BODY_BYTES)
+    session = PeerSession(FrameStream(stream), Mock())
     session.gate.load().to_row.return_value = []
     for number in range(OUTCOMES):
         session.send_outcome_when_known(f'a-{number}', _large_outcome())
