Targets: an acknowledged leave without an instance name always takes effect

Cause: a departure without a name counted as a repeat of the first one and was ignored. Now it applies to the current target, as the first does. Weighed: such a report that arrives late drains a later start; none that is acknowledged may be without effect.

--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -44,6 +44,9 @@
   Scenario: A gate refuses requests for a draining target before other nodes know
     Then a gate whose target is draining refuses new requests and finishes running ones
 
+  Scenario: An acknowledged announcement that a target leaves always takes effect
+    Then a target that leaves without its name is drained, also the second time
+
   Scenario: A target that announces draining receives no new requests
     Given a deployment of 2 nodes
     When the target of node 2 announces that it is draining
--- a/features/steps/stop_steps.py
+++ b/features/steps/stop_steps.py
@@ -125,6 +125,20 @@
     assert gate.target.state == TargetState.DRAINING
 
 
+@then('a target that leaves without its name is drained, also the second time')
+def nameless_departures(context: Any) -> None:
+    """Let two starts with names report that they leave, without these names."""
+    gate, lifecycle = gate_without_target(1)
+    lifecycle.needs_confirmation = False
+    for name in ('i-1', 'i-2'):
+        lifecycle.handle_report(TargetReport('s', '127.0.0.1', 1, 2, name))
+        assert gate.target.state == TargetState.UP, name
+        lifecycle.handle_report(
+            TargetReport('s', '127.0.0.1', 1, 2, '', ReportedState.DRAINING)
+        )
+        assert gate.target.state == TargetState.DRAINING, name
+
+
 @then('a report with a later start time resets the averages of the target')
 def later_start(context: Any) -> None:
     """Report a later start of a target that was not seen to be down."""
--- a/packages/node/src/lavendermountd/gate/target_lifecycle.py
+++ b/packages/node/src/lavendermountd/gate/target_lifecycle.py
@@ -85,15 +85,15 @@
         """Record that a start of the target is draining or has stopped.
 
         If it is the current start, the target is drained. A repeated report of an
-        earlier start changes nothing.
+        earlier start changes nothing. One without an instance name applies to the
+        current target.
         """
         target = self.gate.target
-        is_current = report.start == target.history.current
+        is_current = not report.instance or report.start == target.history.current
         if report.start in target.history.departed and not is_current:
             return
         target.history.record_report(report)
         target.mark_departing(report)
-        # A report without an instance name applies to the current target.
         if report.instance in {target.instance, ''}:
             self.drain_target()
 
