--- a/features/soak.feature
+++ b/features/soak.feature
@@ -33,6 +33,7 @@
       | closed   | 900    | behind | 1    | lost-after-passed-on |
       | unsent   | 900    | alone  | 0    |                      |
       | silent   | 9000   | alone  | 0    | silent               |
+      | silent   | 2000   | alone  | 0    |                      |
       | refused  | 10     | alone  | 0    |                      |
       | refused  | 10     | alone  | 1    | promise-broken       |
       | mixed    | 10     | alone  | 1    | mixed                |
--- a/packages/testbed/src/lavendermount_testbed/loss_verdicts.py
+++ b/packages/testbed/src/lavendermount_testbed/loss_verdicts.py
@@ -15,10 +15,17 @@
 
 from lavendermount_core.utils.registry import Registry
 from lavendermount_core.utils.units import MS_PER_S
-from lavendermount_testbed.loss_callers import PROMISES, Ending, SentRequest
+from lavendermount_testbed.loss_callers import (
+    DEADLINE_MS,
+    PROMISES,
+    Ending,
+    SentRequest,
+)
 
 # A request that crosses the close of its connection is not counted within this time.
 LOSS_SLACK_S = 0.2
+# Time after which a reply is useless, twice the deadline of the requests.
+SILENT_S = 2 * DEADLINE_MS / MS_PER_S
 # Log lines of the node that may explain a finding, and how far from it they may be.
 EVENTS = re.compile(
     'request-unanswered|request-discarded|event-loop-stalled|connection-failed'
@@ -101,8 +108,13 @@
 
 @verdicts.register('silent')
 def is_silent(report: RunReport, request: SentRequest) -> bool:
-    """Whether the connection stayed open without a reply."""
-    return request.ending == Ending.SILENT
+    """Whether the connection stayed open without a reply, well after the deadline.
+
+    As always, the time for which the callers themselves were late does not count.
+    """
+    if request.ending != Ending.SILENT:
+        return False
+    return report.waited_s(request) > SILENT_S
 
 
 @verdicts.register('mixed')
