Targets: an order is not sent on a connection that its target has closed

Callers got 502 "unknown" for orders that no target had read.

Cause: a kept connection counts as open until its end has been read. While the event loop is busy, the end waits in the kernel, and the order is sent on it.

Change: before an order is sent on a kept connection, the kernel is asked whether anything waits there. Nothing is sent again: the order has not been sent yet. Requests that may be repeated are not checked.

--- a/features/stalls.feature
+++ b/features/stalls.feature
@@ -6,6 +6,9 @@
     And a reused connection that has delivered its reply to a busy node is not closed as silent
     And a lookup whose reply has arrived at a busy node gets no second copy
 
+  Scenario: An order is not sent on a connection that its target has closed
+    Then an order succeeds though its target closed the kept connection while its node was busy
+
   Scenario: A sound target does not count as down because its node was busy
     Then a target that accepts a connection while its node is busy is not marked as down
 
--- a/features/steps/stall_steps.py
+++ b/features/steps/stall_steps.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import select
+import socket
+import threading
 import time
 from typing import Any
 from unittest.mock import Mock, patch
@@ -18,9 +20,11 @@
     attempt_of,
     block_until,
     connected_sender,
+    encode_reply,
     gate_for,
     lookup,
     order,
+    read_request,
     state_of,
     threaded_node,
     threaded_target,
@@ -146,6 +150,37 @@
     return is_finished
 
 
+@then(
+    'an order succeeds '
+    'though its target closed the kept connection while its node was busy'
+)
+def closed_kept_connection(context: Any) -> None:
+    """Let the target close an idle connection right before an order."""
+    may_close = threading.Event()
+    has_closed = threading.Event()
+
+    def serve(connection: socket.socket) -> None:
+        with connection.makefile('rb') as stream:
+            read_request(stream)
+        connection.sendall(encode_reply(REPLY_BODY))
+        may_close.wait()
+        connection.shutdown(socket.SHUT_WR)
+        has_closed.set()
+
+    async def send_orders(gate: Gate) -> AttemptResult:
+        await gate.execute(attempt_of(order(LONG_DEADLINE_S)))
+        may_close.set()
+        has_closed.wait()
+        try:
+            return await gate.execute(attempt_of(order(LONG_DEADLINE_S), 2))
+        finally:
+            gate.client.close_idle()
+
+    with threaded_target(serve) as port:
+        outcome = asyncio.run(send_orders(gate_for(port)))
+    assert _succeeds(outcome), outcome
+
+
 @then('a target that accepts a connection while its node is busy is not marked as down')
 def accepting_target_stays_up(context: Any) -> None:
     """Keep the event loop busy right after it has started to connect."""
--- a/packages/node/src/lavendermountd/gate/target_client.py
+++ b/packages/node/src/lavendermountd/gate/target_client.py
@@ -198,7 +198,8 @@
         """Take the most recently used connection that is not idle for too long.
 
         A connection that was idle for longer than ``SAFE_IDLE_S`` may have gone
-        silent, so requests that may not be repeated are not sent on it.
+        silent, so requests that may not be repeated are not sent on it. Nor are they
+        sent on a connection that the target has closed while this node was busy.
         """
         now = time.monotonic()
         while self.idle:
@@ -206,7 +207,8 @@
             limit_s = connection.idle_limit_s
             if not is_repeatable:
                 limit_s = min(limit_s, SAFE_IDLE_S)
-            if connection.is_reusable and now - connection.used_at < limit_s:
+            is_fresh = connection.is_reusable and now - connection.used_at < limit_s
+            if is_fresh and (is_repeatable or not connection.has_unread_data()):
                 return connection
             self.discard(connection)
         return None
