Links: an order at a busy node is queried until its deadline

Callers got 502 "unknown" for orders at which a target was at work, seconds before their deadline.

Cause: a link is closed after 0.3 s without an answer, and the outcome of an order is then queried three times. The kernel of a node whose event loop is busy accepts the new link, but each query failed after another 0.3 s.

Change: for requests that may not be repeated, only queries that do not reach the node count. A process that has ended refuses the link, and one that has started again answers at once that it does not know the order, so both end as before.

The scenario failed before (unknown after four silence timeouts) and passes now.

--- a/features/steps/link_steps.py
+++ b/features/steps/link_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import threading
 from typing import Any
 
 from behave import then
@@ -23,6 +24,9 @@
 DEADLINE_S = 10.0
 LARGE_BODY = bytes(DEFAULT_MAX_BODY_BYTES + 1)
 PART_BYTES = 1000
+SILENCE_TIMEOUT_S = 0.1
+# Longer than a failed attempt and three failed queries.
+BUSY_S = 2.0
 
 
 @then(
@@ -52,6 +56,34 @@
         return list(await asyncio.gather(small, large))
 
 
+@then(
+    'an order is answered though its node replies to no ping for many silence timeouts'
+)
+def long_busy_node(context: Any) -> None:
+    """Keep the event loop of the target's node busy while it has an order."""
+    target = HeldReplies()
+    with threaded_node(target.serve) as (node, peer):
+        outcome = asyncio.run(_send_to_busy_node(node, peer, target))
+    assert outcome.unwrap().status == 200, outcome
+    assert target.request_sizes == [0]
+
+
+async def _send_to_busy_node(
+    node: ThreadedNode, peer: Member, target: HeldReplies
+) -> AttemptResult:
+    may_continue = threading.Event()
+    async with connected_sender() as sender:
+        sender.links.silence_timeout_s = SILENCE_TIMEOUT_S
+        sending = sender.send(state_of(order(DEADLINE_S)), peer, 'a-1')
+        task = asyncio.create_task(sending)
+        await target.wait_until_received()
+        node.call(may_continue.wait)
+        await asyncio.wait({task}, timeout=BUSY_S)
+        target.may_reply.set()
+        may_continue.set()
+        return await task
+
+
 @then(
     'an order that is cancelled while its body arrives does not run, and its link goes on'
 )
--- a/packages/core/src/lavendermount_core/exceptions.py
+++ b/packages/core/src/lavendermount_core/exceptions.py
@@ -79,3 +79,7 @@
 
 class PeerLinkError(LavendermountError):
     """The link to another node was lost or could not be opened."""
+
+
+class PeerSilentError(PeerLinkError):
+    """The link to another node was opened, but lost before the node answered."""
--- a/packages/node/src/lavendermountd/routing/sender.py
+++ b/packages/node/src/lavendermountd/routing/sender.py
@@ -13,7 +13,7 @@
 
 from returns.result import Failure
 
-from lavendermount_core.exceptions import PeerLinkError
+from lavendermount_core.exceptions import PeerLinkError, PeerSilentError
 from lavendermount_core.models.calls import Reason, not_run_refusal, unknown_refusal
 from lavendermount_core.models.members import Member
 from lavendermount_core.utils.deadlines import Deadline
@@ -125,13 +125,18 @@
     ) -> AttemptResult:
         """Query the outcome of an attempt over a new connection.
 
+        A node that accepts connections may only be busy, so the outcome of a request
+        that may not be repeated is queried until the deadline.
+
         :param state: the request.
         :param member: node that serves the target.
         :param attempt_id: identifier of the attempt.
         :param sent_at: time at which the attempt was sent.
         :returns: its outcome; ``unknown`` if the node can't be queried.
         """
-        for _ in range(QUERY_ATTEMPTS):
+        is_repeatable = state.request.call_class.is_repeatable
+        failures = 0
+        while failures < QUERY_ATTEMPTS:
             try:
                 async with Deadline(state.request.deadline):
                     return await self.query_once(member, attempt_id, sent_at)
@@ -139,6 +144,8 @@
                 log.info(
                     'ask-failed', extra={'attempt': attempt_id, 'cause': str(error)}
                 )
+                is_busy = isinstance(error, PeerSilentError)
+                failures += is_repeatable or not is_busy
             except TimeoutError:
                 break
             await asyncio.sleep(QUERY_PAUSE_S)
@@ -159,15 +166,16 @@
         """Query the outcome of an attempt once.
 
         :raises PeerLinkError: if the node can't be reached.
+        :raises PeerSilentError: if it can, but the connection is lost.
         """
         link = await self.links.get(member)
         age_ms = (time.monotonic() - sent_at) * MS_PER_S
         frame = OutcomeQuery(attempt_id, member.incarnation, age_ms)
         try:
             return await link.call(frame, attempt_id)
-        except PeerLinkError:
+        except PeerLinkError as error:
             self.links.backoff.note_failure(member.node_id)
-            raise
+            raise PeerSilentError(str(error)) from error
 
     def cancel(
         self,
