Stop: an order that arrives while the event loop is busy at the end is answered

Found by reading: when the event loop was busy until after the end of the drain (a large preset, a busy machine), the node ended before it read what had arrived. Its callers saw a closed connection. The same class as requests that had arrived while a time limit passed: a decision by the clock.

--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -29,6 +29,9 @@
     Then a request that a target runs at the end of the drain is answered as unknown
     And one that was not passed on, and one without its whole body, are refused as not run
 
+  Scenario: A node that is busy at the end of its drain cuts no order that has arrived
+    Then an order that arrives while the event loop is busy until after that end is refused as not run
+
   Scenario: A node that fails cuts no accepted request
     Then requests in progress are answered when the tasks of a node fail too often
 
--- a/features/steps/stop_end_steps.py
+++ b/features/steps/stop_end_steps.py
@@ -76,6 +76,33 @@
         assert b'X-Outcome: not-run' in reply, reply
 
 
+@then(
+    'an order that arrives while the event loop is busy until after that end '
+    'is refused as not run'
+)
+def busy_end_answered(context: Any) -> None:
+    """Send an order, and keep the event loop busy until the drain is over."""
+    caller = asyncio.run(_finish_busy(echo_service(LONG_WORK_S)))
+    reply = read_until_end(caller)
+    assert b'X-Outcome: not-run' in reply, reply
+
+
+async def _finish_busy(service: CallService) -> socket.socket:
+    node = stopping_node(service)
+    address = node.caller_server.listeners[0].getsockname()
+    caller = socket.create_connection(address)
+    await asyncio.sleep(0)
+
+    def send_and_block() -> None:
+        caller.sendall(encode_order(NOT_PASSED_ON))
+        time.sleep(2 * SHORT_DRAIN_S)
+
+    asyncio.get_running_loop().call_later(SHORT_DRAIN_S / 8, send_and_block)
+    service.is_stopping = True
+    await GracefulShutdown(node).finish_work(time.monotonic() + SHORT_DRAIN_S)
+    return caller
+
+
 @then('requests in progress are answered when the tasks of a node fail too often')
 def failure_answers(context: Any) -> None:
     """Let the supervisor tree of a node fail while an order runs."""
--- a/packages/node/src/lavendermountd/shutdown.py
+++ b/packages/node/src/lavendermountd/shutdown.py
@@ -96,11 +96,19 @@
             await asyncio.sleep(STOP_POLL_S)
             server.close_idle(idle_s)
             self.node.router.abandon_late()
-        server.end_requests()
+        # The event loop may have been busy until after the deadline.
+        await self.end_work(max(deadline, time.monotonic() + REPLY_MARGIN_S))
+
+    async def end_work(self, deadline: float) -> None:
+        """Answer the requests that have no outcome.
+
+        :param deadline: time by which the answers must have been written.
+        """
         self.node.peer_server.cancel_attempts()
+        self.node.caller_server.end_requests()
         while self.has_work_before(deadline):
             await asyncio.sleep(STOP_POLL_S)
-            server.end_requests()
+            self.node.caller_server.end_requests()
 
     def close_gate(self) -> None:
         """Admit no new requests to the target; queued ones go to other targets."""
