Connections to targets: drop the last request once its exchange has ended

A node kept the memory of large uploads after they had been answered: each kept connection to a target held the body of the last request that it had carried, up to 64 MB a connection.

Cause: the function that matches a reply with its request refers to the attempt, and stayed with the idle connection until its next exchange.

Change: the end of an exchange drops it. A reply that arrives while no exchange waits is not matched at all, as before.

--- a/packages/node/src/lavendermountd/http1/client.py
+++ b/packages/node/src/lavendermountd/http1/client.py
@@ -124,12 +124,13 @@
             self.finish_exchange()
 
     def finish_exchange(self) -> None:
-        """End an exchange.
+        """End an exchange and drop what it refers to.
 
         If a part of the request is still unsent, the connection can't be
         reused.
         """
         self.waiter = None
+        self.matches_request = _matches_any
         self.used_at = time.monotonic()
         self.must_close = self.must_close or self.stream.writing()
 
