Memory: the bodies that a node holds share a budget, and are held once

Two callers that each uploaded a body of max_body_bytes (64 MB) took a node over its memory limit of 300 MB.

Cause: nothing limited the sum of the bodies, and each was held several times at once: the parts (until the next request began), the joined body, its encoding joined to the head, the frames to another node. Replies of targets and bodies from peers were as unbounded in number. Class: a limit for one request without one for all of them.

A body is collected in one buffer and written behind its head without a copy; its share is given back when the buffer is freed. Without room a caller's connection is not read for 0.5 s at most, then the request is refused as not run (503, no-memory, Retry-After), at once if it can never fit; its body is discarded as it arrives. A peer's body is refused at once, since other requests share its connection; a reply without room has the outcome unknown. Requests may use 80% of the budget, so that replies find room. An attempt that is cancelled before the end of its body no longer keeps what has arrived, and no longer runs when the rest arrives. Settings with a limit of infinity are a configuration error.

Evidence: the first scenario of memory.feature failed on the code before (with the setting accepted and ignored): the node grew by 224 MB of 64 allowed.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 STAMP := .venv/ready
 
 .PHONY: setup test demo lint format features generate docs report mutations \
-	bench-path bench-transport bench-policy bench-control
+	bench-path bench-transport bench-policy bench-control bench-memory
 
 setup: $(STAMP)
 
@@ -58,6 +58,9 @@
 bench-control: setup
 	$(BIN)/python benches/control.py
 
+bench-memory: setup
+	$(BIN)/python benches/memory.py
+
 generate: setup
 	cd packages/node/src/lavendermountd/control && \
 	../../../../../$(BIN)/python -m grpc_tools.protoc -I. --python_out=generated \
--- a/packages/core/src/lavendermount_core/config/node.py
+++ b/packages/core/src/lavendermount_core/config/node.py
@@ -182,6 +182,14 @@
         's',
         high=3600,
     )
+    body_memory_bytes = opt.Integer(
+        268435456,
+        'Memory for the bodies of requests and replies that the node holds at once; '
+        'bodies of at most 16 KiB do not count.',
+        'bytes',
+        low=1048576,
+        high=10**12,
+    )
     dialect = opt.Text(
         'native', 'Name of the HTTP dialect that callers and targets use.'
     )
--- a/packages/core/src/lavendermount_core/models/calls.py
+++ b/packages/core/src/lavendermount_core/models/calls.py
@@ -14,6 +14,7 @@
 CLASS_PRIORITY = -1
 
 Headers = list[tuple[str, str]]
+Body = bytes | bytearray
 
 
 class Outcome(StrEnum):
@@ -55,6 +56,8 @@
     CANCELLED = 'cancelled'
     SUSPECT = 'crash-suspect'
     CLAIMED = 'key-claimed'
+    # The node has no memory for the body of the request or the reply.
+    NO_MEMORY = 'no-memory'
     LOG_DOWN = 'log-down'
     # All connections to the target are in use.
     OVERLOADED = 'overloaded'
@@ -136,7 +139,7 @@
         method: str,
         path: str,
         headers: Headers,
-        body: bytes,
+        body: Body,
         call_class: CallClass,
         deadline: float,
         due: float = 0,
@@ -172,7 +175,7 @@
         status: int,
         reason: str,
         headers: Headers,
-        body: bytes,
+        body: Body,
     ) -> None:
         """Initialize the fields."""
         self.status = status
--- a/packages/node/src/lavendermountd/caller/closing.py
+++ b/packages/node/src/lavendermountd/caller/closing.py
@@ -25,6 +25,7 @@
     IDLE_TIMEOUT = 'idle-timeout'
     HEADER_TIMEOUT = 'header-timeout'
     BODY_TIMEOUT = 'body-timeout'
+    MEMORY = 'memory'
     STOPPING = 'stopping'
     CALLER = 'caller'
     PROCESS_END = 'process-end'
--- a/packages/node/src/lavendermountd/caller/connection.py
+++ b/packages/node/src/lavendermountd/caller/connection.py
@@ -16,7 +16,7 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from lavendermount_core.models.calls import CallReply
+from lavendermount_core.models.calls import Body, CallReply
 from lavendermountd.caller.closing import CloseCause, report_close
 from lavendermountd.caller.connection_state import ConnectionState
 from lavendermountd.caller.exchange import CallExchange
@@ -27,6 +27,7 @@
     NO_BODY_STATUS,
     encode_head,
     find_header,
+    join_unless_large,
 )
 
 log = logging.getLogger(__name__)
@@ -84,6 +85,7 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         self.abandon_all()
+        self.state.parser.drop_body()
         self.stream.close()
 
     def find_cause(self, tasks: set[asyncio.Task[None]]) -> CloseCause:
@@ -132,8 +134,8 @@
         lose the last reply.
         """
         while True:
-            if self.state.is_full and self.state.is_accepting:
-                await self.wait_for_change()
+            if self.state.is_paused:
+                await self.wait_until_read()
                 continue
             try:
                 self.pending_read = asyncio.ensure_future(
@@ -145,6 +147,13 @@
                 return
             self.process_chunk(chunk)
 
+    async def wait_until_read(self) -> None:
+        """Wait until the connection may be read again."""
+        if self.state.parser.awaits_memory:
+            await self.wait_for_memory()
+        else:
+            await self.wait_for_change()
+
     async def wait_for_change(self) -> None:
         """Wait until a request starts or ends, or no further one is accepted."""
         self.state_changed.clear()
@@ -182,6 +191,13 @@
         self.prompt_for_body()
         self.time_limit.update()
 
+    async def wait_for_memory(self) -> None:
+        """Wait until there is room for the body, or it is refused."""
+        await self.state.wait_for_memory()
+        self.start_requests()
+        self.prompt_for_body()
+        self.time_limit.update()
+
     def start_requests(self) -> None:
         """Start the requests that may start, or the refusals of malformed ones."""
         for request in self.state.take_startable():
@@ -216,9 +232,12 @@
         if reply is None:
             return
         is_last = self.state.is_last_reply()
-        payload = _encode(reply, exchange.request.method, is_last)
+        payload, large_body = _encode(reply, exchange.request.method, is_last)
         with contextlib.suppress(StreamClosedError):
-            await self.stream.write(payload)
+            written = self.stream.write(payload)
+            if large_body:
+                written = self.stream.write(memoryview(large_body))
+            await written
 
     async def close_gracefully(self) -> None:
         """Close the sending side and wait for the caller to close the other.
@@ -268,7 +287,7 @@
             self.state_changed.set()
 
 
-def _encode(reply: CallReply, method: str, is_last: bool) -> bytes:
+def _encode(reply: CallReply, method: str, is_last: bool) -> tuple[bytes, Body]:
     headers = list(reply.headers)
     body = reply.body
     if method == 'HEAD':
@@ -279,4 +298,5 @@
         headers.append(('Content-Length', str(len(body))))
     if is_last:
         headers.append(('Connection', 'close'))
-    return encode_head(f'HTTP/1.1 {reply.status} {reply.reason}', headers) + body
+    head = encode_head(f'HTTP/1.1 {reply.status} {reply.reason}', headers)
+    return join_unless_large(head, body)
--- a/packages/node/src/lavendermountd/caller/connection_state.py
+++ b/packages/node/src/lavendermountd/caller/connection_state.py
@@ -77,6 +77,11 @@
         """Return whether to read nothing until a request has ended."""
         return len(self.waiting) >= MAX_WAITING
 
+    @property
+    def is_paused(self) -> bool:
+        """Return whether to read nothing now."""
+        return (self.is_full and self.is_accepting) or self.parser.awaits_memory
+
     @property
     def is_finished(self) -> bool:
         """Return whether every reply has been written and no request is accepted."""
@@ -107,6 +112,16 @@
             self.stop_accepting(CloseCause.REQUEST)
         self.waiting.extend(requests)
 
+    async def wait_for_memory(self) -> None:
+        """Wait a short time for room for a body; refuse the body without it.
+
+        The caller is not read meanwhile, so it is not idle.
+        """
+        self.waiting.extend(await self.parser.wait_for_memory())
+        self.used_at = time.monotonic()
+        if self.parser.has_failed:
+            self.stop_accepting(CloseCause.MEMORY)
+
     def stop_accepting(self, cause: CloseCause) -> None:
         """Accept no further request; the first cause is kept."""
         self.close_cause = self.close_cause or cause
@@ -122,7 +137,7 @@
 
         Before the replies to earlier requests it would be read as a part of these.
         """
-        if self.owes_replies or not self.is_accepting:
+        if self.owes_replies or not self.is_accepting or self.parser.awaits_memory:
             return False
         return self.parser.consume_continue()
 
@@ -136,7 +151,7 @@
         :returns: ``None`` if the caller is not to send anything now, or if what it
             sends is not read.
         """
-        if not self.is_accepting or self.is_full:
+        if not self.is_accepting or self.is_full or self.parser.awaits_memory:
             return None
         if self.parser.is_reading_head:
             return self.head_since + self.service.header_timeout_s
--- a/packages/node/src/lavendermountd/caller/exchange.py
+++ b/packages/node/src/lavendermountd/caller/exchange.py
@@ -38,6 +38,7 @@
 log = logging.getLogger(__name__)
 
 NO_PRESET_RETRY_S = 0.5
+NO_MEMORY_RETRY_S = 1.0
 REFUSAL_BY_STATUS = MappingProxyType(
     {
         HTTPStatus.BAD_REQUEST: (Reason.MALFORMED, 'the request is malformed'),
@@ -53,6 +54,10 @@
             Reason.HEAD_TOO_LARGE,
             'the head is too large',
         ),
+        HTTPStatus.SERVICE_UNAVAILABLE: (
+            Reason.NO_MEMORY,
+            'the node has no memory for the body now',
+        ),
     },
 )
 
@@ -142,6 +147,9 @@
         except Exception:
             log.exception('request-failed', extra={'request': self.request_id})
             return self.refuse(unknown_refusal(Reason.INTERNAL, 'the node failed'))
+        finally:
+            # The reply may be written for a long time.
+            self.request.body = b''
 
     async def build_reply(self) -> CallReply:
         """Validate, classify and route the request.
@@ -175,7 +183,8 @@
         error_status = self.request.error_status
         if error_status:
             reason, detail = REFUSAL_BY_STATUS[HTTPStatus(error_status)]
-            return not_run_refusal(reason, detail)
+            retry_after_s = NO_MEMORY_RETRY_S if reason == Reason.NO_MEMORY else 0
+            return not_run_refusal(reason, detail, retry_after_s)
         if not self.request.target.startswith('/'):
             return not_run_refusal(Reason.MALFORMED, 'the path is malformed')
         return None
--- a/packages/node/src/lavendermountd/claims/claims.py
+++ b/packages/node/src/lavendermountd/claims/claims.py
@@ -27,6 +27,7 @@
 from lavendermount_core.exceptions import LogUnavailableError
 from lavendermount_core.log.adapter import LogAdapter
 from lavendermount_core.models.calls import (
+    Body,
     CallReply,
     CallRequest,
     Reason,
@@ -438,7 +439,7 @@
     )
 
 
-def _reply_body(reply: CallReply) -> bytes:
+def _reply_body(reply: CallReply) -> Body:
     return reply.body
 
 
--- a/packages/node/src/lavendermountd/control/server.py
+++ b/packages/node/src/lavendermountd/control/server.py
@@ -153,7 +153,7 @@
     target_reply = local.outcome_future.result().unwrap()
     claim_reply.status = target_reply.status
     claim_reply.reason = target_reply.reason
-    claim_reply.body = target_reply.body
+    claim_reply.body = bytes(target_reply.body)
     for name, text in target_reply.headers:
         claim_reply.headers.add(name=name, text=text)
     return claim_reply
--- a/packages/node/src/lavendermountd/gate/attempt_table.py
+++ b/packages/node/src/lavendermountd/gate/attempt_table.py
@@ -12,6 +12,7 @@
 from returns.result import Failure
 
 from lavendermount_core.models.calls import (
+    Body,
     CallReply,
     Reason,
     not_run_refusal,
@@ -117,7 +118,7 @@
     return len(outcome.map(_body_of).value_or(b'')) > MAX_STORED_BODY_BYTES
 
 
-def _body_of(reply: CallReply) -> bytes:
+def _body_of(reply: CallReply) -> Body:
     return reply.body
 
 
--- a/packages/node/src/lavendermountd/gate/gate.py
+++ b/packages/node/src/lavendermountd/gate/gate.py
@@ -53,6 +53,8 @@
 
 TARGET_DOWN_RETRY_AFTER_S = 1.0
 NO_RETRY_AFTER: Final = 0
+# Failed exchanges that say nothing about the target.
+NODE_FAULTS = frozenset((Reason.CONNECTION_LOST, Reason.NO_MEMORY))
 # Time within which a terminating process closes the connections that it has accepted.
 EXIT_GRACE_S = 0.03
 # Older lookups are answered with ``unknown``: after ``ID_RETENTION_S``, an attempt
@@ -349,7 +351,7 @@
         if not attempt.is_sent:
             return not_run_refusal(error.reason, str(error), TARGET_DOWN_RETRY_AFTER_S)
         if not await self.is_target_down():
-            if error.reason != Reason.CONNECTION_LOST:
+            if error.reason not in NODE_FAULTS:
                 self.target.observe(0, is_failure=True)
             return unknown_refusal(error.reason, str(error), NO_RETRY_AFTER)
         self.target.observe(0, is_failure=True)
--- a/packages/node/src/lavendermountd/gate/target_client.py
+++ b/packages/node/src/lavendermountd/gate/target_client.py
@@ -8,7 +8,7 @@
 
 import time
 
-from lavendermount_core.models.calls import CallReply, Headers, Reason
+from lavendermount_core.models.calls import Body, CallReply, Headers, Reason
 from lavendermount_core.utils.units import DEFAULT_MAX_BODY_BYTES, MS_PER_S
 from lavendermountd.caller.headers import drop_hop_by_hop
 from lavendermountd.dialects.base import Dialect, ReplyMetadata
@@ -16,7 +16,12 @@
 from lavendermountd.gate.silence import SilenceDetector
 from lavendermountd.gate.target import Target
 from lavendermountd.http1.client import ExchangeError, HttpConnection, connect
-from lavendermountd.http1.messages import WireReply, encode_head
+from lavendermountd.http1.messages import (
+    WireReply,
+    encode_head,
+    join_unless_large,
+)
+from lavendermountd.memory import MemoryBudget
 
 CONNECT_TIMEOUT_S = 0.3
 # Idle time up to which a connection is used for requests that may not be repeated,
@@ -69,6 +74,7 @@
         'max_connections',
         'max_body',
         'open_count',
+        'memory',
         'silence_timeout_s',
         'exchange_count',
         'active_exchanges',
@@ -83,6 +89,7 @@
         # The limits apply until the first preset is applied.
         self.max_connections = 200
         self.max_body = DEFAULT_MAX_BODY_BYTES
+        self.memory = MemoryBudget()
         self.silence_timeout_s = 0.3
         self.open_count = 0
         self.exchange_count = 0
@@ -143,11 +150,13 @@
         connection.parser.max_body = self.max_body
         attempt.progress = Progress.WRITTEN
         attempt.target_start_number = self.target.start_number
+        payload, large_body = self.encode(attempt)
         try:
             reply = await connection.exchange(
-                self.encode(attempt),
+                payload,
                 lambda received: self.is_reply_to(attempt, received),
                 attempt.request.method == 'HEAD',
+                large_body,
             )
         except ExchangeError as error:
             raise TargetError(_reason_of(error, connection), str(error)) from error
@@ -177,8 +186,11 @@
         is_first = connection.exchange_count == 1
         return bool(metadata.request_id) or is_first or not self.dialect.names_requests
 
-    def encode(self, attempt: Attempt) -> bytes:
-        """Encode a request, including the time left until its deadline."""
+    def encode(self, attempt: Attempt) -> tuple[bytes, Body]:
+        """Encode a request, including the time left until its deadline.
+
+        :returns: the request, or its head and the large body that follows.
+        """
         request = attempt.request
         remaining_s = request.deadline - time.monotonic()
         headers: Headers = list(request.headers)
@@ -192,7 +204,7 @@
         if request.body or request.method in BODY_METHODS:
             headers.append(('Content-Length', str(len(request.body))))
         first_line = f'{request.method} {request.path} HTTP/1.1'
-        return encode_head(first_line, headers) + request.body
+        return join_unless_large(encode_head(first_line, headers), request.body)
 
     def take_idle(self, is_repeatable: bool) -> HttpConnection | None:
         """Take the most recently used connection that is not idle for too long.
@@ -236,7 +248,7 @@
         except BaseException:
             self.open_count -= 1
             raise
-        connection = HttpConnection(stream, self.max_body)
+        connection = HttpConnection(stream, self.max_body, self.memory)
         connection.idle_limit_s = SAFE_IDLE_S
         return connection
 
@@ -267,6 +279,8 @@
 
 
 def _reason_of(error: ExchangeError, connection: HttpConnection) -> Reason:
+    if error.lacks_memory:
+        return Reason.NO_MEMORY
     if error.is_malformed:
         return Reason.TARGET_REPLY
     if connection.exchange_count > 1:
--- a/packages/node/src/lavendermountd/gauges.py
+++ b/packages/node/src/lavendermountd/gauges.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from lavendermountd.memory import BodyKind
 from lavendermountd.traffic_meter import DISTANCE_LABELS
 
 if TYPE_CHECKING:
@@ -22,10 +23,24 @@
         node.metrics.sent_bytes.set(labels, size)
     for name, count in node.selector.excluded_counts.items():
         node.metrics.excluded.set({'constraint': name}, count)
+    refresh_memory(node)
     for name, amount in read_state(node).items():
         node.metrics.state.set({'name': name}, amount)
 
 
+def refresh_memory(node: Node) -> None:
+    """Set the gauges of the memory for bodies."""
+    memory = node.gate.client.memory
+    for name, size in (
+        ('budget', memory.capacity_bytes),
+        ('held', memory.held_bytes),
+        ('peak', memory.peak_bytes),
+    ):
+        node.metrics.body_memory.set({'name': name}, size)
+    for kind in BodyKind:
+        node.metrics.refused_bodies.set({'kind': str(kind)}, memory.refused[kind])
+
+
 def read_state(node: Node) -> dict[str, float]:
     """Collect the values of the node state gauge, by name."""
     return {
--- a/packages/node/src/lavendermountd/http1/client.py
+++ b/packages/node/src/lavendermountd/http1/client.py
@@ -14,9 +14,11 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
+from lavendermount_core.models.calls import Body
 from lavendermount_core.utils.deadlines import deadline_in
 from lavendermountd.http1.messages import WireReply
 from lavendermountd.http1.reply_parser import ReplyError, ReplyParser
+from lavendermountd.memory import MemoryBudget
 
 READ_BYTES = 65536
 KEEPALIVE_IDLE_S: Final = 1
@@ -33,12 +35,16 @@
     :param detail: error message.
     :param is_malformed: whether the server sent data that is not a valid reply
         or only a part of a reply.
+    :param lacks_memory: whether this side had no room for the reply.
     """
 
-    def __init__(self, detail: str, is_malformed: bool) -> None:
+    def __init__(
+        self, detail: str, is_malformed: bool, lacks_memory: bool = False
+    ) -> None:
         """Initialize the message and the kind of failure."""
         super().__init__(detail)
         self.is_malformed = is_malformed
+        self.lacks_memory = lacks_memory
 
 
 class HttpConnection:
@@ -51,6 +57,7 @@
 
     :param stream: an open stream.
     :param max_body: largest accepted body of a reply in bytes.
+    :param memory: budget for the bodies of replies; ``None`` for one of its own.
     """
 
     __slots__ = (
@@ -66,10 +73,12 @@
         'on_received',
     )
 
-    def __init__(self, stream: IOStream, max_body: int) -> None:
+    def __init__(
+        self, stream: IOStream, max_body: int, memory: MemoryBudget | None = None
+    ) -> None:
         """Take ownership of the stream and start reading."""
         self.stream = stream
-        self.parser = ReplyParser(max_body)
+        self.parser = ReplyParser(max_body, memory)
         self.waiter: asyncio.Future[WireReply] | None = None
         self.matches_request: ReplyMatcher = _matches_any
         self.must_close = False
@@ -100,14 +109,16 @@
         payload: bytes,
         matches_request: ReplyMatcher | None = None,
         is_head_request: bool = False,
+        large_body: Body = b'',
     ) -> WireReply:
         """Send a request and wait for its complete reply.
 
-        :param payload: the encoded request.
+        :param payload: the encoded request, or its head if ``large_body`` follows.
         :param matches_request: returns whether a reply belongs to this request
             and not to an earlier one; ``None`` accepts any reply.
         :param is_head_request: whether the method is HEAD, so that the reply
             has no body.
+        :param large_body: body that is written without copying it.
         :raises ExchangeError: if no complete reply was received.
         :returns: the reply.
         """
@@ -117,6 +128,8 @@
         self.exchange_count += 1
         try:
             self.stream.write(payload)
+            if large_body:
+                self.stream.write(memoryview(large_body))
             return await self.waiter
         except StreamClosedError as error:
             raise ExchangeError('the connection was closed', False) from error
@@ -144,6 +157,7 @@
             self.deliver_replies(self.parser.take_complete())
             self.fail(ExchangeError(str(error), is_malformed=True))
         finally:
+            self.parser.drop_body()
             self.stream.close()
 
     async def read_chunks(self) -> None:
@@ -156,6 +170,20 @@
             if self.on_received is not None:
                 self.on_received(len(chunk))
             self.deliver_replies(self.parser.feed(chunk))
+            if self.parser.awaits_memory and not await self.find_memory():
+                return
+
+    async def find_memory(self) -> bool:
+        """Wait a short time for room for the reply; fail the exchange without it.
+
+        :returns: whether there is room.
+        """
+        large_body = self.parser.large_body
+        if large_body is None or await large_body.wait_for_room():
+            return True
+        detail = 'the node has no memory for the reply'
+        self.fail(ExchangeError(detail, is_malformed=False, lacks_memory=True))
+        return False
 
     def deliver_replies(self, replies: list[WireReply]) -> None:
         """Pass the reply to the waiting exchange.
--- a/packages/node/src/lavendermountd/http1/messages.py
+++ b/packages/node/src/lavendermountd/http1/messages.py
@@ -8,7 +8,8 @@
 
 from http import HTTPStatus
 
-from lavendermount_core.models.calls import Headers
+from lavendermount_core.models.calls import Body, Headers
+from lavendermountd.memory import SMALL_BODY_BYTES
 
 CONTENT_LENGTH = 'content-length'
 TRANSFER_ENCODING = 'transfer-encoding'
@@ -46,7 +47,7 @@
         method: str,
         target: str,
         headers: Headers,
-        body: bytes,
+        body: Body,
         keeps_alive: bool,
         error_status: int = 0,
         received_at: float = 0,
@@ -78,7 +79,7 @@
         status: int,
         reason: str,
         headers: Headers,
-        body: bytes,
+        body: Body,
         keeps_alive: bool,
     ) -> None:
         """Initialize the fields."""
@@ -116,6 +117,16 @@
     return '\r\n'.join(lines).encode('latin-1')
 
 
+def join_unless_large(head: bytes, body: Body) -> tuple[bytes, Body]:
+    """Append a body to a head if copying it costs less than a second write.
+
+    :returns: the message, or its head and the large body that follows.
+    """
+    if len(body) > SMALL_BODY_BYTES:
+        return head, body
+    return head + body, b''
+
+
 def is_decimal(text: str, max_digits: int = MAX_HEADER_DIGITS) -> bool:
     """Return whether a header is a decimal number of a bounded length."""
     return len(text) <= max_digits and text.isascii() and text.isdigit()
--- a/packages/node/src/lavendermountd/http1/reply_parser.py
+++ b/packages/node/src/lavendermountd/http1/reply_parser.py
@@ -8,7 +8,7 @@
 
 import httptools
 
-from lavendermount_core.models.calls import Headers
+from lavendermount_core.models.calls import Body, Headers
 from lavendermountd.http1.messages import (
     CONTENT_LENGTH,
     NO_BODY_STATUS,
@@ -16,6 +16,12 @@
     WireReply,
     find_header,
 )
+from lavendermountd.memory import (
+    SMALL_BODY_BYTES,
+    BodyBuffer,
+    BodyKind,
+    MemoryBudget,
+)
 
 FIRST_FINAL_STATUS = 200
 MAX_REPLY_HEAD_BYTES = 65536
@@ -29,11 +35,16 @@
 class ReplyParser:
     """Parses the data of one connection into complete replies.
 
+    A body for which the memory budget has no room now sets ``awaits_memory``; nothing
+    further should be fed until ``large_body`` has found room.
+
     :param max_body: largest accepted body.
+    :param memory: budget of the node; ``None`` for one of its own.
     """
 
     __slots__ = (
         'max_body',
+        'memory',
         'parser',
         'complete_replies',
         'is_between_messages',
@@ -42,6 +53,7 @@
         'reason',
         'headers',
         'parts',
+        'large_body',
         'body_size',
         'head_size',
         'head_received_size',
@@ -49,9 +61,10 @@
         'failure',
     )
 
-    def __init__(self, max_body: int) -> None:
+    def __init__(self, max_body: int, memory: MemoryBudget | None = None) -> None:
         """Start in the state before the first reply."""
         self.max_body = max_body
+        self.memory = memory or MemoryBudget()
         self.parser = httptools.HttpResponseParser(self)
         self.complete_replies: list[WireReply] = []
         self.is_between_messages = True
@@ -60,6 +73,8 @@
         self.reason = b''
         self.headers: Headers = []
         self.parts: list[bytes] = []
+        # Takes the place of ``parts`` for a body above ``SMALL_BODY_BYTES``.
+        self.large_body: BodyBuffer | None = None
         self.body_size = 0
         self.head_size = 0
         self.head_received_size = 0
@@ -67,6 +82,11 @@
         # Why a callback has refused the reply; the parser drops its error.
         self.failure = ''
 
+    @property
+    def awaits_memory(self) -> bool:
+        """Return whether there is no room for the rest of the body now."""
+        return self.large_body is not None and self.large_body.missing_bytes > 0
+
     def feed(self, chunk: bytes) -> list[WireReply]:
         """Parse a chunk of data.
 
@@ -107,7 +127,7 @@
         self.is_close_delimited = False
         self.reason = b''
         self.headers = []
-        self.parts = []
+        self.drop_body()
         self.body_size = 0
         self.head_size = 0
         self.is_reading_body = False
@@ -140,8 +160,28 @@
             self.add_complete(keeps_alive=False)
             return
         encoding = find_header(self.headers, TRANSFER_ENCODING).lower()
-        has_length = bool(find_header(self.headers, CONTENT_LENGTH))
-        self.is_close_delimited = not has_length and encoding != 'chunked'
+        length = find_header(self.headers, CONTENT_LENGTH)
+        self.is_close_delimited = not length and encoding != 'chunked'
+        size = int(length) if length.isdigit() else 0
+        if SMALL_BODY_BYTES < size <= self.max_body:
+            self.begin_large_body(size)
+
+    def begin_large_body(self, size: int) -> None:
+        """Take memory for a body.
+
+        :param size: its size if known, otherwise the bytes that were read.
+        """
+        large_body = BodyBuffer(self.memory, BodyKind.TARGET_REPLY, self.max_body)
+        large_body.reserve(size)
+        for part in self.parts:
+            large_body.add(part)
+        self.parts = []
+        self.large_body = large_body
+
+    def drop_body(self) -> None:
+        """Release what was read of the body."""
+        self.parts = []
+        self.large_body = None
 
     def on_body(self, part: bytes) -> None:
         """Store a part of the body.
@@ -153,7 +193,22 @@
         if self.body_size > self.max_body:
             self.failure = 'the reply body is too large'
             raise ReplyError(self.failure)
+        if self.large_body is not None:
+            self.large_body.add(part)
+            return
         self.parts.append(part)
+        if self.body_size > SMALL_BODY_BYTES:
+            self.begin_large_body(self.body_size)
+
+    def take_body(self) -> Body:
+        """Return the complete body and release what it was made of."""
+        body: Body = b''
+        if self.large_body is not None:
+            body = self.large_body.finish()
+        elif self.parts:
+            body = b''.join(self.parts)
+        self.drop_body()
+        return body
 
     def on_message_complete(self) -> None:
         """Complete the reply unless it is interim (1xx) or already complete."""
@@ -173,7 +228,7 @@
                 self.parser.get_status_code(),
                 self.reason.decode('latin-1'),
                 self.headers,
-                b''.join(self.parts),
+                self.take_body(),
                 keeps_alive,
             ),
         )
--- a/packages/node/src/lavendermountd/http1/request_parser.py
+++ b/packages/node/src/lavendermountd/http1/request_parser.py
@@ -11,7 +11,7 @@
 
 import httptools
 
-from lavendermount_core.models.calls import Headers
+from lavendermount_core.models.calls import Body, Headers
 from lavendermountd.http1.messages import (
     CONTENT_LENGTH,
     TRANSFER_ENCODING,
@@ -19,24 +19,34 @@
     encode_head,
     find_header,
 )
+from lavendermountd.memory import (
+    SMALL_BODY_BYTES,
+    BodyBuffer,
+    BodyKind,
+    MemoryBudget,
+)
 
 MAX_DISCARDED_BODY_BYTES = 268435456
 CONTINUE_EXPECTATION = '100-continue'
 
 
 class RequestLimits:
-    """Size limits of a request.
+    """Size limits of a request, and the budget of all bodies together.
 
     :param header_bytes: largest accepted head.
     :param body_bytes: largest accepted body.
+    :param memory: budget of the node; ``None`` for one of its own.
     """
 
-    __slots__ = ('header_bytes', 'body_bytes')
+    __slots__ = ('header_bytes', 'body_bytes', 'memory')
 
-    def __init__(self, header_bytes: int, body_bytes: int) -> None:
+    def __init__(
+        self, header_bytes: int, body_bytes: int, memory: MemoryBudget | None = None
+    ) -> None:
         """Initialize the fields."""
         self.header_bytes = header_bytes
         self.body_bytes = body_bytes
+        self.memory = memory or MemoryBudget()
 
 
 class RequestParser:
@@ -49,6 +59,10 @@
     before it sends the body, or if the body is larger than
     ``MAX_DISCARDED_BODY_BYTES``.
 
+    A body for which the memory budget has no room now sets ``awaits_memory``. Nothing
+    further must be fed until ``wait_for_memory`` has returned; if there is still no
+    room, the body is refused like one that is too large.
+
     :param limits: size limits of a request.
     """
 
@@ -66,6 +80,7 @@
         'target',
         'headers',
         'parts',
+        'large_body',
         'body_size',
         'head_size',
         'head_received_size',
@@ -88,12 +103,33 @@
         self.target = b''
         self.headers: Headers = []
         self.parts: list[bytes] = []
+        # Takes the place of ``parts`` for a body above ``SMALL_BODY_BYTES``.
+        self.large_body: BodyBuffer | None = None
         self.body_size = 0
         self.head_size = 0
         self.head_received_size = 0
         self.head_count = 0
         self.error_status = 0
 
+    @property
+    def awaits_memory(self) -> bool:
+        """Return whether there is no room for the rest of the body now."""
+        return self.large_body is not None and self.large_body.missing_bytes > 0
+
+    async def wait_for_memory(self) -> list[WireRequest]:
+        """Wait a short time for room for the body; refuse the body without it.
+
+        :returns: the request if it is refused at once.
+        """
+        large_body = self.large_body
+        if large_body is None or await large_body.wait_for_room():
+            return []
+        if self.expects_continue:
+            return self.give_up(HTTPStatus.SERVICE_UNAVAILABLE)
+        self.error_status = HTTPStatus.SERVICE_UNAVAILABLE
+        self.drop_body()
+        return []
+
     def feed(self, chunk: bytes) -> list[WireRequest]:
         """Parse a chunk of data.
 
@@ -181,7 +217,7 @@
         if self.is_between_messages:
             return
         self.error_status = status
-        self.parts = []
+        self.drop_body()
         self.complete_requests.append(self.build_request(keeps_alive=False))
 
     def consume_continue(self) -> bool:
@@ -190,6 +226,11 @@
         self.expects_continue = False
         return expects_continue and not self.has_failed
 
+    def drop_body(self) -> None:
+        """Free what was read of the body."""
+        self.parts = []
+        self.large_body = None
+
     def on_message_begin(self) -> None:
         """Reset the state for a new request."""
         if self.is_resuming:
@@ -198,7 +239,7 @@
         self.is_reading_head = True
         self.target = b''
         self.headers = []
-        self.parts = []
+        self.drop_body()
         self.body_size = 0
         self.head_size = 0
         self.head_received_size = 0
@@ -239,21 +280,53 @@
             raise ValueError('both Content-Length and Transfer-Encoding are set')
         expectation = find_header(self.headers, 'expect').lower()
         self.expects_continue = expectation == CONTINUE_EXPECTATION
-        if length.isdigit() and int(length) > self.limits.body_bytes:
-            self.refuse_body(int(length))
+        size = int(length) if length.isdigit() else 0
+        if size > self.limits.body_bytes:
+            self.refuse_body(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, size)
+        elif size > SMALL_BODY_BYTES:
+            self.begin_large_body(size)
+
+    def begin_large_body(self, size: int) -> None:
+        """Take memory for a body; refuse one that can never fit.
+
+        :param size: its size if known, otherwise the bytes that were read.
+        """
+        large_body = BodyBuffer(
+            self.limits.memory, BodyKind.CALLER_REQUEST, self.limits.body_bytes
+        )
+        large_body.reserve(size)
+        if not large_body.can_fit:
+            large_body.count_refusal()
+            self.refuse_body(HTTPStatus.SERVICE_UNAVAILABLE, size)
+            return
+        for part in self.parts:
+            large_body.add(part)
+        self.parts = []
+        self.large_body = large_body
 
     def on_body(self, part: bytes) -> None:
-        """Store a part of the body unless the body is too large."""
+        """Store a part of the body unless the body is refused."""
         self.body_size += len(part)
+        if self.error_status:
+            self.refuse_body(self.error_status, self.body_size)
+            return
         if self.body_size > self.limits.body_bytes:
-            self.refuse_body(self.body_size)
+            self.refuse_body(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, self.body_size)
+            return
+        if self.large_body is not None:
+            self.large_body.add(part)
             return
         self.parts.append(part)
+        if self.body_size > SMALL_BODY_BYTES:
+            self.begin_large_body(self.body_size)
 
-    def refuse_body(self, size: int) -> None:
-        """Refuse a body that is too large, at once or once it is read."""
-        self.error_status = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
-        self.parts = []
+    def refuse_body(self, status: int, size: int) -> None:
+        """Refuse a body that is too large, at once or once it is read.
+
+        :param status: HTTP status of the refusal.
+        """
+        self.error_status = status
+        self.drop_body()
         if self.expects_continue or size > MAX_DISCARDED_BODY_BYTES:
             raise ValueError('request body is too large')
 
@@ -267,13 +340,30 @@
             self.build_request(self.parser.should_keep_alive())
         )
 
+    def take_body(self) -> Body:
+        """Return the complete body and release what it was made of.
+
+        One that was complete before there was room for it is refused.
+        """
+        if self.large_body is None:
+            body: Body = b''.join(self.parts)
+        elif self.awaits_memory:
+            self.large_body.count_refusal()
+            self.error_status = HTTPStatus.SERVICE_UNAVAILABLE
+            body = b''
+        else:
+            body = self.large_body.finish()
+        self.drop_body()
+        return body
+
     def build_request(self, keeps_alive: bool) -> WireRequest:
         """Build the current request from the parsed parts."""
+        body = self.take_body()
         return WireRequest(
             '' if self.has_failed else self.method,
             self.target.decode('latin-1'),
             self.headers,
-            b''.join(self.parts),
+            body,
             keeps_alive,
             self.error_status,
             time.monotonic(),
--- a/packages/node/src/lavendermountd/metrics.py
+++ b/packages/node/src/lavendermountd/metrics.py
@@ -91,6 +91,16 @@
             'Targets that constraints excluded from selections, by constraint.',
             registry=self.registry,
         )
+        self.body_memory = Gauge(
+            'lavendermount_body_memory_bytes',
+            'Memory for large bodies: budget, held now and the most ever held.',
+            registry=self.registry,
+        )
+        self.refused_bodies = Gauge(
+            'lavendermount_refused_bodies',
+            'Bodies for which there was no memory, by kind.',
+            registry=self.registry,
+        )
         self.state = Gauge(
             'lavendermount_node_state',
             'What the node holds, by name.',
--- a/packages/node/src/lavendermountd/node.py
+++ b/packages/node/src/lavendermountd/node.py
@@ -92,6 +92,7 @@
         membership = self.settings.membership
         self.channels = ChannelPool(self.identity)
         self.gate = Gate(self.identity, self.dialect)
+        self.gate.client.memory.capacity_bytes = self.settings.body_memory_bytes
         self.view = LoadView(self.identity)
         self.budget = MeasuringBudget(
             TokenBucket(INITIAL_BUDGET_BYTES, INITIAL_BUDGET_BYTES),
@@ -120,6 +121,7 @@
         self.links = LinkPool(
             self.identity, self.on_load_report, self.gate.merge_suspicion
         )
+        self.links.memory = self.gate.client.memory
         self.link_bucket = TokenBucket(0, 0)
         self.selector = TargetSelector(
             self.table,
@@ -175,8 +177,10 @@
             self.settings.origin,
             allotments,
         )
+        self.service.limits.memory = self.gate.client.memory
         self.caller_server = CallerServer(self.service)
         self.peer_server = PeerServer(self.gate, self.freeze_guard)
+        self.peer_server.memory = self.gate.client.memory
         self.peer_server.allotments = allotments.owner
         self.target_monitor = TargetMonitor(
             self.gate,
--- a/packages/node/src/lavendermountd/peer/frame_stream.py
+++ b/packages/node/src/lavendermountd/peer/frame_stream.py
@@ -17,6 +17,7 @@
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 
 from lavendermount_core.exceptions import PeerLinkError, RecordError
+from lavendermount_core.models.calls import Body
 from lavendermount_core.models.records import Record
 from lavendermountd.peer.frames import (
     MAX_PART_BYTES,
@@ -123,7 +124,7 @@
         except (StreamClosedError, StreamBufferFullError) as error:
             raise PeerLinkError('connection closed or send buffer full') from error
 
-    async def send_body(self, attempt_id: str, body: bytes) -> None:
+    async def send_body(self, attempt_id: str, body: Body) -> None:
         """Send the remaining parts of a large body, buffering one at a time.
 
         Frames of other attempts can be sent between the parts.
@@ -133,8 +134,9 @@
             frame.
         :raises PeerLinkError: if the connection is closed.
         """
+        view = memoryview(body)
         for start in range(MAX_PART_BYTES, len(body), MAX_PART_BYTES):
-            part = BodyPart(attempt_id, body[start : start + MAX_PART_BYTES])
+            part = BodyPart(attempt_id, bytes(view[start : start + MAX_PART_BYTES]))
             try:
                 await self.send(part)
             except StreamClosedError as error:
--- a/packages/node/src/lavendermountd/peer/frames.py
+++ b/packages/node/src/lavendermountd/peer/frames.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from lavendermount_core.exceptions import RecordError
+from lavendermount_core.models.calls import Body
 from lavendermount_core.models.records import Record, pack
 from lavendermount_core.utils.registry import Registry
 
@@ -71,7 +72,7 @@
         patience_ms: int,
         fingerprint: str,
         body_size: int,
-        body: bytes,
+        body: Body,
     ) -> None:
         """Initialize the fields."""
         self.attempt_id = attempt_id
@@ -135,7 +136,7 @@
         headers: list[Any],
         load: list[Any],
         body_size: int,
-        body: bytes,
+        body: Body,
     ) -> None:
         """Initialize the fields."""
         self.attempt_id = attempt_id
--- a/packages/node/src/lavendermountd/peer/link.py
+++ b/packages/node/src/lavendermountd/peer/link.py
@@ -16,13 +16,20 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from lavendermount_core.exceptions import PeerLinkError
-from lavendermount_core.models.calls import CallReply, Refusal
+from lavendermount_core.models.calls import (
+    Body,
+    CallReply,
+    Reason,
+    Refusal,
+    unknown_refusal,
+)
 from lavendermount_core.models.loads import LoadReport
 from lavendermount_core.models.members import Member
 from lavendermount_core.models.records import Record
 from lavendermount_core.utils.deadlines import AfterReads, deadline_in
 from lavendermount_core.utils.registry import Registry
 from lavendermountd.gate.attempts import AttemptResult
+from lavendermountd.memory import BodyKind, MemoryBudget
 from lavendermountd.peer.bodies import BodyAssembler
 from lavendermountd.peer.frame_stream import FrameStream
 from lavendermountd.peer.frames import (
@@ -60,6 +67,7 @@
     :param on_load: called with each load report.
     :param on_suspect: called with each crash suspicion.
     :param silence_timeout_s: silence timeout, after which the link is closed.
+    :param memory: budget of the node; ``None`` for one of its own.
     """
 
     __slots__ = (
@@ -87,13 +95,14 @@
         on_load: Callable[[LoadReport], object],
         on_suspect: Callable[[CrashSuspicion], object],
         silence_timeout_s: float,
+        memory: MemoryBudget | None = None,
     ) -> None:
         """Create the link without connecting it; ``open`` connects it."""
         self.member = member
         self.host = host
         self.on_load = on_load
         self.on_suspect = on_suspect
-        self.bodies = BodyAssembler()
+        self.bodies = BodyAssembler(BodyKind.PEER_REPLY, memory)
         self.silence_timeout_s = silence_timeout_s
         self.pending: dict[str, asyncio.Future[AttemptResult]] = {}
         self.last_received_at = time.monotonic()
@@ -168,7 +177,7 @@
         finally:
             self.pending.pop(attempt_id, None)
 
-    async def dispatch(self, frame: Dispatch, body: bytes) -> AttemptResult:
+    async def dispatch(self, frame: Dispatch, body: Body) -> AttemptResult:
         """Send a request and wait for its outcome; a large body is sent in parts.
 
         :param frame: the head frame with the first part of the body.
@@ -184,7 +193,7 @@
         finally:
             sender.cancel()
 
-    async def send_remaining_body(self, frame: Dispatch, body: bytes) -> None:
+    async def send_remaining_body(self, frame: Dispatch, body: Body) -> None:
         """Send the remaining parts of a large body.
 
         If the connection is lost, the link is closed, which fails the pending
@@ -264,6 +273,7 @@
 
     def close(self) -> None:
         """Close the connection and fail all pending attempts."""
+        self.bodies.incomplete.clear()
         if self.frames is not None:
             self.frames.close()
         if self.reader is not None:
@@ -276,10 +286,18 @@
 
 @link_handlers.register(Answer)
 def on_answer(link: PeerLink, frame: Record) -> None:
-    """Resolve an attempt once its reply is complete."""
+    """Resolve an attempt once its reply is complete, or without room for that."""
     assert isinstance(frame, Answer)
     if link.bodies.begin(frame):
         resolve_answer(link, frame)
+        return
+    if frame.attempt_id not in link.pending:
+        link.bodies.drop(frame.attempt_id)
+    if link.bodies.is_dropped(frame.attempt_id):
+        refusal = unknown_refusal(
+            Reason.NO_MEMORY, 'the node has no memory for the reply'
+        )
+        link.resolve(frame.attempt_id, Failure(refusal))
 
 
 @link_handlers.register(BodyPart)
--- a/packages/node/src/lavendermountd/peer/link_pool.py
+++ b/packages/node/src/lavendermountd/peer/link_pool.py
@@ -15,6 +15,7 @@
 from lavendermount_core.models.members import Member
 from lavendermount_core.models.records import Record
 from lavendermountd.identity import Identity
+from lavendermountd.memory import MemoryBudget
 from lavendermountd.peer.backoff import NodeBackoff
 from lavendermountd.peer.frames import CrashSuspicion
 from lavendermountd.peer.link import PeerLink
@@ -42,6 +43,7 @@
         self.links: dict[str, PeerLink] = {}
         self.locks: dict[str, asyncio.Lock] = {}
         self.backoff = NodeBackoff()
+        self.memory: MemoryBudget | None = None
         self.silence_timeout_s = 0.3
         self.on_ping_sent: Callable[[Member, int], None] | None = None
         self.meter: TrafficMeter | None = None
@@ -84,6 +86,7 @@
             self.on_load_report,
             self.on_suspect,
             self.silence_timeout_s,
+            self.memory,
         )
         link.on_ping_sent = self.on_ping_sent
         link.on_grant = self.on_grant
--- a/packages/node/src/lavendermountd/peer/server.py
+++ b/packages/node/src/lavendermountd/peer/server.py
@@ -31,6 +31,7 @@
 from lavendermountd.allotments.owner import AllotmentOwner
 from lavendermountd.gate.attempts import Attempt, AttemptResult
 from lavendermountd.gate.gate import Gate
+from lavendermountd.memory import BodyKind, MemoryBudget
 from lavendermountd.peer.bodies import BodyAssembler
 from lavendermountd.peer.frame_stream import FrameStream
 from lavendermountd.peer.frames import (
@@ -56,6 +57,7 @@
 log = logging.getLogger(__name__)
 
 CLOSE_POLL_S = 0.01
+NO_MEMORY_RETRY_AFTER_S = 1.0
 
 FrameHandler = Callable[['PeerSession', Record], Awaitable[None]]
 frame_handlers: Registry[type[Record], FrameHandler] = Registry('frame handler')
@@ -66,6 +68,7 @@
 
     :param stream: the connection.
     :param gate: gate that runs the requests.
+    :param memory: budget of the node; ``None`` for one of its own.
     """
 
     __slots__ = (
@@ -78,11 +81,13 @@
         'allotments',
     )
 
-    def __init__(self, stream: FrameStream, gate: Gate) -> None:
+    def __init__(
+        self, stream: FrameStream, gate: Gate, memory: MemoryBudget | None = None
+    ) -> None:
         """Take ownership of the connection."""
         self.frames = stream
         self.gate = gate
-        self.bodies = BodyAssembler()
+        self.bodies = BodyAssembler(BodyKind.PEER_REQUEST, memory)
         self.tasks: set[asyncio.Task[None]] = set()
         self.last_dispatch_at: float = 0
         # Whether the other node is in another zone.
@@ -110,6 +115,7 @@
         except MALFORMED_FRAME_ERRORS as error:
             log.warning('peer-frame-malformed', extra={'cause': str(error)})
         finally:
+            self.bodies.incomplete.clear()
             self.frames.close()
 
     async def serve_frames(self, guard: FreezeGuard) -> None:
@@ -207,7 +213,7 @@
 
     def cancel(self, frame: Cancel) -> None:
         """Cancel an attempt, also one whose body is not complete."""
-        if not self.bodies.discard(frame.attempt_id):
+        if not self.bodies.drop(frame.attempt_id):
             self.gate.cancel(frame.attempt_id, frame.is_waiting_only)
             return
         detail = 'the attempt was cancelled before its body had arrived'
@@ -221,10 +227,14 @@
 
 @frame_handlers.register(Dispatch)
 async def on_dispatch(session: PeerSession, frame: Record) -> None:
-    """Run a request once its body is complete."""
+    """Run a request once its body is complete; refuse it without room for that."""
     assert isinstance(frame, Dispatch)
     if session.bodies.begin(frame):
         session.dispatch(frame)
+    elif session.bodies.is_dropped(frame.attempt_id):
+        detail = 'the node of the target has no memory for the body'
+        refusal = not_run_refusal(Reason.NO_MEMORY, detail, NO_MEMORY_RETRY_AFTER_S)
+        session.refuse(frame.attempt_id, refusal)
 
 
 @frame_handlers.register(BodyPart)
@@ -238,7 +248,7 @@
 
 @frame_handlers.register(Cancel)
 async def on_cancel(session: PeerSession, frame: Record) -> None:
-    """Cancel an attempt."""
+    """Cancel an attempt; one whose body is not complete never runs."""
     assert isinstance(frame, Cancel)
     session.cancel(frame)
 
@@ -319,6 +329,7 @@
         super().__init__()
         self.gate = gate
         self.guard = guard
+        self.memory: MemoryBudget | None = None
         self.sessions: set[PeerSession] = set()
         self.meter: TrafficMeter | None = None
         self.allotments: AllotmentOwner | None = None
@@ -327,7 +338,7 @@
 
     async def handle_stream(self, stream: IOStream, address: object) -> None:
         """Serve one connection until it closes."""
-        session = PeerSession(FrameStream(stream), self.gate)
+        session = PeerSession(FrameStream(stream), self.gate, self.memory)
         session.allotments = self.allotments
         if self.meter is not None:
             host = str(stream.socket.getpeername()[0])
--- a/packages/testbed/src/lavendermount_testbed/deployment.py
+++ b/packages/testbed/src/lavendermount_testbed/deployment.py
@@ -21,6 +21,7 @@
     wait_for_port,
     wait_until,
 )
+from lavendermountd.memory import DEFAULT_BUDGET_BYTES
 
 RELAY_HOST_TEMPLATE = '127.1.0.{0}'
 FETCH_TIMEOUT_S = 5.0
@@ -115,6 +116,7 @@
     :param mbit: bandwidth between regions.
     :param log_level: log level of the nodes.
     :param drain_s: time a planned stop of a node may take.
+    :param body_memory_bytes: memory of a node for bodies.
     """
 
     __slots__ = (
@@ -125,6 +127,7 @@
         'mbit',
         'log_level',
         'drain_s',
+        'body_memory_bytes',
     )
 
     def __init__(self) -> None:
@@ -136,6 +139,7 @@
         self.mbit = 30.0
         self.log_level = 'info'
         self.drain_s = 10.0
+        self.body_memory_bytes = DEFAULT_BUDGET_BYTES
 
 
 class Deployment:
@@ -236,6 +240,7 @@
             f'zone = "{instance.placement.zone}"',
             f'log_level = "{settings.log_level}"',
             f'drain_s = {settings.drain_s}',
+            f'body_memory_bytes = {settings.body_memory_bytes}',
             '[listen]',
             f'caller_port = {instance.caller_port}',
             f'admin_port = {instance.admin_port}',
--- a/packages/testbed/src/lavendermount_testbed/emulator/node.py
+++ b/packages/testbed/src/lavendermount_testbed/emulator/node.py
@@ -15,6 +15,7 @@
 from lavendermount_core.config.loader import load_text
 from lavendermount_core.config.node import NodeSchema
 from lavendermount_core.models.calls import (
+    Body,
     CallClass,
     CallReply,
     CallRequest,
@@ -198,7 +199,7 @@
         other.gate.cancel(attempt_id, is_waiting_only)
 
 
-def _body_of(reply: CallReply) -> bytes:
+def _body_of(reply: CallReply) -> Body:
     return reply.body
 
 
