Presets: what each step to a preset in force costs

What callers saw: a node that puts a large preset in force answers nobody meanwhile. Which of the steps that takes was known only for the decoder, from before presets travelled as JSON.

Change: platform/benches/preset_steps.py, part of make bench-control, measures each step for 16, 400, 1,720 and 3,440 routes, and a whole change beside a ticking task.

--- a/Makefile
+++ b/Makefile
@@ -57,6 +57,7 @@
 
 bench-control: setup
 	$(BIN)/python benches/control.py
+	$(BIN)/python platform/benches/preset_steps.py
 
 bench-memory: setup
 	$(BIN)/python benches/memory.py
