Presets: a large preset is prepared in slices, while requests are served

What callers saw: while a node decoded and put in force a preset of 1,720 routes, it answered nobody. Bytes waited in the kernel, time limits passed.

Cause: decoding, validation and compiling ran in one piece on the event loop.

Change: they are generators that yield after each route, and run in slices of 1 ms; one preset is prepared at a time, and put in force in one swap if it is still newer. The follower tells its position in the log only once the version is in force, and a restart no longer discards one that is being prepared. A peer's preset is validated before the fold takes it.

Tests that called PresetHolder.adopt, which is gone, put a compiled preset in force.

TOML and the fold of the preset stream are still one piece.

--- a/features/builders.py
+++ b/features/builders.py
@@ -25,6 +25,7 @@
 from lavendermountd.gate.target_lifecycle import TargetLifecycle
 from lavendermountd.identity import Identity
 from lavendermountd.membership.table import MemberTable
+from lavendermountd.presets.holder import InForcePreset, compile_preset
 
 DEALER = 'dealer-desk'
 DOCS = 'field-docs'
@@ -196,6 +197,14 @@
     )
 
 
+def ready_preset(revision: int) -> InForcePreset:
+    """Build the preset ``ordinary``, ready to be put in force.
+
+    :param revision: revision of the preset.
+    """
+    return compile_preset(preset_snapshot(revision))
+
+
 def large_preset_snapshot(revision: int, routes: int) -> PresetSnapshot:
     """Build a snapshot of a preset with many routes of different hosts.
 
--- a/features/connection_builders.py
+++ b/features/connection_builders.py
@@ -18,7 +18,7 @@
 from lavendermountd.caller.service import CallService
 from lavendermountd.dialects.native import NativeDialect
 from lavendermountd.gate.attempts import AttemptResult
-from lavendermountd.presets.holder import PresetHolder
+from lavendermountd.presets.holder import PresetHolder, compile_preset
 
 HEADER_BYTES = 1000
 BODY_BYTES = 100_000
@@ -156,7 +156,7 @@
     :param work_s: how long each request takes, or a function that returns it.
     """
     holder = PresetHolder()
-    holder.adopt(preset_snapshot(1))
+    holder.put_in_force(compile_preset(preset_snapshot(1)))
     claims = Mock()
     claims.key_digest.return_value = None
     router = EchoRouter(work_s if callable(work_s) else lambda request: work_s)
--- a/features/fakes.py
+++ b/features/fakes.py
@@ -27,6 +27,8 @@
 )
 from lavendermount_core.log.transfer import Transfer
 from lavendermount_core.models.calls import CallReply, CallRequest, Reason
+from lavendermount_core.presets.checked import CheckedPreset, check_steps
+from lavendermount_core.utils.steps import Steps
 from lavendermountd.claims.claims import ClaimService, ClaimState
 from lavendermountd.claims.holders import FORGOTTEN, HolderResponse
 from lavendermountd.claims.records import Claim
@@ -345,7 +347,7 @@
         return await outcome
 
 
-def decode_fake_record(body: bytes) -> Any:
+def decode_fake_record(body: bytes) -> Steps[CheckedPreset]:
     """Decode a record that the state machine wrote.
 
     :raises ConfigurationError: if it is malformed.
@@ -354,4 +356,4 @@
         revision = int(json.loads(body))
     except ValueError as error:
         raise ConfigurationError([]) from error
-    return preset_snapshot(revision)
+    return (yield from check_steps(preset_snapshot(revision)))
--- a/features/state_machines.py
+++ b/features/state_machines.py
@@ -16,7 +16,7 @@
 from collections import Counter
 from unittest.mock import Mock
 
-from builders import call_request, gate_without_target, preset_snapshot
+from builders import call_request, gate_without_target, ready_preset
 from fakes import (
     FakeClaimLog,
     FakeClient,
@@ -506,8 +506,8 @@
     @rule(pick=PICK)
     def adopt_from_peer(self, pick: int) -> None:
         """Adopt the preset that another node has in force."""
-        self.holder.adopt(
-            preset_snapshot(self.written_revisions[pick % len(self.written_revisions)])
+        self.holder.put_in_force(
+            ready_preset(self.written_revisions[pick % len(self.written_revisions)])
         )
 
     @rule()
--- a/features/steps/constraint_steps.py
+++ b/features/steps/constraint_steps.py
@@ -32,7 +32,7 @@
 from lavendermountd.membership.evacuations import EvacuationTable, ZoneState
 from lavendermountd.membership.table import MemberTable
 from lavendermountd.peer.backoff import NodeBackoff
-from lavendermountd.presets.holder import InForcePreset
+from lavendermountd.presets.holder import compile_preset
 from lavendermountd.routing.budgets import TokenBucket
 from lavendermountd.routing.load_view import LoadView
 from lavendermountd.routing.outbound_attempt import decision_record
@@ -87,7 +87,7 @@
 def both_regions(context: Any) -> None:
     """Build a selector and a request that may go anywhere."""
     context.selector = build_selector()
-    preset = InForcePreset(preset_snapshot(1))
+    preset = compile_preset(preset_snapshot(1))
     context.state = RequestState(call_request(), preset)
 
 
--- a/features/steps/fault_steps.py
+++ b/features/steps/fault_steps.py
@@ -48,7 +48,7 @@
 from lavendermountd.gate.target import Target, TargetState
 from lavendermountd.node import Node
 from lavendermountd.peer.frames import CrashSuspicion
-from lavendermountd.presets.holder import InForcePreset
+from lavendermountd.presets.holder import compile_preset
 
 RECOVERY_LIMIT_S = 20
 # Time within which a target that has recovered is used like the others.
@@ -130,7 +130,7 @@
     node.router.sender.send = send  # type: ignore[method-assign]
     body = preset_text()
     version = short_digest(body.encode())
-    preset = InForcePreset(PresetSnapshot(1, 2, 'ordinary', version, body))
+    preset = compile_preset(PresetSnapshot(1, 2, 'ordinary', version, body))
     node.router.configure(preset)
     request = call_request('GET')
     request.deadline = asyncio.get_running_loop().time() + 30
@@ -157,7 +157,7 @@
 
     node.router.sender.send = send  # type: ignore[method-assign]
     body = preset_text()
-    preset = InForcePreset(
+    preset = compile_preset(
         PresetSnapshot(1, 2, 'ordinary', short_digest(body.encode()), body)
     )
     node.router.configure(preset)
--- a/features/steps/overload_steps.py
+++ b/features/steps/overload_steps.py
@@ -34,7 +34,7 @@
 from lavendermountd.gate.ticket import Ticket
 from lavendermountd.gate.ticket_builder import TicketBuilder
 from lavendermountd.presets.applier import PresetApplier
-from lavendermountd.presets.holder import InForcePreset
+from lavendermountd.presets.holder import compile_preset
 
 PRIORITY = 'priority'
 
@@ -304,7 +304,7 @@
     applier = PresetApplier(MagicMock(gate=gate))
     for text in (preset_text(overload=f'order = "{order}"'), preset_text()):
         applier.apply_to_gate(
-            InForcePreset(PresetSnapshot(1, 2, 'ordinary', '1', text))
+            compile_preset(PresetSnapshot(1, 2, 'ordinary', '1', text))
         )
         assert (gate.queue.cost_order is not None) == ('overload' in text)
 
--- a/features/steps/peer_preset_steps.py
+++ b/features/steps/peer_preset_steps.py
@@ -15,11 +15,12 @@
 from lavendermount_core.config.findings import Finding
 from lavendermount_core.exceptions import ConfigurationError, RecordError
 from lavendermount_core.log.adapter import LogBatch, NewestRecords, join_position
-from lavendermount_core.presets.records import PresetSnapshot
+from lavendermount_core.presets.checked import CheckedPreset, check_steps
+from lavendermount_core.utils.steps import Steps
 from lavendermountd.control.generated import control_pb2
 from lavendermountd.membership.evacuations import EvacuationTable
 from lavendermountd.presets import parts as parts_module
-from lavendermountd.presets.holder import PresetHolder
+from lavendermountd.presets.holder import PresetHolder, compile_preset
 from lavendermountd.presets.keyed_follower import KeyedPresetFollower
 from lavendermountd.presets.parts import PartialPreset, PresetParts
 from lavendermountd.presets.peer_progress import PeerProgress
@@ -72,16 +73,16 @@
         )
         self.progress = PeerProgress(self.follower, self.evacuations)
 
-    def decode(self, body: bytes) -> PresetSnapshot:
+    def decode(self, body: bytes) -> Steps[CheckedPreset]:
         """Decode a record, which is the number of its revision."""
         self.decoded.append(int(body))
         if int(body) == INVALID_REVISION:
             raise ConfigurationError([Finding('config', 'is invalid')])
-        return preset_snapshot(int(body))
+        return (yield from check_steps(preset_snapshot(int(body))))
 
     def fetch_from_peer(self, revision: int, position: int) -> None:
         """Adopt the preset of a peer that has read the log up to a position."""
-        self.holder.adopt(preset_snapshot(revision), 'peer')
+        self.holder.put_in_force(compile_preset(preset_snapshot(revision)), 'peer')
         zone = control_pb2.ZoneState(zone='zone-a', position=2, is_evacuated=True)
         reply = control_pb2.PresetReply(log_position=position, zones=[zone])
         self.progress.apply(reply, member('peer'))
@@ -139,12 +140,12 @@
 def changed_meanwhile(context: Any) -> None:
     """Put another preset in force after the first part."""
     holder = PresetHolder()
-    holder.adopt(large_preset_snapshot(7, 3440))
+    holder.put_in_force(compile_preset(large_preset_snapshot(7, 3440)))
     source = parts_of(holder)
     partial = PartialPreset()
     assert not partial.add(source.reply(partial.next_request()))
     newer = large_preset_snapshot(8, 3000)
-    holder.adopt(newer)
+    holder.put_in_force(compile_preset(newer))
     while not partial.add(source.reply(partial.next_request())):
         assert len(partial.received) <= partial.head.compressed_bytes
     assert partial.snapshot() == newer
@@ -173,7 +174,7 @@
 def earlier_version(context: Any) -> None:
     """Ask without a part, and answer with the whole body."""
     holder = PresetHolder()
-    holder.adopt(preset_snapshot(7))
+    holder.put_in_force(compile_preset(preset_snapshot(7)))
     reply = parts_of(holder).reply(control_pb2.PresetRequest())
     assert reply.body == preset_snapshot(7).body
     partial = PartialPreset()
--- a/features/steps/preset_reading_steps.py
+++ b/features/steps/preset_reading_steps.py
@@ -24,7 +24,7 @@
 from lavendermountd.membership.evacuations import EvacuationTable
 from lavendermountd.presets.catchup import PresetCatchUp
 from lavendermountd.presets.follower import PresetFollower
-from lavendermountd.presets.holder import PresetHolder
+from lavendermountd.presets.holder import PresetHolder, compile_preset
 from lavendermountd.presets.poll_schedule import RESPONSE_TIMEOUT_S, PollSchedule
 from lavendermountd.presets.reachability import LogReachability
 
@@ -267,7 +267,7 @@
 def servicer_with(snapshot: PresetSnapshot) -> ControlServicer:
     """Build the control servicer of a node that has a preset in force."""
     holder = PresetHolder()
-    holder.adopt(snapshot)
+    holder.put_in_force(compile_preset(snapshot))
     return ControlServicer(
         SimpleNamespace(
             holder=holder,
--- a/features/steps/property_steps.py
+++ b/features/steps/property_steps.py
@@ -28,11 +28,12 @@
 )
 
 from lavendermount_core.config.preset import RetryOptions, parse_preset
+from lavendermount_core.utils.steps import run_steps
 from lavendermountd.caller.splitting import choose_service
 from lavendermountd.gate.concurrency_limit import ConcurrencyLimit
 from lavendermountd.gate.reports import ReportedState, StartHistory, TargetReport
 from lavendermountd.http1.request_parser import RequestLimits, RequestParser
-from lavendermountd.presets.route_index import RouteIndex
+from lavendermountd.presets.route_index import index_routes
 from lavendermountd.routing.load_view import LoadView
 from lavendermountd.routing.retry_budget import RetryBudget
 from lavendermountd.supervision.freeze import FreezeGuard
@@ -297,7 +298,7 @@
         )
         schema = parse_preset(text, 'test')
         schema.checked['route'] = schema.route[-len(drawn) :]
-        found = RouteIndex(schema).find(host, 'GET', f'{path}x?q=/a/')
+        found = run_steps(index_routes(schema)).find(host, 'GET', f'{path}x?q=/a/')
         fitting = [p for name, p in drawn if name == host and path.startswith(p)]
         longest = max(fitting, key=len, default=None)
         assert getattr(found, 'path', None) == longest
--- a/features/steps/redirect_steps.py
+++ b/features/steps/redirect_steps.py
@@ -17,7 +17,7 @@
 from lavendermountd.membership.evacuations import EvacuationTable
 from lavendermountd.membership.table import MemberTable
 from lavendermountd.peer.backoff import NodeBackoff
-from lavendermountd.presets.holder import InForcePreset
+from lavendermountd.presets.holder import compile_preset
 from lavendermountd.routing.budgets import TokenBucket
 from lavendermountd.routing.load_view import LoadView
 from lavendermountd.routing.router import Router
@@ -46,7 +46,7 @@
 def limited_redirects(context: Any) -> None:
     """Build a router that knows some gates."""
     text = preset_text(retry='redirect_share = 0.5\nattempts = 4\n')
-    context.preset = InForcePreset(PresetSnapshot(1, 2, 'ordinary', '1', text))
+    context.preset = compile_preset(PresetSnapshot(1, 2, 'ordinary', '1', text))
     own = member('self', service='')
     known = MemberTable(own)
     for number in range(GATES):
--- a/features/steps/tenant_steps.py
+++ b/features/steps/tenant_steps.py
@@ -15,7 +15,7 @@
 from lavendermountd.caller.tenancy import intersect_regions
 from lavendermountd.dialects.base import CallMetadata
 from lavendermountd.http1.messages import WireRequest
-from lavendermountd.presets.holder import InForcePreset
+from lavendermountd.presets.holder import InForcePreset, compile_preset
 
 ALPHA_KEY = 'alpha-key-1'
 SECOND_ALPHA_KEY = 'alpha-key-2'
@@ -39,7 +39,7 @@
     """Build the preset in force with these tenants and a public route."""
     matching = 'matching = "longest-prefix"\n'
     text = matching + preset_text() + PUBLIC_ROUTE + ''.join(tenants)
-    return InForcePreset(PresetSnapshot(1, 2, 'ordinary', '1', text))
+    return compile_preset(PresetSnapshot(1, 2, 'ordinary', '1', text))
 
 
 def classified(
--- a/packages/core/src/lavendermount_core/config/loader.py
+++ b/packages/core/src/lavendermount_core/config/loader.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import json
 import tomllib
 from pathlib import Path
 from typing import Any, Final, Never, TypeVar
@@ -15,6 +14,8 @@
 from lavendermount_core.config.findings import Finding
 from lavendermount_core.config.options import Schema
 from lavendermount_core.exceptions import ConfigurationError
+from lavendermount_core.utils.json_steps import parse_json_steps
+from lavendermount_core.utils.steps import Steps, run_steps
 
 LoadedSchema = TypeVar('LoadedSchema', bound=Schema)
 # First character of each JSON object, and of no TOML document.
@@ -24,6 +25,20 @@
 def load_text(schema: type[LoadedSchema], text: str, source: str) -> LoadedSchema:
     """Parse and validate a document.
 
+    :param schema: schema class of the document.
+    :param text: TOML, or a JSON object.
+    :param source: name used in findings, usually the file name.
+    :raises ConfigurationError: with all findings.
+    :returns: the validated document.
+    """
+    return run_steps(load_text_steps(schema, text, source))
+
+
+def load_text_steps(
+    schema: type[LoadedSchema], text: str, source: str
+) -> Steps[LoadedSchema]:
+    """Parse and validate a document in steps; TOML is parsed in one.
+
     :param schema: schema class of the document.
     :param text: TOML, or a JSON object.
     :param source: name used in findings, usually the file name.
@@ -31,13 +46,27 @@
     :returns: the validated document.
     """
     try:
-        raw = parse_text(text)
+        raw = yield from parse_text_steps(text)
     except ValueError as error:
         raise ConfigurationError([Finding(source, str(error))]) from error
     except RecursionError as error:
         finding = Finding(source, 'the document is nested too deeply')
         raise ConfigurationError([finding]) from error
-    table, findings = schema.load(raw, f'{source}: ')
+    return (yield from load_table_steps(schema, raw, source))
+
+
+def load_table_steps(
+    schema: type[LoadedSchema], raw: Any, source: str
+) -> Steps[LoadedSchema]:
+    """Validate a document that has been parsed, in steps.
+
+    :param schema: schema class of the document.
+    :param raw: the parsed document.
+    :param source: name used in findings.
+    :raises ConfigurationError: with all findings.
+    :returns: the validated document.
+    """
+    table, findings = yield from schema.load_steps(raw, f'{source}: ')
     if findings:
         raise ConfigurationError(findings)
     return table
@@ -51,9 +80,20 @@
     :raises RecursionError: if it is nested too deeply.
     :returns: the table.
     """
-    if text.lstrip().startswith(JSON_START):
-        return json.loads(text, parse_constant=_refuse_constant)
-    return tomllib.loads(text)
+    return run_steps(parse_text_steps(text))
+
+
+def parse_text_steps(text: str) -> Steps[Any]:
+    """Parse JSON in steps, or TOML in one.
+
+    :param text: the document.
+    :raises ValueError: if it is malformed.
+    :raises RecursionError: if it is nested too deeply.
+    :returns: the table.
+    """
+    if not text.lstrip().startswith(JSON_START):
+        return tomllib.loads(text)
+    return (yield from parse_json_steps(text, _refuse_constant))
 
 
 def _refuse_constant(name: str) -> Never:
--- a/packages/core/src/lavendermount_core/config/options.py
+++ b/packages/core/src/lavendermount_core/config/options.py
@@ -14,9 +14,13 @@
 
 from lavendermount_core.config.findings import Finding
 from lavendermount_core.utils.addresses import is_ip_address
+from lavendermount_core.utils.steps import Steps, run_steps
 
 OptionValue = TypeVar('OptionValue')
 TableSchema = TypeVar('TableSchema', bound='Schema')
+CheckedValue = TypeVar('CheckedValue')
+# A validated value and the findings in it.
+Checked = tuple[CheckedValue, list[Finding]]
 
 
 class Option(Generic[OptionValue]):
@@ -285,6 +289,12 @@
 
     def check_value(self, raw: Any, location: str) -> tuple[Any, list[Finding]]:
         """Validate each table; findings contain its index."""
+        return run_steps(self.check_steps(raw, location))
+
+    def check_steps(self, raw: Any, location: str) -> Steps[Checked[Any]]:
+        """Validate the tables, each in a step; findings contain its index."""
+        if raw is None:
+            return self.default, []
         if not isinstance(raw, list):
             return [], [
                 Finding(location, f'must be a list of tables, not {_type_name(raw)}')
@@ -295,6 +305,7 @@
             table, found = self.schema.load(row, f'{location}[{index}]')
             tables.append(table)
             findings.extend(found)
+            yield
         return tables, findings
 
 
@@ -319,6 +330,16 @@
     def load(cls, raw: Any, location: str) -> tuple[Self, list[Finding]]:
         """Validate a raw table.
 
+        :param raw: the table as parsed from TOML.
+        :param location: file and key path of the table.
+        :returns: the validated table and all findings in it.
+        """
+        return run_steps(cls.load_steps(raw, location))
+
+    @classmethod
+    def load_steps(cls, raw: Any, location: str) -> Steps[Checked[Self]]:
+        """Validate a raw table, each table of its lists in a step.
+
         :param raw: the table as parsed from TOML.
         :param location: file and key path of the table.
         :returns: the validated table and all findings in it.
@@ -334,9 +355,11 @@
             if key not in raw and option.default is not None:
                 checked[option.key] = option.default
                 continue
-            checked_value, found = option.check(
-                raw.get(key), join_location(location, key)
-            )
+            place = join_location(location, key)
+            if isinstance(option, TableList):
+                checked_value, found = yield from option.check_steps(raw[key], place)
+            else:
+                checked_value, found = option.check(raw.get(key), place)
             checked[option.key] = checked_value
             findings.extend(found)
         table = cls(checked)
--- a/packages/core/src/lavendermount_core/config/preset.py
+++ b/packages/core/src/lavendermount_core/config/preset.py
@@ -461,22 +461,7 @@
         """
         names = [entry.name for entry in self.class_]
         findings = _repeated_names(names, f'{location}class')
-        findings.extend(
-            Finding(
-                f'{location}route[{index}].class',
-                f'class {route.class_!r} is not defined',
-            )
-            for index, route in enumerate(self.route)
-            if route.class_ not in names
-        )
-        findings.extend(
-            Finding(
-                f'{location}route[{index}].service',
-                'is required unless a split has a weight above 0',
-            )
-            for index, route in enumerate(self.route)
-            if not route.service and not any(part.weight for part in route.split)
-        )
+        findings.extend(self.check_routes(set(names), f'{location}route'))
         findings.extend(self.check_tenants(location))
         if not self.route:
             findings.append(
@@ -484,6 +469,23 @@
             )
         return findings
 
+    def check_routes(self, names: set[str], location: str) -> list[Finding]:
+        """Check that each route has a class and a service."""
+        unknown_classes = []
+        missing_services = []
+        for index, route in enumerate(self.route):
+            # Thousands of routes are checked in one step, hence without descriptors.
+            checked = route.checked
+            if checked['class_'] not in names:
+                message = f'class {route.class_!r} is not defined'
+                unknown_classes.append(Finding(f'{location}[{index}].class', message))
+            if not checked['service'] and not any(part.weight for part in route.split):
+                message = 'is required unless a split has a weight above 0'
+                missing_services.append(
+                    Finding(f'{location}[{index}].service', message)
+                )
+        return unknown_classes + missing_services
+
     def check_tenants(self, location: str) -> list[Finding]:
         """Check that names are unique and that a key identifies one tenant.
 
--- /dev/null
+++ b/packages/core/src/lavendermount_core/presets/checked.py
@@ -0,0 +1,36 @@
+"""A preset that was validated, beside the text from which it was read.
+
+:errors: ``ConfigurationError`` with all findings.
+"""
+
+from __future__ import annotations
+
+from lavendermount_core.config.loader import load_text_steps
+from lavendermount_core.config.preset import PresetSchema
+from lavendermount_core.presets.records import PresetSnapshot
+from lavendermount_core.utils.steps import Steps
+
+
+class CheckedPreset:
+    """A snapshot and the values in its body.
+
+    :param snapshot: the snapshot.
+    :param schema: its body, validated.
+    """
+
+    __slots__ = ('snapshot', 'schema')
+
+    def __init__(self, snapshot: PresetSnapshot, schema: PresetSchema) -> None:
+        """Initialize the fields."""
+        self.snapshot = snapshot
+        self.schema = schema
+
+
+def check_steps(snapshot: PresetSnapshot) -> Steps[CheckedPreset]:
+    """Validate the body of a snapshot in steps.
+
+    :param snapshot: the snapshot; not trusted.
+    :raises ConfigurationError: with all findings.
+    """
+    schema = yield from load_text_steps(PresetSchema, snapshot.body, snapshot.name)
+    return CheckedPreset(snapshot, schema)
--- a/packages/node/src/lavendermountd/presets/catchup.py
+++ b/packages/node/src/lavendermountd/presets/catchup.py
@@ -129,7 +129,7 @@
             },
         )
         if snapshot.revision > self.holder.revision:
-            self.adopt(snapshot, partial.head, member)
+            await self.adopt(snapshot, partial.head, member)
 
     async def ask_progress(self, member: Member) -> None:
         """Learn up to which position of the log a peer has read.
@@ -177,7 +177,7 @@
             is_complete = partial.add(reply)
         return partial.snapshot()
 
-    def adopt(
+    async def adopt(
         self, snapshot: PresetSnapshot, head: control_pb2.PresetReply, member: Member
     ) -> None:
         """Adopt the preset of a peer, and what else the peer has read from the log.
@@ -187,10 +187,12 @@
         :param member: the peer.
         """
         try:
-            self.holder.adopt(snapshot, member.node_id)
+            preset = await self.holder.prepare_if_newer(snapshot)
         except ConfigurationError as error:
             log.warning('preset-refused', extra={'findings': str(error)})
             return
+        if preset is not None:
+            self.holder.put_in_force(preset, member.node_id)
         self.on_adopted(head, member)
 
 
--- a/packages/node/src/lavendermountd/presets/holder.py
+++ b/packages/node/src/lavendermountd/presets/holder.py
@@ -5,18 +5,22 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 import time
 from collections.abc import Callable
 from enum import StrEnum
 
 from lavendermount_core.config.preset import ClassOptions, parse_preset
+from lavendermount_core.presets.checked import CheckedPreset, check_steps
 from lavendermount_core.presets.fold import PresetFold
 from lavendermount_core.presets.records import NO_REVISION, PresetSnapshot
 from lavendermount_core.routing.tuning import tuning_from
+from lavendermount_core.utils.steps import Steps, run_steps
 from lavendermount_core.utils.units import MS_PER_S
-from lavendermountd.presets.route_index import RouteIndex
+from lavendermountd.presets.route_index import RouteIndex, index_routes
 from lavendermountd.presets.tenant_index import TenantIndex
+from lavendermountd.slices import run_in_slices
 
 log = logging.getLogger(__name__)
 
@@ -33,12 +37,14 @@
 
 
 class InForcePreset:
-    """A parsed preset and the revision at which it was put in force.
+    """A validated preset and the revision at which it was put in force.
 
-    :param snapshot: snapshot of the preset in force.
+    :param checked: the preset.
+    :param index: its routes.
     """
 
     __slots__ = (
+        'snapshot',
         'revision',
         'version',
         'schema',
@@ -50,15 +56,16 @@
         'split_weights',
     )
 
-    def __init__(self, snapshot: PresetSnapshot) -> None:
-        """Parse the preset; the fold accepts only valid presets."""
-        self.revision = snapshot.revision
-        self.version = snapshot.version
-        self.schema = parse_preset(snapshot.body, snapshot.name)
+    def __init__(self, checked: CheckedPreset, index: RouteIndex) -> None:
+        """Look up what requests need often."""
+        self.snapshot = checked.snapshot
+        self.revision = checked.snapshot.revision
+        self.version = checked.snapshot.version
+        self.schema = checked.schema
         self.classes = {entry.name: entry for entry in self.schema.class_}
         self.services = {entry.name: entry for entry in self.schema.service}
         self.tuning = tuning_from(self.schema)
-        self.index = RouteIndex(self.schema)
+        self.index = index
         self.tenants = TenantIndex(self.schema)
         self.split_weights: dict[int, dict[str, float]] = {}
 
@@ -67,10 +74,26 @@
         return self.classes[name]
 
 
+def compile_steps(checked: CheckedPreset) -> Steps[InForcePreset]:
+    """Make a validated preset ready to be put in force, in steps."""
+    index = yield from index_routes(checked.schema)
+    return InForcePreset(checked, index)
+
+
+def compile_preset(snapshot: PresetSnapshot) -> InForcePreset:
+    """Make a preset ready to be put in force, in one piece.
+
+    :param snapshot: the preset; not validated again if it was the latest.
+    :raises ConfigurationError: with all findings.
+    """
+    schema = parse_preset(snapshot.body, snapshot.name)
+    return run_steps(compile_steps(CheckedPreset(snapshot, schema)))
+
+
 class PresetHolder:
     """Holds the preset in force; never returns to an older one."""
 
-    __slots__ = ('fold', 'current', 'on_change', 'on_stage')
+    __slots__ = ('fold', 'current', 'on_change', 'on_stage', 'turn')
 
     def __init__(self) -> None:
         """Start without a preset in force."""
@@ -79,21 +102,61 @@
         self.on_change: list[Callable[[InForcePreset], None]] = []
         # Called with the time that a stage took, in seconds.
         self.on_stage: Callable[[PresetStage, float], None] = _ignore_stage
+        # Held while a preset is prepared.
+        self.turn = asyncio.Lock()
 
     @property
     def revision(self) -> int:
         """Revision of the preset in force, or ``NO_REVISION``."""
         return NO_REVISION if self.current is None else self.current.revision
 
-    def refresh(self, source: str = LOG) -> None:
+    async def prepare(self, steps: Steps[CheckedPreset]) -> InForcePreset:
+        """Validate and compile a preset in slices, while requests are served.
+
+        One preset is prepared at a time, and finished also if a newer one waits.
+
+        :param steps: decodes and validates the preset.
+        :raises ConfigurationError: with all findings.
+        :returns: the preset, which is not in force yet.
+        """
+        async with self.turn:
+            return await self.compile(steps)
+
+    async def prepare_if_newer(self, snapshot: PresetSnapshot) -> InForcePreset | None:
+        """Validate and compile a preset whose revision is known.
+
+        :param snapshot: the preset; not trusted.
+        :raises ConfigurationError: with all findings.
+        :returns: the preset; ``None`` if a newer one came into force before its turn.
+        """
+        async with self.turn:
+            if snapshot.revision <= self.revision:
+                return None
+            return await self.compile(check_steps(snapshot))
+
+    async def compile(self, steps: Steps[CheckedPreset]) -> InForcePreset:
+        """Validate and compile a preset in slices.
+
+        :raises ConfigurationError: with all findings.
+        """
+        started_at = time.monotonic()
+        checked = await run_in_slices(steps)
+        preset = await run_in_slices(compile_steps(checked))
+        self.on_stage(PresetStage.DECODE, time.monotonic() - started_at)
+        return preset
+
+    def refresh(self, source: str = LOG, prepared: InForcePreset | None = None) -> None:
         """Put the preset of the fold in force if it is newer.
 
         :param source: name of the node that it was learned from, or ``LOG``.
+        :param prepared: the preset that the fold has just adopted.
         """
         if self.fold is None or self.fold.in_force.revision <= self.revision:
             return
         started_at = time.monotonic()
-        self.current = InForcePreset(self.fold.in_force)
+        if prepared is None or prepared.snapshot is not self.fold.in_force:
+            prepared = compile_preset(self.fold.in_force)
+        self.current = prepared
         for callback in self.on_change:
             callback(self.current)
         elapsed_s = time.monotonic() - started_at
@@ -110,16 +173,19 @@
             },
         )
 
-    def adopt(self, snapshot: PresetSnapshot, source: str = LOG) -> None:
-        """Adopt a snapshot from the log or from another node whose fold is settled.
+    def put_in_force(self, prepared: InForcePreset, source: str = LOG) -> None:
+        """Put a preset in force unless a newer one is by now.
 
-        :param source: name of that node, or ``LOG``.
+        :param prepared: the preset.
+        :param source: name of the node that it was learned from, or ``LOG``.
         """
+        if prepared.revision <= self.revision:
+            return
         if self.fold is None:
-            self.fold = PresetFold.from_snapshot(snapshot)
+            self.fold = PresetFold.from_snapshot(prepared.snapshot)
         else:
-            self.fold.adopt(snapshot)
-        self.refresh(source)
+            self.fold.adopt(prepared.snapshot)
+        self.refresh(source, prepared)
 
 
 def _ignore_stage(stage: PresetStage, seconds: float) -> None:
--- a/packages/node/src/lavendermountd/presets/keyed_follower.py
+++ b/packages/node/src/lavendermountd/presets/keyed_follower.py
@@ -26,11 +26,10 @@
     era_of,
 )
 from lavendermount_core.log.transfer import Transfer
-from lavendermount_core.presets.records import PresetSnapshot
 from lavendermount_core.utils.units import MS_PER_S
 from lavendermountd.membership.evacuations import EvacuationTable
 from lavendermountd.presets.decoders import PresetDecoder
-from lavendermountd.presets.holder import PresetHolder, PresetStage
+from lavendermountd.presets.holder import InForcePreset, PresetHolder, PresetStage
 from lavendermountd.presets.reachability import LogReachability
 
 log = logging.getLogger(__name__)
@@ -167,9 +166,10 @@
         self.reachability.mark_answered()
         self.evacuations.read_newest(newest)
         body = newest.bodies.get(self.key)
-        if body is not None:
-            self.adopt_if_newer(body, transfer)
-        self.offset = newest.end
+        async with self.reachability.restart_request.applying:
+            if body is not None:
+                await self.adopt_if_newer(body, transfer)
+            self.offset = newest.end
         self.is_caught_up.set()
 
     async def read_changes(self) -> None:
@@ -184,11 +184,12 @@
                 self.stream, self.offset, wait_s, transfer
             )
         )
-        known_offset = self.offset
-        self.offset = max(known_offset, batch.next_offset)
-        body = self.read_batch(batch, known_offset)
-        if body:
-            self.adopt_if_newer(body, self.reachability.transfer)
+        body = self.read_batch(batch, self.offset)
+        async with self.reachability.restart_request.applying:
+            if body:
+                await self.adopt_if_newer(body, self.reachability.transfer)
+            # Peers take the position for one up to which all is applied.
+            self.offset = max(self.offset, batch.next_offset)
         if self.offset >= batch.end:
             self.is_caught_up.set()
         if body:
@@ -220,36 +221,33 @@
             log.warning('preset-record-malformed', extra={'cause': str(error)})
             return None
 
-    def adopt_if_newer(self, body: bytes, transfer: Transfer) -> None:
+    async def adopt_if_newer(self, body: bytes, transfer: Transfer) -> None:
         """Put the preset of a record in force if it is valid and newer.
 
         :param body: the record.
         :param transfer: the answer that contained it.
         """
         started_at = time.monotonic()
-        snapshot = self.try_decode(body)
-        self.is_latest_refused = snapshot is None
-        if snapshot is None:
+        preset = await self.try_prepare(body)
+        self.is_latest_refused = preset is None
+        if preset is None:
             return
-        decode_s = time.monotonic() - started_at
         self.holder.on_stage(PresetStage.RECEIVE, transfer.elapsed_s)
-        self.holder.on_stage(PresetStage.DECODE, decode_s)
         log.info(
             'preset-received',
             extra={
-                'revision': snapshot.revision,
+                'revision': preset.revision,
                 'in_force': self.holder.revision,
-                'decode_ms': round(decode_s * MS_PER_S),
+                'decode_ms': round((time.monotonic() - started_at) * MS_PER_S),
                 **transfer.describe(),
             },
         )
-        if snapshot.revision > self.holder.revision:
-            self.holder.adopt(snapshot)
+        self.holder.put_in_force(preset)
 
-    def try_decode(self, body: bytes) -> PresetSnapshot | None:
-        """Decode a record; log the findings if it is invalid."""
+    async def try_prepare(self, body: bytes) -> InForcePreset | None:
+        """Prepare the preset of a record; log the findings if it is invalid."""
         try:
-            return self.decode(body)
+            return await self.holder.prepare(self.decode(body))
         except ConfigurationError as error:
             log.warning('preset-refused', extra={'findings': str(error)})
             return None
--- a/packages/node/src/lavendermountd/presets/restart.py
+++ b/packages/node/src/lavendermountd/presets/restart.py
@@ -11,13 +11,19 @@
 
 
 class RestartRequest:
-    """Abandons the read that is waiting when a restart is requested."""
+    """Abandons the read that is waiting when a restart is requested.
 
-    __slots__ = ('requested',)
+    What has been read is applied first: the log may have come back from a copy that
+    lacks it.
+    """
+
+    __slots__ = ('requested', 'applying')
 
     def __init__(self) -> None:
         """Start without a request."""
         self.requested = asyncio.Event()
+        # Held while what was read is applied.
+        self.applying = asyncio.Lock()
 
     def request(self) -> None:
         """Abandon the current read."""
@@ -32,8 +38,9 @@
             await asyncio.wait(
                 {reading, restarting}, return_when=asyncio.FIRST_COMPLETED
             )
-            if reading.done():
-                reading.result()
+            async with self.applying:
+                if reading.done():
+                    reading.result()
         finally:
             reading.cancel()
             restarting.cancel()
--- a/packages/node/src/lavendermountd/presets/route_index.py
+++ b/packages/node/src/lavendermountd/presets/route_index.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from lavendermount_core.config.preset import PresetSchema, RouteOptions
+from lavendermount_core.utils.steps import Steps
 
 
 def matches(route: RouteOptions, host: str, method: str, path: str) -> bool:
@@ -25,18 +26,13 @@
 
 
 class RouteIndex:
-    """Routes by host, sorted by descending length of their path prefix.
-
-    :param schema: preset that contains the routes.
-    """
+    """Routes by host, sorted by descending length of their path prefix."""
 
     __slots__ = ('by_host',)
 
-    def __init__(self, schema: PresetSchema) -> None:
-        """Sort the routes once, so that lookups do not have to."""
+    def __init__(self) -> None:
+        """Start without a route."""
         self.by_host: dict[str, list[RouteOptions]] = {}
-        for route in sorted(schema.route, key=_prefix_length, reverse=True):
-            self.by_host.setdefault(route.host.lower(), []).append(route)
 
     def find(self, host: str, method: str, path: str) -> RouteOptions | None:
         """Find the matching route with the longest path prefix.
@@ -55,5 +51,21 @@
         return None
 
 
+def index_routes(schema: PresetSchema) -> Steps[RouteIndex]:
+    """Sort the routes of a preset once, so that lookups do not have to.
+
+    :param schema: preset that contains the routes.
+    :returns: the index, built in steps of a route or of a host.
+    """
+    index = RouteIndex()
+    for route in schema.route:
+        index.by_host.setdefault(route.host.lower(), []).append(route)
+        yield
+    for routes in index.by_host.values():
+        routes.sort(key=_prefix_length, reverse=True)
+        yield
+    return index
+
+
 def _prefix_length(route: RouteOptions) -> int:
     return len(route.path)
--- a/packages/testbed/src/lavendermount_testbed/emulator/experiment.py
+++ b/packages/testbed/src/lavendermount_testbed/emulator/experiment.py
@@ -32,7 +32,7 @@
     service_name,
 )
 from lavendermount_testbed.simulated_time import SimulatedTime
-from lavendermountd.presets.holder import InForcePreset
+from lavendermountd.presets.holder import compile_preset
 
 ROUND_DIGITS = 4
 SEED_BITS = 32
@@ -64,7 +64,7 @@
         self.seed = seed
         self.stats = OutcomeStats()
         self.rng = random.Random(seed)
-        preset = InForcePreset(build_preset(scenario, policy))
+        preset = compile_preset(build_preset(scenario, policy))
         self.fleet = Fleet(scenario, preset, Network(scenario.network))
 
     def run(self) -> dict[str, object]:
