--- a/packages/testbed/src/lavendermount_testbed/caller.py
+++ b/packages/testbed/src/lavendermount_testbed/caller.py
@@ -139,6 +139,14 @@
         stream.set_nodelay(True)
         return stream
 
+    def watch_for_close(self) -> None:
+        """Notice while the connection is unused that the node closes it.
+
+        Without a callback, tornado notices it only at the next read.
+        """
+        if self.stream is not None:
+            self.stream.set_close_callback(self.close)
+
     def close(self) -> None:
         """Close the connection."""
         if self.stream is not None:
@@ -167,6 +175,7 @@
         """Send a request on an idle connection or on a new one."""
         connection = self.idle.pop(0) if self.idle else CallerConnection(self.port)
         received = await connection.call(method, path, headers, body)
+        connection.watch_for_close()
         self.idle.append(connection)
         return received
 
