Stop: replies that arrive while the event loop is busy at the end are passed on

Change: the node processes what has arrived before it gives its last answers, also for attempts of other nodes, and leaves refusals alone that are on their way. The same class as in the time limits: a decision by the clock.

--- a/features/connection_builders.py
+++ b/features/connection_builders.py
@@ -60,6 +60,22 @@
         return len(self.received) > len(self.answered)
 
 
+class SocketRouter(EchoRouter):
+    """Router whose target answers once a byte arrives from ``target_end``."""
+
+    def __init__(self) -> None:
+        """Connect the target."""
+        super().__init__(lambda request: 0)
+        self.target_end, self.node_end = socket.socketpair()
+
+    async def route(self, request: CallRequest, preset: object) -> AttemptResult:
+        """Answer a request when its target does."""
+        reader, writer = await asyncio.open_connection(sock=self.node_end)
+        await reader.readexactly(1)
+        writer.close()
+        return await super().route(request, preset)
+
+
 class Reply:
     """A reply as a caller received it.
 
--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -31,6 +31,7 @@
 
   Scenario: A node that is busy at the end of its drain cuts no order that has arrived
     Then an order that arrives while the event loop is busy until after that end is refused as not run
+    And a reply that arrives while the event loop is busy then is passed on
 
   Scenario: A node that fails cuts no accepted request
     Then requests in progress are answered when the tasks of a node fail too often
--- a/features/steps/stop_end_steps.py
+++ b/features/steps/stop_end_steps.py
@@ -10,7 +10,12 @@
 from unittest.mock import AsyncMock, Mock, patch
 
 from behave import then
-from connection_builders import NOT_PASSED_ON, echo_service, encode_order
+from connection_builders import (
+    NOT_PASSED_ON,
+    SocketRouter,
+    echo_service,
+    encode_order,
+)
 from tornado.netutil import bind_sockets
 
 from lavendermountd import process
@@ -72,8 +77,10 @@
 def waiting_not_run(context: Any) -> None:
     """End a node while orders wait, one of them for the rest of its body."""
     orders = [encode_order(NOT_PASSED_ON), encode_order('/order', b'xx')[:-1]]
-    for reply in finish_work_with(orders, LONG_WORK_S, SHORT_DRAIN_S):
+    replies = finish_work_with(orders, LONG_WORK_S, SHORT_DRAIN_S)
+    for status, reply in zip((b'503', b'408'), replies, strict=True):
         assert b'X-Outcome: not-run' in reply, reply
+        assert reply.startswith(b'HTTP/1.1 ' + status), reply
 
 
 @then(
@@ -103,6 +110,34 @@
     return caller
 
 
+@then('a reply that arrives while the event loop is busy then is passed on')
+def late_reply(context: Any) -> None:
+    """Let a target answer, and keep the event loop busy until the drain is over."""
+    router = SocketRouter()
+    caller = asyncio.run(_answer_busy(router))
+    router.target_end.close()
+    reply = read_until_end(caller)
+    assert reply.startswith(b'HTTP/1.1 200'), reply
+
+
+async def _answer_busy(router: SocketRouter) -> socket.socket:
+    service = echo_service()
+    service.router = router
+    node = stopping_node(service)
+    address = node.caller_server.listeners[0].getsockname()
+    caller = socket.create_connection(address)
+    caller.sendall(encode_order('/order'))
+
+    def answer_and_block() -> None:
+        router.target_end.sendall(b'x')
+        time.sleep(2 * SHORT_DRAIN_S)
+
+    asyncio.get_running_loop().call_later(SHORT_DRAIN_S / 2, answer_and_block)
+    service.is_stopping = True
+    await GracefulShutdown(node).finish_work(time.monotonic() + SHORT_DRAIN_S)
+    return caller
+
+
 @then('requests in progress are answered when the tasks of a node fail too often')
 def failure_answers(context: Any) -> None:
     """Let the supervisor tree of a node fail while an order runs."""
--- a/packages/node/src/lavendermountd/caller/exchange.py
+++ b/packages/node/src/lavendermountd/caller/exchange.py
@@ -118,8 +118,12 @@
         self.service.router.abandon(self.request_id)
 
     def end(self) -> None:
-        """Answer a request that a stopping node can't complete."""
-        if self.task.done() or self.end_refusal is not None:
+        """Answer a request that a stopping node can't complete.
+
+        A malformed or incomplete one is being refused already.
+        """
+        is_refused = self.request.error_status or self.end_refusal is not None
+        if self.task.done() or is_refused:
             return
         self.end_refusal = stopping_refusal()
         if self.routed is not None and self.service.may_have_run(self.routed):
--- a/packages/node/src/lavendermountd/shutdown.py
+++ b/packages/node/src/lavendermountd/shutdown.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from lavendermount_core.models.members import MemberStatus
+from lavendermount_core.utils.deadlines import process_arrived
 from lavendermountd.caller.server import DRAIN_IDLE_S
 from lavendermountd.phases import Phase
 from lavendermountd.stop_schedule import StopSchedule
@@ -102,8 +103,11 @@
     async def end_work(self, deadline: float) -> None:
         """Answer the requests that have no outcome.
 
+        Replies of targets that arrived while the event loop was busy come first.
+
         :param deadline: time by which the answers must have been written.
         """
+        await process_arrived()
         self.node.peer_server.cancel_attempts()
         self.node.caller_server.end_requests()
         while self.has_work_before(deadline):
