Allotments: tokens that have arrived are used before a request is refused

Found by a review, by reading: after a stall of more than 0.1 s the time limit of a request for tokens ran before the reader, so that requests were refused and the owner avoided although its grant had arrived. The limit waits for what has arrived, like the others.

--- a/packages/node/src/lavendermountd/allotments/client.py
+++ b/packages/node/src/lavendermountd/allotments/client.py
@@ -10,11 +10,13 @@
 import logging
 import math
 from collections.abc import Callable
+from functools import partial
 
 from lavendermount_core.exceptions import PeerLinkError
 from lavendermount_core.models.calls import Reason, Refusal, not_run_refusal
 from lavendermount_core.models.members import Member
 from lavendermount_core.models.records import Record
+from lavendermount_core.utils.deadlines import AfterReads
 from lavendermount_core.utils.units import MS_PER_S
 from lavendermountd.allotments.bucket import (
     BLOCK_S,
@@ -118,7 +120,7 @@
         # Pairs of a tenant and a number of tokens.
         self.wanted: list[tuple[str, int]] = []
         self.asked_at = asked_at
-        self.timer: asyncio.TimerHandle | None = None
+        self.timer: asyncio.TimerHandle | AfterReads | None = None
 
 
 class AllotmentClient:
@@ -301,7 +303,7 @@
         ask_id = self.asks_sent
         self.asks[ask_id] = ask
         loop = asyncio.get_running_loop()
-        ask.timer = loop.call_later(ASK_TIMEOUT_S, self.expire, ask_id)
+        ask.timer = loop.call_later(ASK_TIMEOUT_S, self.read_first, ask_id)
         frame = TokenAsk(ask_id, [list(pair) for pair in ask.wanted])
         self.send_frame(ask.member, frame)
 
@@ -326,6 +328,10 @@
         except PeerLinkError as error:
             log_unreachable(member, str(error))
 
+    def read_first(self, ask_id: int) -> None:
+        """Process the answer if it has arrived; otherwise the time is over."""
+        self.asks[ask_id].timer = AfterReads(partial(self.expire, ask_id))
+
     def expire(self, ask_id: int) -> None:
         """Let the requests that wait for an owner fall back on the reserve.
 
