Process: a stuck child, a blocked log or a hanging start can't keep a node

Found by a review with scripts: a supervisor waited without a limit for a child that ignores its cancellation, so that a failed tree never ended the process; the forced exit waited for a log that nobody reads; and SIGTERM was kept while a node that starts was hanging, and had no effect.

Change: cancelled tasks have 2 s to end, the report of a forced exit 0.2 s, and SIGTERM and SIGINT have their default effect until the node can handle them: a process that starts has accepted nothing. SIGHUP is kept as before.

The step of the unread log failed before; that of the stuck child needs the limit to exist.

--- a/features/operations.feature
+++ b/features/operations.feature
@@ -7,7 +7,9 @@
 
   Scenario: A stopping process does not wait forever for what its tasks left open
     Then supervisors that are cancelled more than once let their children clean up
+    And a supervisor ends although a child ignores its cancellation
     And a process that does not exit by itself ends in time with its exit code
+    And it does so although nobody reads its log
 
   Scenario: Signals at an inconvenient time do not kill a node
     Given a deployment of 1 nodes
--- a/features/steps/exit_steps.py
+++ b/features/steps/exit_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import signal
 import subprocess
@@ -10,11 +11,13 @@
 import time
 from pathlib import Path
 from typing import Any
+from unittest.mock import patch
 
 from behave import then
 from deployment_steps import instance_of
 
 from lavendermount_testbed.processes import wait_until
+from lavendermountd.supervision import supervisor as supervisor_module
 from lavendermountd.supervision.supervisor import Child, Supervisor
 
 CLEANUP_S = 0.05
@@ -30,6 +33,17 @@
 limit_exit({EXIT_TIMEOUT_S}, {EXIT_CODE})
 """
 
+# The pipe of the log is full, and the thread that writes to it holds its lock.
+UNREAD_PROCESS = f"""
+import logging
+import threading
+from lavendermountd.exit_limit import limit_exit
+logging.basicConfig(level=logging.INFO)
+full = 'x' * 1000000
+threading.Thread(target=logging.info, args=(full,)).start()
+limit_exit({EXIT_TIMEOUT_S}, {EXIT_CODE})
+"""
+
 
 @then('supervisors that are cancelled more than once let their children clean up')
 def children_clean_up(context: Any) -> None:
@@ -57,6 +71,27 @@
     assert ended == ['child'], ended
 
 
+@then('a supervisor ends although a child ignores its cancellation')
+def stuck_child(context: Any) -> None:
+    """Cancel a supervisor whose child goes on."""
+
+    async def child() -> None:
+        for _ in range(2):
+            with contextlib.suppress(asyncio.CancelledError):
+                await asyncio.sleep(MAX_RUN_S)
+
+    async def stop() -> None:
+        supervisor = Supervisor('root', [Child('child', child)], lambda path: None)
+        task = asyncio.create_task(supervisor.run())
+        await asyncio.sleep(CLEANUP_S)
+        task.cancel()
+        done, _ = await asyncio.wait({task}, timeout=MAX_RUN_S)
+        assert done
+
+    with patch.object(supervisor_module, 'END_TIMEOUT_S', CLEANUP_S):
+        asyncio.run(stop())
+
+
 @then('a process that does not exit by itself ends in time with its exit code')
 def process_ends(context: Any) -> None:
     """Run a process with a thread that never ends."""
@@ -95,3 +130,13 @@
             process.popen.send_signal(signum)
         time.sleep(SIGNAL_INTERVAL_S)
     assert process.popen.returncode == 0, process.popen.returncode
+
+
+@then('it does so although nobody reads its log')
+def process_ends_unread(context: Any) -> None:
+    """Run such a process with a full pipe as its log."""
+    process = subprocess.Popen(
+        [sys.executable, '-c', UNREAD_PROCESS], stderr=subprocess.PIPE
+    )
+    with process:
+        assert process.wait(MAX_RUN_S) == EXIT_CODE, process.returncode
--- a/packages/node/src/lavendermountd/exit_limit.py
+++ b/packages/node/src/lavendermountd/exit_limit.py
@@ -13,6 +13,8 @@
 
 log = logging.getLogger(__name__)
 
+REPORT_TIMEOUT_S = 0.2
+
 
 def limit_exit(timeout_s: float, exit_code: int) -> None:
     """End the process if it has not exited by itself in time.
@@ -30,6 +32,13 @@
 
 def _end_process(timeout_s: float, exit_code: int) -> None:
     time.sleep(timeout_s)
+    # A log whose reader has stopped blocks whoever writes to it.
+    report = threading.Thread(target=_report, args=(timeout_s, exit_code), daemon=True)
+    report.start()
+    report.join(REPORT_TIMEOUT_S)
+    os._exit(exit_code)  # noqa: WPS437
+
+
+def _report(timeout_s: float, exit_code: int) -> None:
     log.error('exit-forced', extra={'timeout_s': timeout_s, 'exit_code': exit_code})
     logging.shutdown()
-    os._exit(exit_code)  # noqa: WPS437
--- a/packages/node/src/lavendermountd/process_signals.py
+++ b/packages/node/src/lavendermountd/process_signals.py
@@ -24,7 +24,8 @@
     """Receives signals before, while and after the event loop handles them.
 
     By default a signal ends the process: SIGHUP one that starts, and a second SIGTERM
-    one that has stopped and is about to exit.
+    one that has stopped and is about to exit. SIGTERM and SIGINT keep that effect until
+    ``attach``: a process that starts has accepted nothing yet.
     """
 
     __slots__ = ('received', 'deliver', 'waking_end')
@@ -37,9 +38,8 @@
         self.waking_end: socket.socket | None = None
 
     def install(self) -> None:
-        """Keep each signal until ``attach`` has named its handler."""
-        for signum in SIGNALS:
-            signal.signal(signum, self.receive)
+        """Keep SIGHUP until ``attach`` has named its handler."""
+        signal.signal(signal.SIGHUP, self.receive)
 
     def receive(self, signum: int, frame: FrameType | None) -> None:
         """Pass a signal to its handler, or keep it."""
@@ -62,6 +62,8 @@
         signal.set_wakeup_fd(waking_end.fileno(), warn_on_full_buffer=False)
         loop.add_reader(woken_end, woken_end.recv, MAX_SIGNALS)
         self.deliver = partial(_schedule, loop, handlers)
+        for handled in SIGNALS:
+            signal.signal(handled, self.receive)
         for signum in self.received:
             self.deliver(signum)
 
--- a/packages/node/src/lavendermountd/supervision/supervisor.py
+++ b/packages/node/src/lavendermountd/supervision/supervisor.py
@@ -12,6 +12,7 @@
 import time
 from collections import deque
 from collections.abc import Awaitable, Callable, Sequence
+from itertools import filterfalse
 
 from lavendermount_core.exceptions import LavendermountError
 
@@ -24,6 +25,8 @@
 # the last of them is not followed by a restart.
 FAILURE_LIMIT = 8
 RESTART_WINDOW_S = 60.0
+# Time that cancelled tasks have to clean up.
+END_TIMEOUT_S = 2.0
 
 TaskFunction = Callable[[], Awaitable[None]]
 
@@ -137,10 +140,16 @@
     """Cancel tasks and wait until all have ended.
 
     Each is cancelled once, and the wait continues if the waiting task is cancelled
-    again: a second cancellation would interrupt the cleanup of a task.
+    again: a second cancellation would interrupt the cleanup of a task. Tasks that don't
+    end within ``END_TIMEOUT_S`` are left.
     """
     for task in tasks:
         task.cancel()
-    while not all(map(asyncio.Task.done, tasks)):
+    ends_at = time.monotonic() + END_TIMEOUT_S
+    pending = set(tasks)
+    while pending and time.monotonic() < ends_at:
         with contextlib.suppress(asyncio.CancelledError):
-            await asyncio.wait(tasks)
+            await asyncio.wait(pending, timeout=ends_at - time.monotonic())
+        pending = set(filterfalse(asyncio.Task.done, tasks))
+    if pending:
+        log.error('tasks-not-ended', extra={'count': len(pending)})
