--- a/features/steps/stop_end_steps.py
+++ b/features/steps/stop_end_steps.py
@@ -6,6 +6,7 @@
 import contextlib
 import socket
 import time
+from collections.abc import Callable
 from typing import Any
 from unittest.mock import AsyncMock, Mock, patch
 
@@ -88,54 +89,51 @@
     'is refused as not run'
 )
 def busy_end_answered(context: Any) -> None:
-    """Send an order, and keep the event loop busy until the drain is over."""
-    caller = asyncio.run(_finish_busy(echo_service(LONG_WORK_S)))
-    reply = read_until_end(caller)
+    """Send the rest of an order, and keep the event loop busy until the drain is over."""
+    order = encode_order(NOT_PASSED_ON)
+    service = echo_service(LONG_WORK_S)
+    reply = asyncio.run(
+        _finish_while_busy(service, order[:1], lambda caller: caller.sendall(order[1:]))
+    )
     assert b'X-Outcome: not-run' in reply, reply
 
 
-async def _finish_busy(service: CallService) -> socket.socket:
-    node = stopping_node(service)
-    address = node.caller_server.listeners[0].getsockname()
-    caller = socket.create_connection(address)
-    await asyncio.sleep(0)
-
-    def send_and_block() -> None:
-        caller.sendall(encode_order(NOT_PASSED_ON))
-        time.sleep(2 * SHORT_DRAIN_S)
-
-    asyncio.get_running_loop().call_later(SHORT_DRAIN_S / 8, send_and_block)
-    service.is_stopping = True
-    await GracefulShutdown(node).finish_work(time.monotonic() + SHORT_DRAIN_S)
-    return caller
-
-
 @then('a reply that arrives while the event loop is busy then is passed on')
 def late_reply(context: Any) -> None:
     """Let a target answer, and keep the event loop busy until the drain is over."""
+    service = echo_service()
     router = SocketRouter()
-    caller = asyncio.run(_answer_busy(router))
-    router.target_end.close()
-    reply = read_until_end(caller)
+    service.router = router
+    with router.target_end as target:
+        reply = asyncio.run(
+            _finish_while_busy(
+                service, encode_order('/order'), lambda caller: target.sendall(b'x')
+            )
+        )
     assert reply.startswith(b'HTTP/1.1 200'), reply
 
 
-async def _answer_busy(router: SocketRouter) -> socket.socket:
-    service = echo_service()
-    service.router = router
+async def _finish_while_busy(
+    service: CallService, sent: bytes, send_late: Callable[[socket.socket], object]
+) -> bytes:
+    """Let a stopping node finish its work; keep its event loop busy until the end.
+
+    :param sent: what a caller sends before that.
+    :param send_late: sends what arrives while the event loop is busy.
+    :returns: what the caller received.
+    """
     node = stopping_node(service)
-    address = node.caller_server.listeners[0].getsockname()
-    caller = socket.create_connection(address)
-    caller.sendall(encode_order('/order'))
+    caller = socket.create_connection(node.caller_server.listeners[0].getsockname())
+    caller.sendall(sent)
 
-    def answer_and_block() -> None:
-        router.target_end.sendall(b'x')
+    def send_and_block() -> None:
+        send_late(caller)
         time.sleep(2 * SHORT_DRAIN_S)
 
-    asyncio.get_running_loop().call_later(SHORT_DRAIN_S / 2, answer_and_block)
+    asyncio.get_running_loop().call_later(SHORT_DRAIN_S / 2, send_and_block)
     service.is_stopping = True
     await GracefulShutdown(node).finish_work(time.monotonic() + SHORT_DRAIN_S)
-    return caller
+    return read_until_end(caller)
 
 
 @then('requests in progress are answered when the tasks of a node fail too often')
