--- a/features/stall_builders.py
+++ b/features/stall_builders.py
@@ -21,7 +21,7 @@
 from lavendermountd.gate.gate import Gate
 from lavendermountd.peer.link_pool import LinkPool
 from lavendermountd.peer.server import PeerServer
-from lavendermountd.presets.holder import InForcePreset
+from lavendermountd.presets.holder import compile_preset
 from lavendermountd.routing.request_state import RequestState
 from lavendermountd.routing.sender import Sender
 from lavendermountd.supervision.freeze import FreezeGuard
@@ -223,4 +223,4 @@
 
 def state_of(request: CallRequest) -> RequestState:
     """Build the state of a request that is routed."""
-    return RequestState(request, InForcePreset(preset_snapshot(1)))
+    return RequestState(request, compile_preset(preset_snapshot(1)))
