Connections: one check for data that has arrived and was not read

Callers' connections and those to targets asked the kernel each in its own way; both call has_unread_data now.

--- a/packages/node/src/lavendermountd/caller/connection.py
+++ b/packages/node/src/lavendermountd/caller/connection.py
@@ -10,7 +10,6 @@
 import asyncio
 import contextlib
 import logging
-import select
 import socket
 import time
 
@@ -29,6 +28,7 @@
     find_header,
     join_unless_large,
 )
+from lavendermountd.unread_data import has_unread_data
 
 log = logging.getLogger(__name__)
 
@@ -172,17 +172,12 @@
         self.announce_close()
 
     def has_unread_data(self) -> bool:
-        """Return whether data has arrived that the reader has not processed.
-
-        It waits in the kernel while the event loop is busy.
-        """
+        """Return whether data has arrived that the reader has not processed."""
         if self.stream.closed():
             return False
         if self.pending_read is not None and self.pending_read.done():
             return True
-        poll = select.poll()
-        poll.register(self.stream.socket, select.POLLIN)
-        return bool(poll.poll(0))
+        return has_unread_data(self.stream)
 
     def process_chunk(self, chunk: bytes) -> None:
         """Parse a chunk and start the requests that it completes."""
--- a/packages/node/src/lavendermountd/gate/target_client.py
+++ b/packages/node/src/lavendermountd/gate/target_client.py
@@ -22,6 +22,7 @@
     join_unless_large,
 )
 from lavendermountd.memory import MemoryBudget
+from lavendermountd.unread_data import has_unread_data
 
 CONNECT_TIMEOUT_S = 0.3
 # Idle time up to which a connection is used for requests that may not be repeated,
@@ -220,7 +221,7 @@
             if not is_repeatable:
                 limit_s = min(limit_s, SAFE_IDLE_S)
             is_fresh = connection.is_reusable and now - connection.used_at < limit_s
-            if is_fresh and (is_repeatable or not connection.has_unread_data()):
+            if is_fresh and (is_repeatable or not has_unread_data(connection.stream)):
                 return connection
             self.discard(connection)
         return None
--- a/packages/node/src/lavendermountd/http1/client.py
+++ b/packages/node/src/lavendermountd/http1/client.py
@@ -94,16 +94,6 @@
         """Return whether another exchange may start on this connection."""
         return not self.must_close and not self.stream.closed()
 
-    def has_unread_data(self) -> bool:
-        """Return whether data, or the end of the connection, waits in the kernel."""
-        try:
-            self.stream.socket.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
-        return True
-
     async def exchange(
         self,
         payload: bytes,
