Queue: a wait that ends on time ends as before

Change: only if the event loop was busy as the wait ended are replies that have arrived processed first, and the request tries once more to start.

--- a/packages/core/src/lavendermount_core/utils/deadlines.py
+++ b/packages/core/src/lavendermount_core/utils/deadlines.py
@@ -17,6 +17,8 @@
 # Passes of the event loop from the arrival of bytes to the task that waits for what
 # they complete: the socket's event, its reader, the exchange, and who waits for that.
 READ_PASSES = 4
+# A timer that fires earlier than this after its time was not delayed by other work.
+MIN_LATENESS_S = 0.002
 
 
 class AfterReads:
@@ -52,6 +54,14 @@
         await asyncio.sleep(0)
 
 
+def is_overdue(expired_at: float) -> bool:
+    """Return whether the event loop was busy as a time passed.
+
+    :param expired_at: time of a timer that has just fired.
+    """
+    return asyncio.get_running_loop().time() - expired_at >= MIN_LATENESS_S
+
+
 class Deadline:
     """Cancels a block like ``asyncio.timeout_at``, but not before what has arrived.
 
--- a/packages/node/src/lavendermountd/gate/queue.py
+++ b/packages/node/src/lavendermountd/gate/queue.py
@@ -20,7 +20,7 @@
     Refusal,
     not_run_refusal,
 )
-from lavendermount_core.utils.deadlines import Deadline
+from lavendermount_core.utils.deadlines import is_overdue, process_arrived
 from lavendermount_core.utils.units import MS_PER_S
 from lavendermountd.gate.admission import Admission, wait_cause
 from lavendermountd.gate.cost_order import CostOrder
@@ -103,12 +103,11 @@
         if ticket.patience_s:
             give_up_at = min(give_up_at, time.monotonic() + ticket.patience_s)
         try:
-            async with Deadline(give_up_at):
+            async with asyncio.timeout_at(give_up_at):
                 has_slot = await ticket.slot_granted
         except TimeoutError:
             self.cancel_wait(ticket)
-            reason = Reason.BUSY if ticket.patience_s else Reason.DEADLINE
-            return self.refuse(reason, TOO_LATE[1], ticket)
+            return await _end_wait(self, ticket, give_up_at)
         except asyncio.CancelledError:
             self.cancel_wait(ticket)
             raise
@@ -326,6 +325,21 @@
     )
 
 
+async def _end_wait(
+    queue: SlotQueue, ticket: Ticket, gave_up_at: float
+) -> Refusal | None:
+    """Refuse a request whose wait has ended.
+
+    If the event loop was busy, replies that arrived meanwhile may have freed a slot.
+    """
+    if is_overdue(gave_up_at):
+        await process_arrived()
+        if queue.try_start(ticket):
+            return None
+    reason = Reason.BUSY if ticket.patience_s else Reason.DEADLINE
+    return queue.refuse(reason, TOO_LATE[1], ticket)
+
+
 def _notify_removed(tickets: list[Ticket], removal: Removal | None = None) -> None:
     """Tell requests that they were removed from the queue.
 
