Stop: the first flush of decisions is not cancelled before the last one

Operators' replay lacked the decisions of a node that stopped with no work left: a flush that was cancelled while it compressed a batch lost that batch.

--- a/packages/node/src/lavendermountd/shutdown.py
+++ b/packages/node/src/lavendermountd/shutdown.py
@@ -68,10 +68,10 @@
         await self.wait_until(started_at + self.listen_s)
         flushing = asyncio.create_task(self.node.recorder.flush())
         await self.finish_work(started_at + self.node.settings.drain_s)
-        flushing.cancel()
         await asyncio.gather(
             self.flush(), self.node.peer_server.close_after_replies(CLOSE_TIMEOUT_S)
         )
+        flushing.cancel()
         log.info('node-stopped', extra={'work_left': self.has_work()})
 
     async def announce_leaving(self) -> None:
