Log readers: one that is behind reads the newest version, not each one in turn

Cause: a reader that falls behind reads each version whole, two of 0.44 MB in an answer, prepares the last of each answer and then waits 0.4 s for further changes to coalesce. With 10 Mbit/s that is 1.35 s for two versions (worked out), while a storm writes four.

Evidence: the new scenario prepared five versions of nine before, one after.

--- a/features/presets.feature
+++ b/features/presets.feature
@@ -167,6 +167,10 @@
     And a position of another era of the log, or one that it has passed, is ignored
     And a node that has refused the latest preset tells no position
 
+  Scenario: A node keeps up with versions that come faster than it can read and prepare them
+    Then a node that falls behind a storm of versions prepares only the newest
+    And it takes them from the log if the newest is refused, or is out of date
+
   Scenario: Nodes that start at the same time do not each read the whole preset from the log
     Then a node that starts beside a peer reads only what the peer has not read
     And it reads the newest record if the peer tells no position, or one that is gone
--- a/packages/node/src/lavendermountd/presets/keyed_follower.py
+++ b/packages/node/src/lavendermountd/presets/keyed_follower.py
@@ -159,8 +159,13 @@
         """Return whether the log may be in the era of a position."""
         return self.keyed_log.era in {UNKNOWN_ERA, era_of(position)}
 
-    async def read_newest(self) -> None:
-        """Read the newest record of each key."""
+    async def read_newest(self) -> int:
+        """Read the newest record of each key, and continue behind it.
+
+        If it is refused, records that have not been read may hold a valid preset.
+
+        :returns: end of the stream as the log tells it.
+        """
         transfer = Transfer()
         newest = await self.keyed_log.newest(self.stream, transfer)
         self.reachability.mark_answered()
@@ -169,13 +174,16 @@
         async with self.reachability.restart_request.applying:
             if body is not None:
                 await self.adopt_if_newer(body, transfer)
-            self.offset = newest.end
+            if self.offset == UNKNOWN_OFFSET or not self.is_latest_refused:
+                self.offset = max(self.offset, newest.end)
         self.is_caught_up.set()
+        return newest.end
 
     async def read_changes(self) -> None:
         """Read new records, and wait for them if all earlier ones were read.
 
-        Of several new records of the key, only the last is adopted.
+        Of several new records of the key, only the last is adopted. If there are more
+        than one answer holds, the newest is read instead.
         """
         if not self.is_caught_up.is_set():
             self.reachability.read_at_once()
@@ -185,6 +193,9 @@
             )
         )
         body = self.read_batch(batch, self.offset)
+        if await self.has_skipped_to_newest(batch):
+            await asyncio.sleep(COALESCE_S)
+            return
         async with self.reachability.restart_request.applying:
             if body:
                 await self.adopt_if_newer(body, self.reachability.transfer)
@@ -195,6 +206,19 @@
         if body:
             await asyncio.sleep(COALESCE_S)
 
+    async def has_skipped_to_newest(self, batch: LogBatch) -> bool:
+        """Read the newest records if a batch ends before the stream does.
+
+        Versions that have been replaced by now are neither read nor prepared.
+
+        :param batch: the records that were read.
+        :returns: whether the records of the batch need not be applied.
+        """
+        if batch.next_offset >= batch.end or self.is_latest_refused:
+            return False
+        end = await self.read_newest()
+        return end >= batch.end and not self.is_latest_refused
+
     def read_batch(self, batch: LogBatch, known_offset: int) -> bytes:
         """Pass on the records of zones, and return the last one of the preset.
 
