Log readers: an invalid version does not hide the valid one before it

Cause: of the versions in one answer of the log only the last was looked at. If it was refused, the valid one before it came into force on no node that read both at once.

Change: the last valid one is adopted. The node still tells no position, because others may accept what it has refused.

Evidence: the new scenario fails before (revision 5 instead of 9) and passes after.

--- a/features/presets.feature
+++ b/features/presets.feature
@@ -171,6 +171,9 @@
     Then a node that falls behind a storm of versions prepares only the newest
     And it takes them from the log if the newest is refused, or is out of date
 
+  Scenario: An invalid version does not hide the valid one before it
+    Then a valid version that was read together with an invalid one behind it is in force
+
   Scenario: Nodes that start at the same time do not each read the whole preset from the log
     Then a node that starts beside a peer reads only what the peer has not read
     And it reads the newest record if the peer tells no position, or one that is gone
--- a/features/steps/peer_preset_steps.py
+++ b/features/steps/peer_preset_steps.py
@@ -352,3 +352,22 @@
     assert node.holder.revision == 9, node.decoded
     node = asyncio.run(read_crowded([b'6', b'7', b'8', b'9'], stale_records=4))
     assert node.holder.revision == 9, node.decoded
+
+
+@then(
+    'a valid version that was read together with an invalid one behind it is in force'
+)
+def valid_before_invalid(context: Any) -> None:
+    """Read a valid version and two invalid ones in one answer."""
+
+    async def follow() -> FollowingNode:
+        node = FollowingNode()
+        node.log.is_released.set()
+        await node.follower.read()
+        node.log.records += [b'9', b'10', b'10']
+        await node.follower.read()
+        return node
+
+    node = asyncio.run(follow())
+    assert node.holder.revision == 9, node.decoded
+    assert node.follower.applied_position() == 0
--- a/packages/node/src/lavendermountd/presets/keyed_follower.py
+++ b/packages/node/src/lavendermountd/presets/keyed_follower.py
@@ -182,8 +182,8 @@
     async def read_changes(self) -> None:
         """Read new records, and wait for them if all earlier ones were read.
 
-        Of several new records of the key, only the last is adopted. If there are more
-        than one answer holds, the newest is read instead.
+        Of several new records of the key, only the last valid one is adopted. If there
+        are more than one answer holds, the newest is read instead.
         """
         if not self.is_caught_up.is_set():
             self.reachability.read_at_once()
@@ -192,18 +192,17 @@
                 self.stream, self.offset, wait_s, transfer
             )
         )
-        body = self.read_batch(batch, self.offset)
+        bodies = self.read_batch(batch, self.offset)
         if await self.has_skipped_to_newest(batch):
             await asyncio.sleep(COALESCE_S)
             return
         async with self.reachability.restart_request.applying:
-            if body:
-                await self.adopt_if_newer(body, self.reachability.transfer)
+            await self.adopt_last_valid(bodies)
             # Peers take the position for one up to which all is applied.
             self.offset = max(self.offset, batch.next_offset)
         if self.offset >= batch.end:
             self.is_caught_up.set()
-        if body:
+        if bodies:
             await asyncio.sleep(COALESCE_S)
 
     async def has_skipped_to_newest(self, batch: LogBatch) -> bool:
@@ -219,23 +218,23 @@
         end = await self.read_newest()
         return end >= batch.end and not self.is_latest_refused
 
-    def read_batch(self, batch: LogBatch, known_offset: int) -> bytes:
-        """Pass on the records of zones, and return the last one of the preset.
+    def read_batch(self, batch: LogBatch, known_offset: int) -> list[bytes]:
+        """Pass on the records of zones, and return those of the preset.
 
         :param batch: the records that were read.
         :param known_offset: offset below which a peer told all records meanwhile.
-        :returns: body of the preset's record; empty if there is none.
+        :returns: bodies of the preset's records.
         """
-        newest_body = b''
+        bodies = []
         for record in batch.records:
             keyed = self.try_split_key(record.body)
             if keyed is None or record.offset < known_offset:
                 continue
             if keyed.key == self.key:
-                newest_body = keyed.body
+                bodies.append(keyed.body)
             else:
                 self.evacuations.read_record(keyed.key, keyed.body, record.offset)
-        return newest_body
+        return bodies
 
     def try_split_key(self, body: bytes) -> KeyedRecord | None:
         """Split a record into key and body; log and skip malformed records."""
@@ -245,6 +244,18 @@
             log.warning('preset-record-malformed', extra={'cause': str(error)})
             return None
 
+    async def adopt_last_valid(self, bodies: list[bytes]) -> None:
+        """Put the last valid preset of some records in force if it is newer.
+
+        :param bodies: the records in their order.
+        """
+        for count, body in enumerate(reversed(bodies)):
+            await self.adopt_if_newer(body, self.reachability.transfer)
+            if not self.is_latest_refused:
+                # Another node may accept those that were refused here.
+                self.is_latest_refused = count > 0
+                return
+
     async def adopt_if_newer(self, body: bytes, transfer: Transfer) -> None:
         """Put the preset of a record in force if it is valid and newer.
 
