Log readers: one node of a region reads a large version over its link

What callers saw: with a link of 30 Mbit/s to the log, versions of 1,700 routes were up to seconds late on all nodes of the region behind it.

Cause: each of the four log readers of a region reads each version whole, 0.44 MB, over the link that the region shares, and so does each node that checks the log meanwhile. From each other they fetch the same version in 11 kB.

Change: the log readers of a region agree by hash who reads first. The others abandon the read once the head of its answer says that it is large, wait 0.8 to 1.6 s for a peer to tell, and read it themselves only then; nodes that don't wait at the log about one a second. A read of a large answer ends when a peer has told its records.

--- /dev/null
+++ b/features/steps/read_turn_steps.py
@@ -0,0 +1,166 @@
+"""Steps for large versions that one node of a region reads from the log."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from statistics import fmean
+from typing import Any
+from unittest.mock import Mock, patch
+
+from behave import given, then
+from builders import member
+from log_reader_steps import (
+    LONGEST_WAIT_S,
+    RATE_TOLERANCE,
+    READERS_PER_ZONE,
+    tables_of,
+)
+from peer_preset_steps import FollowingNode, HeldLog
+
+from lavendermount_core.log.adapter import LogBatch, NewestRecords
+from lavendermount_core.log.transfer import LARGE_ANSWER_BYTES
+from lavendermountd.presets import keyed_follower as keyed_follower_module
+from lavendermountd.presets import read_turn as read_turn_module
+from lavendermountd.presets.reachability import LogReachability
+from lavendermountd.presets.reader_selection import reads_first
+
+TURN_S = 0.4
+
+
+class LargeLog(HeldLog):
+    """A log whose records are large; it counts those that were read to their end."""
+
+    def __init__(self) -> None:
+        """Start with a record that was read already."""
+        super().__init__()
+        self.begun_count = 0
+        self.read_offsets: list[int] = []
+
+    async def read(self, *arguments: Any) -> LogBatch:
+        """Send the first part of an answer, and later the rest."""
+        _, offset, wait_s, transfer = arguments
+        if offset < len(self.records):
+            self.begun_count += 1
+            transfer.note_received(1000, LARGE_ANSWER_BYTES + 1)
+            await asyncio.sleep(0.05)
+            self.read_offsets.append(offset)
+        else:
+            await asyncio.sleep(min(wait_s, 0.05))
+        self.is_released.set()
+        batch = await super().read(*arguments)
+        rows = batch.records[:2]
+        return LogBatch(batch.oldest, offset + len(rows), batch.end, rows)
+
+    async def newest(self, *arguments: Any) -> NewestRecords:
+        """Send the first part of the newest record, and later the rest."""
+        if len(self.records) > 1:
+            arguments[1].note_received(1000, LARGE_ANSWER_BYTES + 1)
+        await asyncio.sleep(0.05)
+        return await super().newest(*arguments)
+
+
+async def follow_large(
+    is_first: bool, is_told: bool, seconds: float, versions: int
+) -> FollowingNode:
+    """Let a node follow a log to which large versions are written."""
+    node = FollowingNode()
+    node.log = LargeLog()
+    node.follower.keyed_log = node.log
+    node.follower.reachability.turn.is_own = lambda: is_first
+    await node.follower.read()
+    node.log.records += [b'%d' % (6 + number) for number in range(versions)]
+    following = asyncio.create_task(node.follower.run())
+    await asyncio.sleep(TURN_S / 2)
+    if is_told:
+        node.fetch_from_peer(6, 2)
+    await asyncio.sleep(seconds - TURN_S / 2)
+    following.cancel()
+    return node
+
+
+def run_large(
+    is_first: bool, is_told: bool, seconds: float, versions: int = 1
+) -> FollowingNode:
+    """Run a node with short turns."""
+    with (
+        patch.object(read_turn_module, 'MIN_TURN_S', TURN_S),
+        patch.object(read_turn_module, 'MAX_TURN_S', TURN_S),
+        patch.object(keyed_follower_module, 'COALESCE_S', 0),
+    ):
+        return asyncio.run(follow_large(is_first, is_told, seconds, versions))
+
+
+@given('{count:d} nodes of a region in {zones:d} zones')
+def region_in_zones(context: Any, count: int, zones: int) -> None:
+    """Build their member records."""
+    context.members = [
+        member(f'node-{number}', zone=f'zone-{number % zones}')
+        for number in range(count)
+    ]
+
+
+@then('one of them reads a large version first, and another if that one is not reached')
+def one_reads_first(context: Any) -> None:
+    """Ask each node by its own table; then with the first one unreachable."""
+    unreachable: set[str] = set()
+    for _ in range(3):
+        first = [
+            table.own.node_id
+            for table in tables_of(context.members)
+            if table.own.node_id not in unreachable
+            and reads_first(table, READERS_PER_ZONE, unreachable.__contains__)
+        ]
+        assert len(first) == 1, first
+        unreachable.update(first)
+
+
+@then('a node that reads first reads it whole')
+def first_reads(context: Any) -> None:
+    """Let it read, while no other node tells it."""
+    node = run_large(is_first=True, is_told=False, seconds=TURN_S * 0.9)
+    assert node.log.read_offsets == [1], node.log.read_offsets
+    assert node.holder.revision == 6
+
+
+@then('another node abandons its read and takes the version from a peer')
+def others_are_told(context: Any) -> None:
+    """Tell it within its turn."""
+    node = run_large(is_first=False, is_told=True, seconds=3 * TURN_S)
+    assert (node.log.begun_count, node.log.read_offsets) == (1, [])
+    assert node.holder.revision == 6
+
+
+@then('it reads it itself if no peer has told it within its turn')
+def untold_reads(context: Any) -> None:
+    """Tell it nothing."""
+    random.seed(1)
+    started_at = time.monotonic()
+    node = run_large(is_first=False, is_told=False, seconds=2 * TURN_S)
+    assert node.log.read_offsets == [1], node.log.read_offsets
+    assert node.holder.revision == 6
+    assert time.monotonic() - started_at > TURN_S
+
+
+@then('it reads the newest itself, in the same turn, if there are many')
+def untold_reads_newest(context: Any) -> None:
+    """Write more versions than an answer holds."""
+    node = run_large(is_first=False, is_told=False, seconds=2 * TURN_S, versions=4)
+    assert node.log.read_offsets == [1], node.log.read_offsets
+    assert node.holder.revision == 9
+
+
+@then('of {size:d} nodes that do not wait at the log, about one a second does so later')
+def others_read_in_turn(context: Any, size: int) -> None:
+    """Compare the mean time after which such a node reads with their number."""
+    random.seed(1)
+    waits = []
+    for _ in range(2000):
+        reachability = LogReachability(LONGEST_WAIT_S)
+        reachability.schedule.region_size = Mock(return_value=size)
+        reachability.schedule.is_reader = Mock(return_value=False)
+        reachability.turn.is_own = Mock(return_value=False)
+        reachability.offer_turn()
+        waits.append(reachability.turn.gives_up_at - time.monotonic())
+    assert abs(fmean(waits) / size - 1) < RATE_TOLERANCE, fmean(waits)
--- a/packages/node/src/lavendermountd/log_readers.py
+++ b/packages/node/src/lavendermountd/log_readers.py
@@ -23,7 +23,11 @@
 from lavendermountd.presets.holder import PresetHolder
 from lavendermountd.presets.keyed_follower import KeyedPresetFollower
 from lavendermountd.presets.peer_start import start_from_peers
-from lavendermountd.presets.reader_selection import count_readers, is_log_reader
+from lavendermountd.presets.reader_selection import (
+    count_readers,
+    is_log_reader,
+    reads_first,
+)
 
 if TYPE_CHECKING:
     from lavendermountd.node import Node
@@ -65,6 +69,9 @@
     if count:
         schedule.is_reader = partial(is_log_reader, table, count)
         schedule.reader_count = partial(count_readers, table, count)
+        is_unreachable = follower.reachability.check_pace.is_unreachable
+        turn = follower.reachability.turn
+        turn.is_own = partial(reads_first, table, count, is_unreachable)
     return follower
 
 
--- a/packages/node/src/lavendermountd/presets/keyed_follower.py
+++ b/packages/node/src/lavendermountd/presets/keyed_follower.py
@@ -109,9 +109,15 @@
         """
         if not self.is_current_era(position):
             return
-        if self.offset != UNKNOWN_OFFSET:
-            self.offset = max(self.offset, position)
-        elif position > self.peer_position:
+        if self.offset == UNKNOWN_OFFSET:
+            self.note_peer_position(position)
+        elif position > self.offset:
+            self.offset = position
+            self.reachability.skip_read()
+
+    def note_peer_position(self, position: int) -> None:
+        """Continue at the position of a peer instead of reading the newest record."""
+        if position > self.peer_position:
             self.peer_position = position
             self.reachability.restart()
 
@@ -137,7 +143,7 @@
         if self.offset == UNKNOWN_OFFSET:
             await self.start_from_peer()
         if self.offset == UNKNOWN_OFFSET:
-            await self.read_newest()
+            await self.read_newest(Transfer())
         else:
             await self.read_changes()
 
@@ -159,14 +165,14 @@
         """Return whether the log may be in the era of a position."""
         return self.keyed_log.era in {UNKNOWN_ERA, era_of(position)}
 
-    async def read_newest(self) -> int:
+    async def read_newest(self, transfer: Transfer) -> int:
         """Read the newest record of each key, and continue behind it.
 
         If it is refused, records that have not been read may hold a valid preset.
 
+        :param transfer: measures the answer.
         :returns: end of the stream as the log tells it.
         """
-        transfer = Transfer()
         newest = await self.keyed_log.newest(self.stream, transfer)
         self.reachability.mark_answered()
         self.evacuations.read_newest(newest)
@@ -194,12 +200,14 @@
         )
         bodies = self.read_batch(batch, self.offset)
         if await self.has_skipped_to_newest(batch):
+            self.reachability.turn.end()
             await asyncio.sleep(COALESCE_S)
             return
         async with self.reachability.restart_request.applying:
             await self.adopt_last_valid(bodies)
             # Peers take the position for one up to which all is applied.
             self.offset = max(self.offset, batch.next_offset)
+        self.reachability.turn.end()
         if self.offset >= batch.end:
             self.is_caught_up.set()
         if bodies:
@@ -213,9 +221,11 @@
         :param batch: the records that were read.
         :returns: whether the records of the batch need not be applied.
         """
-        if batch.next_offset >= batch.end or self.is_latest_refused:
+        applied = max(batch.next_offset, self.offset)
+        if applied >= batch.end or self.is_latest_refused:
             return False
-        end = await self.read_newest()
+        async with self.reachability.abandonable() as transfer:
+            end = await self.read_newest(transfer)
         return end >= batch.end and not self.is_latest_refused
 
     def read_batch(self, batch: LogBatch, known_offset: int) -> list[bytes]:
