Connections: whoever sends without a pause leaves the event loop to others

What callers saw: while an instance beside a node sent without end, that node answered none of its own callers' requests for sound services; ten in a row reached their time limit of 2.4 s.

Cause: a read of data that has arrived already ends at once, and awaiting it is no pass of the event loop. The loops that read from targets, callers and other nodes therefore never gave way while the other end kept up: no other connection was served, and no time limit passed.

Ruled out: memory alone. A chunk extension without end is not kept (66 MB), and had the same effect.

--- a/features/malformed_input.feature
+++ b/features/malformed_input.feature
@@ -34,6 +34,11 @@
       | a chunked body           | 2000000 | the reply body is too large |
       | a close-delimited body   | 2000000 | the reply body is too large |
 
+  Scenario: Whoever sends without a pause does not keep a node from serving others
+    Then a target that sends without a pause leaves the event loop to other tasks
+    And a caller that sends without a pause leaves the event loop to other tasks
+    And a peer that sends without a pause leaves the event loop to other tasks
+
   Scenario: A request whose target replies without end has the outcome unknown
     Given a deployment of 1 nodes
     When the target of node 1 replies with a header without end
--- a/packages/node/src/lavendermountd/caller/connection.py
+++ b/packages/node/src/lavendermountd/caller/connection.py
@@ -21,6 +21,7 @@
 from lavendermountd.caller.exchange import CallExchange
 from lavendermountd.caller.service import CallService
 from lavendermountd.caller.time_limit import TimeLimit
+from lavendermountd.fair_reading import begin_read
 from lavendermountd.http1.messages import (
     CONTENT_LENGTH,
     NO_BODY_STATUS,
@@ -32,7 +33,6 @@
 
 log = logging.getLogger(__name__)
 
-READ_BYTES = 65536
 LINGER_S = 1.0
 CONTINUE_RESPONSE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
@@ -138,15 +138,19 @@
                 await self.wait_until_read()
                 continue
             try:
-                self.pending_read = asyncio.ensure_future(
-                    self.stream.read_bytes(READ_BYTES, partial=True)
-                )
-                chunk = await self.pending_read
+                chunk = await self.read_chunk()
             except StreamClosedError:
                 self.handle_disconnect()
                 return
             self.process_chunk(chunk)
 
+    async def read_chunk(self) -> bytes:
+        """Wait for data; let other tasks run if it has arrived already."""
+        self.pending_read = begin_read(self.stream)
+        if self.pending_read.done():
+            await asyncio.sleep(0)
+        return await self.pending_read
+
     async def wait_until_read(self) -> None:
         """Wait until the connection may be read again."""
         if self.state.parser.awaits_memory:
--- a/packages/node/src/lavendermountd/http1/client.py
+++ b/packages/node/src/lavendermountd/http1/client.py
@@ -16,11 +16,11 @@
 
 from lavendermount_core.models.calls import Body
 from lavendermount_core.utils.deadlines import deadline_in
+from lavendermountd.fair_reading import read_available
 from lavendermountd.http1.messages import WireReply
 from lavendermountd.http1.reply_parser import ReplyError, ReplyParser
 from lavendermountd.memory import MemoryBudget
 
-READ_BYTES = 65536
 KEEPALIVE_IDLE_S: Final = 1
 KEEPALIVE_INTERVAL_S: Final = 1
 KEEPALIVE_PROBES: Final = 3
@@ -153,7 +153,7 @@
     async def read_chunks(self) -> None:
         """Parse received data; unsolicited data ends the connection."""
         while True:
-            chunk = await self.stream.read_bytes(READ_BYTES, partial=True)
+            chunk = await read_available(self.stream)
             if self.waiter is None:
                 self.must_close = True
                 return
--- a/packages/node/src/lavendermountd/peer/frame_stream.py
+++ b/packages/node/src/lavendermountd/peer/frame_stream.py
@@ -19,6 +19,7 @@
 from lavendermount_core.exceptions import PeerLinkError, RecordError
 from lavendermount_core.models.calls import Body
 from lavendermount_core.models.records import Record
+from lavendermountd.fair_reading import read_available
 from lavendermountd.peer.frames import (
     MAX_PART_BYTES,
     BodyPart,
@@ -26,7 +27,6 @@
     encode_frame,
 )
 
-READ_BYTES = 65536
 # Limits the unsent bytes in the kernel, so that frames sent between the parts of
 # a large body don't wait behind all of it.
 NOTSENT_LOWAT_BYTES = 131072
@@ -96,7 +96,7 @@
         :raises RecordError: if a frame exceeds ``MAX_FRAME_BYTES``.
         """
         try:
-            chunk = await self.stream.read_bytes(READ_BYTES, partial=True)
+            chunk = await read_available(self.stream)
         except StreamClosedError as error:
             raise PeerLinkError('connection closed') from error
         self.bytes_received += len(chunk)
