Parsers: a trailer or chunk extension that never ends is refused

Cause: the parser reports a trailer only once it is complete, and chunk extensions never. The limits counted what it reports, and the bytes of heads only.

Change: while a body is read, the bytes that are received without any report of the parser are limited to twice the size of a head, for replies and for requests. A reply whose declared length is above the limit is refused at its head, not after a read up to the limit.

--- a/features/malformed_input.feature
+++ b/features/malformed_input.feature
@@ -31,9 +31,19 @@
       | many headers             | 200000  | the reply head is too large |
       | interim replies          | 200000  | the reply head is too large |
       | trailers                 | 200000  | the reply head is too large |
+      | one reason               | 200000  | the reply head is too large |
+      | one trailer              | 200000  | the framing is too large    |
+      | one chunk extension      | 200000  | the framing is too large    |
+      | a body with a length     | 5000    | the reply body is too large |
+      | one chunk                | 2000000 | the reply body is too large |
       | a chunked body           | 2000000 | the reply body is too large |
       | a close-delimited body   | 2000000 | the reply body is too large |
 
+  Scenario: A request without end is refused within bounded memory
+    Then a request with one header that never ends is refused with status 431
+    And a request with one trailer that never ends is refused with status 431
+    And a request with one chunk extension that never ends is refused with status 431
+
   Scenario: Whoever sends without a pause does not keep a node from serving others
     Then a target that sends without a pause leaves the event loop to other tasks
     And a caller that sends without a pause leaves the event loop to other tasks
--- a/features/steps/malformed_steps.py
+++ b/features/steps/malformed_steps.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import math
 import random
@@ -37,6 +38,7 @@
 from lavendermountd.claims.records import decode_claims
 from lavendermountd.http1.client import ExchangeError, HttpConnection
 from lavendermountd.http1.reply_parser import ReplyError, ReplyParser
+from lavendermountd.http1.request_parser import RequestLimits, RequestParser
 
 MAX_BODY_BYTES = 1_000_000
 TRUNCATED_JSON = ('{', '{"a": ' * 100_000, '{"name": 1' + '0' * 5000 + '}')
@@ -68,6 +70,23 @@
         b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n',
         b'X: y\r\n' * 700,
     ),
+    'one trailer': (
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nX: ',
+        b'x' * PART_BYTES,
+    ),
+    'one chunk extension': (
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n1;',
+        b'x' * PART_BYTES,
+    ),
+    'one chunk': (
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffff\r\n',
+        b'x' * PART_BYTES,
+    ),
+    'a body with a length': (
+        b'HTTP/1.1 200 OK\r\nContent-Length: 999999999\r\n\r\n',
+        b'x' * PART_BYTES,
+    ),
+    'one reason': (b'HTTP/1.1 200 O', b'x' * PART_BYTES),
     'a chunked body': (
         b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n',
         b'1000\r\n' + b'x' * PART_BYTES + b'\r\n',
@@ -173,6 +192,30 @@
     assert received < limit, received
 
 
+ENDLESS_REQUESTS = {
+    'one header': (b'POST / HTTP/1.1\r\nX: ', b'x' * PART_BYTES),
+    'one trailer': (
+        b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nX: ',
+        b'x' * PART_BYTES,
+    ),
+    'one chunk extension': (
+        b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n1;',
+        b'x' * PART_BYTES,
+    ),
+}
+
+
+@then('a request with {what} that never ends is refused with status {status:d}')
+def endless_request_refused(context: Any, what: str, status: int) -> None:
+    """Feed the bytes to a parser until it refuses them."""
+    parser = RequestParser(RequestLimits(PART_BYTES, MAX_BODY_BYTES))
+    first, part = ENDLESS_REQUESTS[what]
+    requests = parser.feed(first)
+    for endless in itertools.repeat(part, 10):
+        requests.extend(parser.feed(endless))
+    assert [request.error_status for request in requests] == [status]
+
+
 @when('the target of node {number:d} replies with a header without end')
 def reply_without_end(context: Any, number: int) -> None:
     """Let the target write until the connection is closed."""
--- a/packages/node/src/lavendermountd/http1/reply_parser.py
+++ b/packages/node/src/lavendermountd/http1/reply_parser.py
@@ -9,6 +9,7 @@
 import httptools
 
 from lavendermount_core.models.calls import Body, Headers
+from lavendermountd.http1.framing import FramingLimit
 from lavendermountd.http1.messages import (
     CONTENT_LENGTH,
     NO_BODY_STATUS,
@@ -59,6 +60,7 @@
         'head_size',
         'head_received_size',
         'is_reading_body',
+        'framing',
         'failure',
     )
 
@@ -82,6 +84,7 @@
         self.head_size = 0
         self.head_received_size = 0
         self.is_reading_body = False
+        self.framing = FramingLimit(2 * MAX_REPLY_HEAD_BYTES)
         # Why a callback has refused the reply; the parser drops its error.
         self.failure = ''
 
@@ -112,6 +115,8 @@
             raise ReplyError(self.failure or str(error)) from error
         if self.head_received_size > 2 * MAX_REPLY_HEAD_BYTES:
             raise ReplyError(HEAD_TOO_LARGE)
+        if self.is_reading_body and self.framing.exceeds_after(len(chunk)):
+            raise ReplyError('the framing is too large')
         return self.take_complete()
 
     def take_complete(self) -> list[WireReply]:
@@ -150,6 +155,7 @@
 
         :raises ReplyError: if the headers exceed the size limit.
         """
+        self.framing.note_report()
         self.head_size += len(name) + len(text)
         if self.head_size > MAX_REPLY_HEAD_BYTES:
             self.failure = HEAD_TOO_LARGE
@@ -163,6 +169,7 @@
             return
         self.head_received_size = 0
         self.is_reading_body = True
+        self.framing.note_report()
         if status in NO_BODY_STATUS:
             return
         if self.is_head_request:
@@ -172,6 +179,7 @@
         length = find_header(self.headers, CONTENT_LENGTH)
         self.is_close_delimited = not length and encoding != 'chunked'
         self.declared_size = int(length) if length.isdigit() else 0
+        self.check_body_size(self.declared_size)
         if SMALL_BODY_BYTES < self.declared_size <= self.max_body:
             self.begin_large_body(self.declared_size)
 
@@ -198,10 +206,9 @@
         :raises ReplyError: if the body exceeds the size limit; ``httptools``
             turns it into a callback error, whose text ``feed`` reports.
         """
+        self.framing.note_report()
         self.body_size += len(part)
-        if self.body_size > self.max_body:
-            self.failure = 'the reply body is too large'
-            raise ReplyError(self.failure)
+        self.check_body_size(self.body_size)
         if self.large_body is not None:
             self.large_body.add(part)
             return
@@ -209,6 +216,12 @@
         if self.body_size > SMALL_BODY_BYTES:
             self.begin_large_body(self.body_size)
 
+    def check_body_size(self, size: int) -> None:
+        """Refuse a body that is too large, as soon as its size is known."""
+        if size > self.max_body:
+            self.failure = 'the reply body is too large'
+            raise ReplyError(self.failure)
+
     def take_body(self) -> Body:
         """Return the complete body and release what it was made of."""
         body: Body = b''
--- a/packages/node/src/lavendermountd/http1/request_parser.py
+++ b/packages/node/src/lavendermountd/http1/request_parser.py
@@ -12,6 +12,7 @@
 import httptools
 
 from lavendermount_core.models.calls import Body, Headers
+from lavendermountd.http1.framing import FramingLimit
 from lavendermountd.http1.messages import (
     CONTENT_LENGTH,
     TRANSFER_ENCODING,
@@ -72,6 +73,7 @@
         'complete_requests',
         'is_between_messages',
         'is_reading_head',
+        'framing',
         'has_failed',
         'expects_continue',
         'offers_upgrade',
@@ -95,6 +97,7 @@
         self.complete_requests: list[WireRequest] = []
         self.is_between_messages = True
         self.is_reading_head = False
+        self.framing = FramingLimit(2 * limits.header_bytes)
         self.has_failed = False
         self.expects_continue = False
         self.offers_upgrade = False
@@ -145,6 +148,7 @@
         self.parse(chunk)
         if self.is_reading_head and self.head_count == head_number:
             self.count_head_bytes(len(chunk))
+        self.count_body_bytes(len(chunk))
         return self.take_complete()
 
     def give_up(self, status: int) -> list[WireRequest]:
@@ -174,6 +178,16 @@
         if self.head_received_size > 2 * self.limits.header_bytes:
             self.fail(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
+    def count_body_bytes(self, size: int) -> None:
+        """Refuse a trailer, or the framing of a chunk, that does not end.
+
+        :param size: size of a chunk of data that the parser was given.
+        """
+        if self.is_reading_head or self.is_between_messages or self.has_failed:
+            return
+        if self.framing.exceeds_after(size):
+            self.fail(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+
     def parse(self, chunk: bytes) -> None:
         """Pass a chunk to the parser; an error refuses the current request."""
         try:
@@ -257,6 +271,7 @@
         """Store a header."""
         if self.is_resuming:
             return
+        self.framing.note_report()
         self.headers.append((name.decode('latin-1'), text.decode('latin-1')))
         self.check_head_size(len(name) + len(text))
 
@@ -272,6 +287,7 @@
         if self.is_resuming:
             return
         self.is_reading_head = False
+        self.framing.note_report()
         self.method = self.parser.get_method().decode('latin-1')
         self.offers_upgrade = self.parser.should_upgrade()
         length = find_header(self.headers, CONTENT_LENGTH)
@@ -306,6 +322,7 @@
 
     def on_body(self, part: bytes) -> None:
         """Store a part of the body unless the body is refused."""
+        self.framing.note_report()
         self.body_size += len(part)
         if self.error_status:
             self.refuse_body(self.error_status, self.body_size)
