Memory: bodies that grow beside each other leave no holes in the heap

What callers saw: four callers on each of six nodes asked for a faulty instance that sends a chunk, or a body to the close, without end.

Cause: the budget for bodies was kept. But each body that is freed raises the size from which the C library gives a block memory of its own, up to 32 MB, so that the buffers of the next bodies grow in the heap, beside each other, and leave holes.

Ruled out: bytes beyond the budget.

Change: the process fixes that threshold as it starts.

--- a/features/memory.feature
+++ b/features/memory.feature
@@ -21,6 +21,7 @@
 
   Scenario: Replies without end cost their share of the memory and no more
     Then 8 replies without end at once fail within the memory for bodies
+    And bodies that grow beside each other take little more than the 64 MB they hold
 
   Scenario: A body from a peer without room is refused, and the frames behind it are served
     Then a body from a peer without room is refused as not run and held by nobody
--- a/features/steps/memory_steps.py
+++ b/features/steps/memory_steps.py
@@ -4,9 +4,12 @@
 
 import asyncio
 import hashlib
+import subprocess
+import sys
 import time
 import tracemalloc
 import urllib.request
+from pathlib import Path
 from typing import Any
 
 from behave import given, then, when
@@ -32,6 +35,9 @@
 
 READ_BYTES = 65536
 MAX_ORDER_S = 0.3
+PROCESS_TIMEOUT_S = 60
+# What a growing buffer may take beyond its bytes.
+HEAP_EXCESS = 1.25
 CALL_CLASS = CallClass('dealer-desk', '', 'order', False)
 TOO_LARGE = b'l' * (BUDGET_BYTES + 1)
 
@@ -224,3 +230,20 @@
     assert refused.refusal[0] == 'not-run'
     assert memory.held_bytes == 0
     assert not session.gate.execute.called
+
+
+@then(
+    'bodies that grow beside each other take little more than the {size:d} MB they hold'
+)
+def no_holes_in_heap(context: Any, size: int) -> None:
+    """Compare the growth of a process with the budget of its bodies."""
+    script = Path(__file__).parent.parent / 'heap_process.py'
+    finished = subprocess.run(
+        [sys.executable, str(script), str(size * MB)],
+        capture_output=True,
+        check=True,
+        text=True,
+        timeout=PROCESS_TIMEOUT_S,
+    )
+    growth = int(finished.stdout)
+    assert growth < HEAP_EXCESS * size * MB, growth
--- a/packages/node/src/lavendermountd/process.py
+++ b/packages/node/src/lavendermountd/process.py
@@ -15,6 +15,7 @@
 from lavendermount_core.config.node import NodeSchema
 from lavendermount_core.exceptions import ConfigurationError
 from lavendermountd.exit_limit import limit_exit
+from lavendermountd.heap import keep_large_blocks_out
 from lavendermountd.node import Node
 from lavendermountd.process_signals import ProcessSignals
 from lavendermountd.shutdown import GracefulShutdown
@@ -42,6 +43,7 @@
         are read only at startup.
     :raises SupervisionError: if the supervisor tree fails too often.
     """
+    keep_large_blocks_out()
     node = Node(settings)
     signals.attach(
         {
