Log readers: a version is left only to a first reader that answers

A node that was told read the log again at once, found the next large version of the storm and left it again.

Change: a node that leaves a version asks the first reader whether it answers; one that doesn't is passed over, at most three.

--- a/features/presets.feature
+++ b/features/presets.feature
@@ -179,6 +179,7 @@
   Scenario: The readers of a region do not each read a large version over its link
     Given 23 nodes of a region in 2 zones
     Then one of them reads a large version first, and another if that one is not reached
+    And a node whose first reader has died just now finds the next one, or reads itself
     And a node that reads first reads it whole
     And another node abandons its read and takes the version from a peer
     And it reads it itself if no peer has told it within its turn
--- a/features/steps/read_turn_steps.py
+++ b/features/steps/read_turn_steps.py
@@ -21,10 +21,13 @@
 
 from lavendermount_core.log.adapter import LogBatch, NewestRecords
 from lavendermount_core.log.transfer import LARGE_ANSWER_BYTES
+from lavendermount_core.models.members import Member
 from lavendermountd.presets import keyed_follower as keyed_follower_module
 from lavendermountd.presets import read_turn as read_turn_module
+from lavendermountd.presets.check_pace import CheckPace
 from lavendermountd.presets.reachability import LogReachability
-from lavendermountd.presets.reader_selection import reads_first
+from lavendermountd.presets.read_turn import FirstReader
+from lavendermountd.presets.reader_selection import first_reader
 
 TURN_S = 0.4
 
@@ -110,7 +113,8 @@
             table.own.node_id
             for table in tables_of(context.members)
             if table.own.node_id not in unreachable
-            and reads_first(table, READERS_PER_ZONE, unreachable.__contains__)
+            and first_reader(table, READERS_PER_ZONE, unreachable.__contains__)
+            == table.own
         ]
         assert len(first) == 1, first
         unreachable.update(first)
@@ -164,3 +168,38 @@
         reachability.offer_turn()
         waits.append(reachability.turn.gives_up_at - time.monotonic())
     assert abs(fmean(waits) / size - 1) < RATE_TOLERANCE, fmean(waits)
+
+
+@then('a node whose first reader has died just now finds the next one, or reads itself')
+def dead_first_reader(context: Any) -> None:
+    """Let the first readers answer nobody, one after another."""
+    tables = tables_of(context.members)
+    dead: list[str] = []
+    for _ in range(READERS_PER_ZONE):
+        first = first_reader(tables[0], READERS_PER_ZONE, dead.__contains__)
+        dead.append(first.node_id)
+        asked = {
+            table.own.node_id: asyncio.run(is_taken_beside(table, dead))
+            for table in tables
+            if table.own.node_id not in dead
+        }
+        own_turns = [name for name, is_taken in asked.items() if not is_taken]
+        expected = first_reader(tables[0], READERS_PER_ZONE, dead.__contains__)
+        assert own_turns == [expected.node_id], own_turns
+
+
+async def is_taken_beside(table: Any, dead: list[str]) -> bool:
+    """Ask for the first reader at a node that learns of the dead only by asking."""
+    pace = CheckPace()
+
+    async def exchange_with(other: Member, timeout_s: float) -> bool:
+        await asyncio.sleep(0)
+        if other.node_id in dead:
+            pace.note_unreachable(other.node_id)
+        return other.node_id not in dead
+
+    node = Mock(table=table)
+    node.gossip.exchange_with = exchange_with
+    node.settings.presets.readers_per_zone = READERS_PER_ZONE
+    node.follower.reachability.check_pace = pace
+    return await FirstReader(node).is_taken()
--- a/packages/node/src/lavendermountd/log_readers.py
+++ b/packages/node/src/lavendermountd/log_readers.py
@@ -23,10 +23,10 @@
 from lavendermountd.presets.holder import PresetHolder
 from lavendermountd.presets.keyed_follower import KeyedPresetFollower
 from lavendermountd.presets.peer_start import start_from_peers
+from lavendermountd.presets.read_turn import FirstReader
 from lavendermountd.presets.reader_selection import (
     count_readers,
     is_log_reader,
-    reads_first,
 )
 
 if TYPE_CHECKING:
@@ -69,9 +69,6 @@
     if count:
         schedule.is_reader = partial(is_log_reader, table, count)
         schedule.reader_count = partial(count_readers, table, count)
-        is_unreachable = follower.reachability.check_pace.is_unreachable
-        turn = follower.reachability.turn
-        turn.is_own = partial(reads_first, table, count, is_unreachable)
     return follower
 
 
@@ -83,6 +80,10 @@
     note_loss = partial(hurry_if_nearby, pace, node.table)
     node.gossip.on_unanswered = note_loss
     node.links.backoff.on_failure = note_loss
+    if node.settings.presets.readers_per_zone:
+        first = FirstReader(node)
+        node.follower.reachability.turn.is_own = first.is_own
+        node.follower.reachability.turn.is_taken = first.is_taken
     start_from_peers(node)
 
 
--- a/packages/node/src/lavendermountd/presets/reachability.py
+++ b/packages/node/src/lavendermountd/presets/reachability.py
@@ -87,7 +87,6 @@
         a part of the answer has arrived.
         """
         if self.turn.is_waiting:
-            self.read_at_once()
             self.turn.end()
             return
         if not self.is_waiting or self.transfer.received_bytes:
@@ -155,7 +154,6 @@
         if self.turn.try_leave_to_others(extra_s):
             log.info('log-read-left', extra={'bytes': self.transfer.received_bytes})
             self.mark_answered()
-            self.read_at_once()
             self.restart()
 
     async def wait_until_due(self) -> float:
@@ -163,8 +161,8 @@
 
         :returns: how long the read may wait for news.
         """
-        if self.turn.is_waiting:
-            await self.turn.wait()
+        if self.turn.is_waiting and not await self.turn.is_told_in_time():
+            return 0
         if not self.is_reachable or self.is_lost_read_suspected:
             return 0
         left_s = self.schedule.check_interval_s()
--- a/packages/node/src/lavendermountd/presets/reader_selection.py
+++ b/packages/node/src/lavendermountd/presets/reader_selection.py
@@ -18,12 +18,12 @@
 from lavendermountd.membership.table import MemberTable
 
 
-def reads_first(
+def first_reader(
     table: MemberTable,
     readers_per_zone: int,
     is_unreachable: Callable[[str], bool],
-) -> bool:
-    """Return whether this node is the first of its region to read a large version.
+) -> Member:
+    """Return the node of the own region that reads a large version first.
 
     :param table: known members.
     :param readers_per_zone: number of nodes of each zone that wait at the log.
@@ -40,8 +40,7 @@
         for reader in nsmallest(readers_per_zone, members, key=_selection_key)
         if reader.node_id == own.node_id or not is_unreachable(reader.node_id)
     ]
-    first = min(readers, key=_selection_key, default=own)
-    return first.node_id == own.node_id
+    return min(readers, key=_selection_key, default=own)
 
 
 def is_log_reader(table: MemberTable, readers_per_zone: int) -> bool:
