Announcements: the first reader tells all zones, and a silent member delays no news

Cause: where traffic stays in the zone, a node tells other zones with a probability that counts on log readers there, which now leave a large version to this one. Found beside it: an announcement that waits for members that don't answer held up the next one.

Change: the first reader tells a member of each other zone; up to four announcements wait for answers at the same time.

Evidence: new steps.

--- a/features/presets.feature
+++ b/features/presets.feature
@@ -141,6 +141,8 @@
     And it asks three nodes if all of them live, and twelve at most if none does
     And a relay reaches a living one of them in another region, in 95 of 100 cases
     And about two nodes of a region of 40 tell another region, besides its relays
+    And members that never answer do not delay the next announcement
+    And the node that reads large versions first tells a member of each other zone
 
   Scenario: A change is noticed soon although all readers of the region died just before it
     Given a region of 23 nodes of which 9 live, none of them a log reader
--- a/features/steps/announcement_steps.py
+++ b/features/steps/announcement_steps.py
@@ -14,6 +14,7 @@
 from lavendermountd.membership.relays import relays_of
 from lavendermountd.membership.table import MemberTable
 from lavendermountd.membership.urgent_updates import UrgentUpdates
+from lavendermountd.presets.announcer import SPREAD_S, PresetAnnouncer
 
 FANOUT = 3
 
@@ -94,3 +95,49 @@
         asyncio.run(UrgentUpdates(gossip).tell_other_region())
         told += bool(gossip.told())
     assert 8 <= told <= 36, told
+
+
+class SilentRegion(PartlyDeadRegion):
+    """Gossip in a region whose members are slow to answer at first."""
+
+    async def exchange_with(self, other: Member, timeout_s: float) -> bool:
+        """Note whom the node asks; the first ones never answer."""
+        self.asked.append(other.node_id)
+        if len(self.asked) <= FANOUT:
+            await asyncio.Event().wait()
+        return True
+
+
+async def announce_twice() -> list[str]:
+    """Announce two changes, the first to members that never answer."""
+    gossip = SilentRegion(0, 20)
+    announcer = PresetAnnouncer(gossip)
+    announcing = asyncio.create_task(announcer.run())
+    for _ in range(2):
+        announcer.request()
+        await asyncio.sleep(3 * SPREAD_S)
+    announcing.cancel()
+    await asyncio.gather(announcing, return_exceptions=True)
+    return gossip.asked
+
+
+@then('members that never answer do not delay the next announcement')
+def next_announced(context: Any) -> None:
+    """Count the members that were asked for two announcements."""
+    asked = asyncio.run(announce_twice())
+    assert len(asked) >= 2 * FANOUT, asked
+
+
+@then('the node that reads large versions first tells a member of each other zone')
+def other_zones_told(context: Any) -> None:
+    """Announce in a region of four zones where traffic stays in the zone."""
+    for _ in range(20):
+        gossip = PartlyDeadRegion(0, 0)
+        gossip.is_zone_local = True
+        for number in range(40):
+            gossip.table.merge(member(f'living-{number}', zone=f'zone-{number % 3}'))
+        announcer = PresetAnnouncer(gossip)
+        announcer.is_first_reader = Mock(return_value=True)
+        asyncio.run(announcer.announce())
+        zones = {gossip.table.members[name].zone for name in gossip.told()}
+        assert zones == {'zone-0', 'zone-1', 'zone-2'}, zones
--- a/packages/node/src/lavendermountd/presets/announcer.py
+++ b/packages/node/src/lavendermountd/presets/announcer.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 from lavendermountd.membership.gossip import Gossip
 from lavendermountd.membership.urgent_updates import UrgentUpdates
@@ -18,6 +19,8 @@
 FANOUT = 3
 # The announcements of the nodes of a region are spread over this time.
 SPREAD_S = 0.1
+# Announcements that may wait for answers at the same time.
+MAX_ANNOUNCEMENTS = 4
 
 
 class PresetAnnouncer:
@@ -26,12 +29,15 @@
     :param gossip: gossip, whose rounds name the revision in force.
     """
 
-    __slots__ = ('urgent', 'is_due')
+    __slots__ = ('urgent', 'is_due', 'places', 'is_first_reader')
 
     def __init__(self, gossip: Gossip) -> None:
         """Start with nothing to announce."""
         self.urgent = UrgentUpdates(gossip)
         self.is_due = asyncio.Event()
+        self.places = asyncio.Semaphore(MAX_ANNOUNCEMENTS)
+        # Whether all zones of the region rely on this node for large versions.
+        self.is_first_reader: Callable[[], bool] = _is_not_first
 
     def note_change(self, preset: InForcePreset) -> None:
         """Request an announcement; changes in quick succession share one."""
@@ -42,15 +48,37 @@
         self.is_due.set()
 
     async def run(self) -> None:
-        """Announce each change until cancelled."""
-        while True:
-            await self.is_due.wait()
-            await asyncio.sleep(random.uniform(0, SPREAD_S))
-            self.is_due.clear()
-            await self.announce()
+        """Announce each change until cancelled.
+
+        Members that don't answer do not delay the next announcement.
+        """
+        async with asyncio.TaskGroup() as announcements:
+            while True:
+                await self.places.acquire()
+                await self.is_due.wait()
+                await asyncio.sleep(random.uniform(0, SPREAD_S))
+                self.is_due.clear()
+                announcement = announcements.create_task(self.announce())
+                announcement.add_done_callback(self.free_place)
+
+    def free_place(self, announcement: asyncio.Task[None]) -> None:
+        """Let another announcement begin."""
+        self.places.release()
 
     async def announce(self) -> None:
         """Tell members of the own region; some nodes also tell another region."""
+        if self.is_first_reader():
+            await asyncio.gather(self.urgent.tell_other_zones(), self.tell_others())
+            return
+        await self.tell_others()
+
+    async def tell_others(self) -> None:
+        """Tell members of the own zone, and a few elsewhere."""
         await asyncio.gather(
             self.urgent.tell_region(FANOUT), self.urgent.tell_other_region()
         )
+
+
+def _is_not_first() -> bool:
+    """Return False; the node installs the real callback."""
+    return False
