--- a/packages/node/src/lavendermountd/presets/keyed_follower.py
+++ b/packages/node/src/lavendermountd/presets/keyed_follower.py
@@ -143,7 +143,7 @@
         if self.offset == UNKNOWN_OFFSET:
             await self.start_from_peer()
         if self.offset == UNKNOWN_OFFSET:
-            await self.read_newest(Transfer())
+            await self.read_newest()
         else:
             await self.read_changes()
 
@@ -165,14 +165,15 @@
         """Return whether the log may be in the era of a position."""
         return self.keyed_log.era in {UNKNOWN_ERA, era_of(position)}
 
-    async def read_newest(self, transfer: Transfer) -> int:
+    async def read_newest(self, transfer: Transfer | None = None) -> int:
         """Read the newest record of each key, and continue behind it.
 
         If it is refused, records that have not been read may hold a valid preset.
 
-        :param transfer: measures the answer.
+        :param transfer: measures the answer; ``None`` for one of its own.
         :returns: end of the stream as the log tells it.
         """
+        transfer = transfer or Transfer()
         newest = await self.keyed_log.newest(self.stream, transfer)
         self.reachability.mark_answered()
         self.evacuations.read_newest(newest)
