Log readers: all of them read a large version, and starting nodes leave it to them

Cause: the first reader is chosen by hash, and on the smallest VMs a link of 5 to 10 Mbit/s takes 0.8 s for one version alone; the others waited for it, gave up together and read all at once. Beside them 25 nodes that had started read the newest record, 0.64 MB each, for a version that they had from a peer.

Change: the log readers of a region all read at once again, and each abandons its read when a peer has told; the fastest tells the others. Nodes that do not wait at the log, and nodes that start and have a preset, leave a large version to them and ask on for a position.

--- a/features/presets.feature
+++ b/features/presets.feature
@@ -178,14 +178,15 @@
   Scenario: An invalid version does not hide the valid one before it
     Then a valid version that was read together with an invalid one behind it is in force
 
-  Scenario: The readers of a region do not each read a large version over its link
+  Scenario: Nodes that do not wait at the log leave a large version to those that do
     Given 23 nodes of a region in 2 zones
-    Then one of them reads a large version first, and another if that one is not reached
+    Then all agree on a first reader of the region, and on another if that one is not reached
     And a node whose first reader has died just now finds the next one, or reads itself
-    And a node that reads first reads it whole
+    And a log reader reads it whole
     And another node abandons its read and takes the version from a peer
     And it reads it itself if no peer has told it within its turn
     And it reads the newest itself, in the same turn, if there are many
+    And a node that starts and has a preset leaves it to others until it knows a position
     And of 40 nodes that do not wait at the log, about one a second does so later
 
   Scenario: Nodes that start at the same time do not each read the whole preset from the log
--- a/features/steps/read_turn_steps.py
+++ b/features/steps/read_turn_steps.py
@@ -10,7 +10,7 @@
 from unittest.mock import Mock, patch
 
 from behave import given, then
-from builders import member
+from builders import member, preset_snapshot
 from log_reader_steps import (
     LONGEST_WAIT_S,
     RATE_TOLERANCE,
@@ -25,6 +25,8 @@
 from lavendermountd.presets import keyed_follower as keyed_follower_module
 from lavendermountd.presets import read_turn as read_turn_module
 from lavendermountd.presets.check_pace import CheckPace
+from lavendermountd.presets.holder import compile_preset
+from lavendermountd.presets.poll_schedule import PollSchedule
 from lavendermountd.presets.reachability import LogReachability
 from lavendermountd.presets.read_turn import FirstReader
 from lavendermountd.presets.reader_selection import first_reader
@@ -65,13 +67,15 @@
 
 
 async def follow_large(
-    is_first: bool, is_told: bool, seconds: float, versions: int
+    is_reader: bool, is_told: bool, seconds: float, versions: int
 ) -> FollowingNode:
     """Let a node follow a log to which large versions are written."""
     node = FollowingNode()
     node.log = LargeLog()
     node.follower.keyed_log = node.log
-    node.follower.reachability.turn.is_own = lambda: is_first
+    node.follower.reachability.turn.is_own = Mock(return_value=False)
+    schedule = node.follower.reachability.schedule
+    schedule.is_reader = Mock(return_value=is_reader)
     await node.follower.read()
     node.log.records += [b'%d' % (6 + number) for number in range(versions)]
     following = asyncio.create_task(node.follower.run())
@@ -84,15 +88,16 @@
 
 
 def run_large(
-    is_first: bool, is_told: bool, seconds: float, versions: int = 1
+    is_reader: bool, is_told: bool, seconds: float, versions: int = 1
 ) -> FollowingNode:
     """Run a node with short turns."""
     with (
         patch.object(read_turn_module, 'MIN_TURN_S', TURN_S),
         patch.object(read_turn_module, 'MAX_TURN_S', TURN_S),
         patch.object(keyed_follower_module, 'COALESCE_S', 0),
+        patch.object(PollSchedule, 'check_interval_s', return_value=0.01),
     ):
-        return asyncio.run(follow_large(is_first, is_told, seconds, versions))
+        return asyncio.run(follow_large(is_reader, is_told, seconds, versions))
 
 
 @given('{count:d} nodes of a region in {zones:d} zones')
@@ -104,7 +109,9 @@
     ]
 
 
-@then('one of them reads a large version first, and another if that one is not reached')
+@then(
+    'all agree on a first reader of the region, and on another if that one is not reached'
+)
 def one_reads_first(context: Any) -> None:
     """Ask each node by its own table; then with the first one unreachable."""
     unreachable: set[str] = set()
@@ -120,10 +127,10 @@
         unreachable.update(first)
 
 
-@then('a node that reads first reads it whole')
+@then('a log reader reads it whole')
 def first_reads(context: Any) -> None:
     """Let it read, while no other node tells it."""
-    node = run_large(is_first=True, is_told=False, seconds=TURN_S * 0.9)
+    node = run_large(is_reader=True, is_told=False, seconds=TURN_S * 0.9)
     assert node.log.read_offsets == [1], node.log.read_offsets
     assert node.holder.revision == 6
 
@@ -131,7 +138,7 @@
 @then('another node abandons its read and takes the version from a peer')
 def others_are_told(context: Any) -> None:
     """Tell it within its turn."""
-    node = run_large(is_first=False, is_told=True, seconds=3 * TURN_S)
+    node = run_large(is_reader=False, is_told=True, seconds=3 * TURN_S)
     assert (node.log.begun_count, node.log.read_offsets) == (1, [])
     assert node.holder.revision == 6
 
@@ -141,7 +148,7 @@
     """Tell it nothing."""
     random.seed(1)
     started_at = time.monotonic()
-    node = run_large(is_first=False, is_told=False, seconds=2 * TURN_S)
+    node = run_large(is_reader=False, is_told=False, seconds=2 * TURN_S)
     assert node.log.read_offsets == [1], node.log.read_offsets
     assert node.holder.revision == 6
     assert time.monotonic() - started_at > TURN_S
@@ -150,7 +157,7 @@
 @then('it reads the newest itself, in the same turn, if there are many')
 def untold_reads_newest(context: Any) -> None:
     """Write more versions than an answer holds."""
-    node = run_large(is_first=False, is_told=False, seconds=2 * TURN_S, versions=4)
+    node = run_large(is_reader=False, is_told=False, seconds=2 * TURN_S, versions=4)
     assert node.log.read_offsets == [1], node.log.read_offsets
     assert node.holder.revision == 9
 
@@ -203,3 +210,29 @@
     node.settings.presets.readers_per_zone = READERS_PER_ZONE
     node.follower.reachability.check_pace = pace
     return await FirstReader(node).is_taken()
+
+
+@then(
+    'a node that starts and has a preset leaves it to others until it knows a position'
+)
+def starting_node_leaves(context: Any) -> None:
+    """Let a node that is a log reader start beside a large newest record."""
+
+    async def start() -> FollowingNode:
+        node = FollowingNode()
+        node.log = LargeLog()
+        node.log.records += [b'6', b'7']
+        node.follower.keyed_log = node.log
+        node.follower.reachability.turn.is_own = Mock(return_value=False)
+        node.holder.put_in_force(compile_preset(preset_snapshot(7)), 'peer')
+        following = asyncio.create_task(node.follower.run())
+        await asyncio.sleep(TURN_S / 2)
+        assert (node.decoded, node.log.newest_reads) == ([], 0)
+        node.follower.skip_to(3)
+        await asyncio.sleep(TURN_S)
+        following.cancel()
+        return node
+
+    node = asyncio.run(start())
+    assert (node.decoded, node.log.newest_reads) == ([], 0), node.decoded
+    assert node.follower.offset == 3
--- a/packages/node/src/lavendermountd/presets/keyed_follower.py
+++ b/packages/node/src/lavendermountd/presets/keyed_follower.py
@@ -79,6 +79,7 @@
         self.peer_position = 0
         self.reachability = LogReachability(LONG_POLL_S)
         self.is_caught_up = asyncio.Event()
+        self.reachability.is_caught_up = self.is_caught_up.is_set
         self.asking: asyncio.Task[None] | None = None
         self.is_latest_refused = False
         self.ask_peers: Callable[[], Awaitable[None]] = _ask_nobody
@@ -143,7 +144,7 @@
         if self.offset == UNKNOWN_OFFSET:
             await self.start_from_peer()
         if self.offset == UNKNOWN_OFFSET:
-            await self.read_newest()
+            await self.start_from_log()
         else:
             await self.read_changes()
 
@@ -159,8 +160,24 @@
         if not self.peer_position or not self.is_current_era(self.peer_position):
             return
         self.offset = self.peer_position
+        self.reachability.turn.end()
         log.info('log-position-taken', extra={'position': self.offset})
 
+    async def start_from_log(self) -> None:
+        """Read the newest record.
+
+        A node that has a preset by now leaves a large one to others, and goes on asking
+        them how far they have read.
+        """
+        turn = self.reachability.turn
+        if turn.is_waiting and await turn.is_told_in_time():
+            return
+        if self.holder.current is None:
+            await self.read_newest()
+            return
+        async with self.reachability.abandonable() as transfer:
+            await self.read_newest(transfer)
+
     def is_current_era(self, position: int) -> bool:
         """Return whether the log may be in the era of a position."""
         return self.keyed_log.era in {UNKNOWN_ERA, era_of(position)}
--- a/packages/node/src/lavendermountd/presets/reachability.py
+++ b/packages/node/src/lavendermountd/presets/reachability.py
@@ -45,6 +45,7 @@
         'is_waiting',
         'is_reading',
         'is_lost_read_suspected',
+        'is_caught_up',
         'failures',
         'asked_at',
         'answered_at',
@@ -61,6 +62,8 @@
         self.is_waiting = False
         self.is_reading = False
         self.is_lost_read_suspected = False
+        # Whether the follower has once read to the end of its stream.
+        self.is_caught_up: Callable[[], bool] = _is_caught_up
         self.failures = 0
         self.asked_at = time.monotonic()
         self.answered_at = time.monotonic()
@@ -144,14 +147,14 @@
             self.is_reading = False
 
     def offer_turn(self) -> None:
-        """Abandon the read of a large answer if another node reads it first.
+        """Abandon the read of a large answer if the log readers read it.
 
-        If no node tells what it has read, the log readers are the next to read it. Of
-        the others, about one a second is.
+        The log readers all read it, since each may have a slow link. If none of them
+        tells what it has read, about one of the other nodes a second reads it.
         """
-        is_reader = self.schedule.is_reader()
-        extra_s = 0 if is_reader else self.schedule.check_interval_s()
-        if self.turn.try_leave_to_others(extra_s):
+        if self.is_caught_up() and self.schedule.is_reader():
+            return
+        if self.turn.try_leave_to_others(self.schedule.check_interval_s()):
             log.info('log-read-left', extra={'bytes': self.transfer.received_bytes})
             self.mark_answered()
             self.restart()
@@ -212,3 +215,8 @@
         self.failures += 1
         self.schedule.restart()
         await asyncio.sleep(self.schedule.retry_s())
+
+
+def _is_caught_up() -> bool:
+    """Return True; a follower that can tell sets another callback."""
+    return True
