Log readers: turns to read a large version are taken back

Tried in: one node of a region, then its log readers only, read a large version, and the others abandon their reads and wait to be told.

Cause: what the log has written for an abandoned read still crosses the link there, so that leaving a version saves nothing, and it is read again later. One first reader with a link of 5 Mbit/s is slower than the fastest of four.

The announcement that doesn't hold up the next one stays.

--- a/features/presets.feature
+++ b/features/presets.feature
@@ -142,7 +142,6 @@
     And a relay reaches a living one of them in another region, in 95 of 100 cases
     And about two nodes of a region of 40 tell another region, besides its relays
     And members that never answer do not delay the next announcement
-    And the node that reads large versions first tells a member of each other zone
 
   Scenario: A change is noticed soon although all readers of the region died just before it
     Given a region of 23 nodes of which 9 live, none of them a log reader
@@ -178,17 +177,6 @@
   Scenario: An invalid version does not hide the valid one before it
     Then a valid version that was read together with an invalid one behind it is in force
 
-  Scenario: Nodes that do not wait at the log leave a large version to those that do
-    Given 23 nodes of a region in 2 zones
-    Then all agree on a first reader of the region, and on another if that one is not reached
-    And a node whose first reader has died just now finds the next one, or reads itself
-    And a log reader reads it whole
-    And another node abandons its read and takes the version from a peer
-    And it reads it itself if no peer has told it within its turn
-    And it reads the newest itself, in the same turn, if there are many
-    And a node that starts and has a preset leaves it to others until it knows a position
-    And of 40 nodes that do not wait at the log, about one a second does so later
-
   Scenario: Nodes that start at the same time do not each read the whole preset from the log
     Then a node that starts beside a peer reads only what the peer has not read
     And it reads the newest record if the peer tells no position, or one that is gone
--- a/features/steps/log_reader_steps.py
+++ b/features/steps/log_reader_steps.py
@@ -142,7 +142,7 @@
         reachability.schedule.is_reader = Mock(return_value=False)
         checks.append(asyncio.create_task(reachability.wait_until_due()))
         note = reachability.check_pace.note_unreachable
-        asyncio.get_running_loop().call_later(random.random(), note, 'dead')
+        asyncio.get_running_loop().call_later(random.random(), note)
     _, waiting = await asyncio.wait(checks, return_when=asyncio.FIRST_COMPLETED)
     for check in waiting:
         check.cancel()
--- a/packages/core/src/lavendermount_core/log/transfer.py
+++ b/packages/core/src/lavendermount_core/log/transfer.py
@@ -11,16 +11,12 @@
 
 import asyncio
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from typing import Final
 
 from lavendermount_core.utils.deadlines import Deadline, deadline_in
 from lavendermount_core.utils.units import MS_PER_S
 
-# An answer of which more than this is still to come is large.
-LARGE_ANSWER_BYTES: Final = 65536
-
 
 class SilenceLimit:
     """Time limit that each part of an answer extends.
@@ -50,8 +46,6 @@
         'last_byte_at',
         'received_bytes',
         'limits',
-        'is_large',
-        'on_large',
     )
 
     def __init__(self) -> None:
@@ -61,15 +55,11 @@
         self.last_byte_at = self.started_at
         self.received_bytes = 0
         self.limits: list[SilenceLimit] = []
-        self.is_large = False
-        # Called when the answer turns out to be large.
-        self.on_large: Callable[[], None] = _ignore_size
 
-    def note_received(self, size: int, missing_bytes: int = 0) -> None:
+    def note_received(self, size: int) -> None:
         """Note that a part has arrived, and extend the limits.
 
         :param size: its length.
-        :param missing_bytes: what is still to come, as far as it is known.
         """
         now = time.monotonic()
         if not self.received_bytes:
@@ -78,9 +68,6 @@
         self.received_bytes += size
         for limit in self.limits:
             limit.extend()
-        if missing_bytes > LARGE_ANSWER_BYTES and not self.is_large:
-            self.is_large = True
-            self.on_large()
 
     @asynccontextmanager
     async def limit(self, wait_s: float, silence_s: float) -> AsyncIterator[None]:
@@ -110,7 +97,3 @@
             'waited_ms': round((self.first_byte_at - self.started_at) * MS_PER_S),
             'transfer_ms': round(self.elapsed_s * MS_PER_S),
         }
-
-
-def _ignore_size() -> None:
-    """Do nothing; a reader that may abandon the answer sets another callback."""
--- a/packages/node/src/lavendermountd/http1/client.py
+++ b/packages/node/src/lavendermountd/http1/client.py
@@ -85,8 +85,8 @@
         self.used_at = time.monotonic()
         self.exchange_count = 0
         self.idle_limit_s: float = 0
-        # Called with the size of each part of a reply, and of what is missing of it.
-        self.on_received: Callable[[int, int], None] | None = None
+        # Called with the size of each part of a reply.
+        self.on_received: Callable[[int], None] | None = None
         self.reader = asyncio.create_task(self.read_until_closed())
 
     @property
@@ -157,10 +157,9 @@
             if self.waiter is None:
                 self.must_close = True
                 return
-            replies = self.parser.feed(chunk)
             if self.on_received is not None:
-                self.on_received(len(chunk), self.parser.missing_bytes)
-            self.deliver_replies(replies)
+                self.on_received(len(chunk))
+            self.deliver_replies(self.parser.feed(chunk))
             if self.parser.awaits_memory and not await self.find_memory():
                 return
 
--- a/packages/node/src/lavendermountd/http1/reply_parser.py
+++ b/packages/node/src/lavendermountd/http1/reply_parser.py
@@ -56,7 +56,6 @@
         'parts',
         'large_body',
         'body_size',
-        'declared_size',
         'head_size',
         'head_received_size',
         'is_reading_body',
@@ -79,8 +78,6 @@
         # Takes the place of ``parts`` for a body above ``SMALL_BODY_BYTES``.
         self.large_body: BodyBuffer | None = None
         self.body_size = 0
-        # Length of the body as its head declares it; 0 if it does not.
-        self.declared_size = 0
         self.head_size = 0
         self.head_received_size = 0
         self.is_reading_body = False
@@ -93,11 +90,6 @@
         """Return whether there is no room for the rest of the body now."""
         return self.large_body is not None and self.large_body.missing_bytes > 0
 
-    @property
-    def missing_bytes(self) -> int:
-        """Return how much of the declared length of the body is still to come."""
-        return max(0, self.declared_size - self.body_size)
-
     def feed(self, chunk: bytes) -> list[WireReply]:
         """Parse a chunk of data.
 
@@ -142,7 +134,6 @@
         self.headers = []
         self.drop_body()
         self.body_size = 0
-        self.declared_size = 0
         self.head_size = 0
         self.is_reading_body = False
 
@@ -178,10 +169,10 @@
         encoding = find_header(self.headers, TRANSFER_ENCODING).lower()
         length = find_header(self.headers, CONTENT_LENGTH)
         self.is_close_delimited = not length and encoding != 'chunked'
-        self.declared_size = int(length) if length.isdigit() else 0
-        self.check_body_size(self.declared_size)
-        if SMALL_BODY_BYTES < self.declared_size <= self.max_body:
-            self.begin_large_body(self.declared_size)
+        size = int(length) if length.isdigit() else 0
+        self.check_body_size(size)
+        if SMALL_BODY_BYTES < size <= self.max_body:
+            self.begin_large_body(size)
 
     def begin_large_body(self, size: int) -> None:
         """Take memory for a body.
--- a/packages/node/src/lavendermountd/log_readers.py
+++ b/packages/node/src/lavendermountd/log_readers.py
@@ -23,11 +23,7 @@
 from lavendermountd.presets.holder import PresetHolder
 from lavendermountd.presets.keyed_follower import KeyedPresetFollower
 from lavendermountd.presets.peer_start import start_from_peers
-from lavendermountd.presets.read_turn import FirstReader
-from lavendermountd.presets.reader_selection import (
-    count_readers,
-    is_log_reader,
-)
+from lavendermountd.presets.reader_selection import count_readers, is_log_reader
 
 if TYPE_CHECKING:
     from lavendermountd.node import Node
@@ -80,10 +76,6 @@
     note_loss = partial(hurry_if_nearby, pace, node.table)
     node.gossip.on_unanswered = note_loss
     node.links.backoff.on_failure = note_loss
-    if node.settings.presets.readers_per_zone:
-        first = FirstReader(node)
-        node.follower.reachability.turn.is_own = first.is_own
-        node.follower.reachability.turn.is_taken = first.is_taken
     start_from_peers(node)
 
 
--- a/packages/node/src/lavendermountd/membership/urgent_updates.py
+++ b/packages/node/src/lavendermountd/membership/urgent_updates.py
@@ -78,20 +78,6 @@
             return own_zone, others
         return own_zone, []
 
-    async def tell_other_zones(self) -> None:
-        """Tell a member of each other zone of the own region."""
-        own_zone = self.gossip.table.own.zone
-        by_zone: dict[str, list[Member]] = {}
-        for member in self.gossip.living_in_region():
-            if member.zone != own_zone:
-                by_zone.setdefault(member.zone, []).append(member)
-        await asyncio.gather(
-            *(
-                self.tell_one(iter(random.sample(zone, min(MAX_TRIES, len(zone)))))
-                for zone in by_zone.values()
-            )
-        )
-
     async def tell_other_region(self) -> None:
         """Tell a member of another region.
 
--- a/packages/node/src/lavendermountd/presets/announcer.py
+++ b/packages/node/src/lavendermountd/presets/announcer.py
@@ -10,7 +10,6 @@
 
 import asyncio
 import random
-from collections.abc import Callable
 
 from lavendermountd.membership.gossip import Gossip
 from lavendermountd.membership.urgent_updates import UrgentUpdates
@@ -29,15 +28,13 @@
     :param gossip: gossip, whose rounds name the revision in force.
     """
 
-    __slots__ = ('urgent', 'is_due', 'places', 'is_first_reader')
+    __slots__ = ('urgent', 'is_due', 'places')
 
     def __init__(self, gossip: Gossip) -> None:
         """Start with nothing to announce."""
         self.urgent = UrgentUpdates(gossip)
         self.is_due = asyncio.Event()
         self.places = asyncio.Semaphore(MAX_ANNOUNCEMENTS)
-        # Whether all zones of the region rely on this node for large versions.
-        self.is_first_reader: Callable[[], bool] = _is_not_first
 
     def note_change(self, preset: InForcePreset) -> None:
         """Request an announcement; changes in quick succession share one."""
@@ -67,18 +64,6 @@
 
     async def announce(self) -> None:
         """Tell members of the own region; some nodes also tell another region."""
-        if self.is_first_reader():
-            await asyncio.gather(self.urgent.tell_other_zones(), self.tell_others())
-            return
-        await self.tell_others()
-
-    async def tell_others(self) -> None:
-        """Tell members of the own zone, and a few elsewhere."""
         await asyncio.gather(
             self.urgent.tell_region(FANOUT), self.urgent.tell_other_region()
         )
-
-
-def _is_not_first() -> bool:
-    """Return False; the node installs the real callback."""
-    return False
--- a/packages/node/src/lavendermountd/presets/check_pace.py
+++ b/packages/node/src/lavendermountd/presets/check_pace.py
@@ -26,13 +26,11 @@
 class CheckPace:
     """Shortens the time until the next check while members can't be reached."""
 
-    __slots__ = ('hurries_until', 'unreachable_at', 'has_begun_to_hurry')
+    __slots__ = ('hurries_until', 'has_begun_to_hurry')
 
     def __init__(self) -> None:
         """Start at the normal pace."""
         self.hurries_until: float = 0
-        # When each member of the region could not be reached last.
-        self.unreachable_at: dict[str, float] = {}
         self.has_begun_to_hurry = asyncio.Event()
 
     @property
@@ -40,18 +38,12 @@
         """How much faster than normal the next check approaches."""
         return HURRY_FACTOR if time.monotonic() < self.hurries_until else 1
 
-    def note_unreachable(self, node_id: str) -> None:
+    def note_unreachable(self) -> None:
         """Check often for some time: a member of the region can't be reached."""
-        self.unreachable_at[node_id] = time.monotonic()
         if self.factor == 1:
             self.has_begun_to_hurry.set()
         self.hurries_until = time.monotonic() + HURRY_S
 
-    def is_unreachable(self, node_id: str) -> bool:
-        """Return whether a member could not be reached recently."""
-        noted_at = self.unreachable_at.get(node_id)
-        return noted_at is not None and time.monotonic() < noted_at + HURRY_S
-
     async def advance(self, left_s: float) -> float:
         """Wait for a part of an interval.
 
@@ -81,4 +73,4 @@
     if member is None or member.status == MemberStatus.DEAD:
         return
     if member.region == table.own.region:
-        pace.note_unreachable(node_id)
+        pace.note_unreachable()
--- a/packages/node/src/lavendermountd/presets/keyed_follower.py
+++ b/packages/node/src/lavendermountd/presets/keyed_follower.py
@@ -79,7 +79,6 @@
         self.peer_position = 0
         self.reachability = LogReachability(LONG_POLL_S)
         self.is_caught_up = asyncio.Event()
-        self.reachability.is_caught_up = self.is_caught_up.is_set
         self.asking: asyncio.Task[None] | None = None
         self.is_latest_refused = False
         self.ask_peers: Callable[[], Awaitable[None]] = _ask_nobody
@@ -110,15 +109,9 @@
         """
         if not self.is_current_era(position):
             return
-        if self.offset == UNKNOWN_OFFSET:
-            self.note_peer_position(position)
-        elif position > self.offset:
-            self.offset = position
-            self.reachability.skip_read()
-
-    def note_peer_position(self, position: int) -> None:
-        """Continue at the position of a peer instead of reading the newest record."""
-        if position > self.peer_position:
+        if self.offset != UNKNOWN_OFFSET:
+            self.offset = max(self.offset, position)
+        elif position > self.peer_position:
             self.peer_position = position
             self.reachability.restart()
 
@@ -144,7 +137,7 @@
         if self.offset == UNKNOWN_OFFSET:
             await self.start_from_peer()
         if self.offset == UNKNOWN_OFFSET:
-            await self.start_from_log()
+            await self.read_newest()
         else:
             await self.read_changes()
 
@@ -160,37 +153,20 @@
         if not self.peer_position or not self.is_current_era(self.peer_position):
             return
         self.offset = self.peer_position
-        self.reachability.turn.end()
         log.info('log-position-taken', extra={'position': self.offset})
 
-    async def start_from_log(self) -> None:
-        """Read the newest record.
-
-        A node that has a preset by now leaves a large one to others, and goes on asking
-        them how far they have read.
-        """
-        turn = self.reachability.turn
-        if turn.is_waiting and await turn.is_told_in_time():
-            return
-        if self.holder.current is None:
-            await self.read_newest()
-            return
-        async with self.reachability.abandonable() as transfer:
-            await self.read_newest(transfer)
-
     def is_current_era(self, position: int) -> bool:
         """Return whether the log may be in the era of a position."""
         return self.keyed_log.era in {UNKNOWN_ERA, era_of(position)}
 
-    async def read_newest(self, transfer: Transfer | None = None) -> int:
+    async def read_newest(self) -> int:
         """Read the newest record of each key, and continue behind it.
 
         If it is refused, records that have not been read may hold a valid preset.
 
-        :param transfer: measures the answer; ``None`` for one of its own.
         :returns: end of the stream as the log tells it.
         """
-        transfer = transfer or Transfer()
+        transfer = Transfer()
         newest = await self.keyed_log.newest(self.stream, transfer)
         self.reachability.mark_answered()
         self.evacuations.read_newest(newest)
@@ -218,14 +194,12 @@
         )
         bodies = self.read_batch(batch, self.offset)
         if await self.has_skipped_to_newest(batch):
-            self.reachability.turn.end()
             await asyncio.sleep(COALESCE_S)
             return
         async with self.reachability.restart_request.applying:
             await self.adopt_last_valid(bodies)
             # Peers take the position for one up to which all is applied.
             self.offset = max(self.offset, batch.next_offset)
-        self.reachability.turn.end()
         if self.offset >= batch.end:
             self.is_caught_up.set()
         if bodies:
@@ -239,11 +213,9 @@
         :param batch: the records that were read.
         :returns: whether the records of the batch need not be applied.
         """
-        applied = max(batch.next_offset, self.offset)
-        if applied >= batch.end or self.is_latest_refused:
+        if batch.next_offset >= batch.end or self.is_latest_refused:
             return False
-        async with self.reachability.abandonable() as transfer:
-            end = await self.read_newest(transfer)
+        end = await self.read_newest()
         return end >= batch.end and not self.is_latest_refused
 
     def read_batch(self, batch: LogBatch, known_offset: int) -> list[bytes]:
--- a/packages/node/src/lavendermountd/presets/reachability.py
+++ b/packages/node/src/lavendermountd/presets/reachability.py
@@ -9,12 +9,8 @@
 import asyncio
 import logging
 import time
-from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
-from contextlib import (
-    AbstractAsyncContextManager,
-    asynccontextmanager,
-    nullcontext,
-)
+from collections.abc import Awaitable, Callable, Coroutine
+from contextlib import AbstractAsyncContextManager, nullcontext
 from typing import Any
 
 from lavendermount_core.exceptions import LogUnavailableError
@@ -22,7 +18,6 @@
 from lavendermount_core.log.transfer import Transfer
 from lavendermountd.presets.check_pace import CheckPace
 from lavendermountd.presets.poll_schedule import RESPONSE_TIMEOUT_S, PollSchedule
-from lavendermountd.presets.read_turn import ReadTurn
 from lavendermountd.presets.restart import RestartRequest
 
 log = logging.getLogger(__name__)
@@ -39,13 +34,10 @@
     __slots__ = (
         'schedule',
         'check_pace',
-        'turn',
         'restart_request',
         'is_reachable',
         'is_waiting',
-        'is_reading',
         'is_lost_read_suspected',
-        'is_caught_up',
         'failures',
         'asked_at',
         'answered_at',
@@ -56,14 +48,10 @@
         """Start without an answer of the log."""
         self.schedule = PollSchedule(max_wait_s)
         self.check_pace = CheckPace()
-        self.turn = ReadTurn()
         self.restart_request = RestartRequest()
         self.is_reachable = False
         self.is_waiting = False
-        self.is_reading = False
         self.is_lost_read_suspected = False
-        # Whether the follower has once read to the end of its stream.
-        self.is_caught_up: Callable[[], bool] = _is_caught_up
         self.failures = 0
         self.asked_at = time.monotonic()
         self.answered_at = time.monotonic()
@@ -89,20 +77,8 @@
         Another node knows a newer preset, so the log may never answer that read, unless
         a part of the answer has arrived.
         """
-        if self.turn.is_waiting:
-            self.turn.end()
-            return
         if not self.is_waiting or self.transfer.received_bytes:
             return
-        self.abandon_read()
-
-    def skip_read(self) -> None:
-        """Abandon a read of a large answer whose records a peer has told."""
-        if self.is_reading and self.transfer.is_large:
-            self.abandon_read()
-
-    def abandon_read(self) -> None:
-        """Abandon the read in progress, and read again at once."""
         self.is_lost_read_suspected = True
         self.schedule.restart()
         log.info(
@@ -120,9 +96,10 @@
         """
         wait_s = await self.wait_until_due()
         self.is_waiting = wait_s > 0
+        self.transfer = Transfer()
         try:
-            async with self.abandonable() as transfer, self.limit(wait_s):
-                batch = await call(wait_s, transfer)
+            async with self.limit(wait_s):
+                batch = await call(wait_s, self.transfer)
         except TimeoutError as error:
             raise LogUnavailableError('no answer to a read in time') from error
         finally:
@@ -135,37 +112,11 @@
             self.schedule.reads_without_news += 1
         return batch
 
-    @asynccontextmanager
-    async def abandonable(self) -> AsyncIterator[Transfer]:
-        """Begin an answer that is abandoned if others read it or have told it."""
-        self.transfer = Transfer()
-        self.transfer.on_large = self.offer_turn
-        self.is_reading = True
-        try:
-            yield self.transfer
-        finally:
-            self.is_reading = False
-
-    def offer_turn(self) -> None:
-        """Abandon the read of a large answer if the log readers read it.
-
-        The log readers all read it, since each may have a slow link. If none of them
-        tells what it has read, about one of the other nodes a second reads it.
-        """
-        if self.is_caught_up() and self.schedule.is_reader():
-            return
-        if self.turn.try_leave_to_others(self.schedule.check_interval_s()):
-            log.info('log-read-left', extra={'bytes': self.transfer.received_bytes})
-            self.mark_answered()
-            self.restart()
-
     async def wait_until_due(self) -> float:
         """Let time pass before the read if this node does not wait at the log.
 
         :returns: how long the read may wait for news.
         """
-        if self.turn.is_waiting and not await self.turn.is_told_in_time():
-            return 0
         if not self.is_reachable or self.is_lost_read_suspected:
             return 0
         left_s = self.schedule.check_interval_s()
@@ -215,8 +166,3 @@
         self.failures += 1
         self.schedule.restart()
         await asyncio.sleep(self.schedule.retry_s())
-
-
-def _is_caught_up() -> bool:
-    """Return True; a follower that can tell sets another callback."""
-    return True
--- a/packages/node/src/lavendermountd/presets/reader_selection.py
+++ b/packages/node/src/lavendermountd/presets/reader_selection.py
@@ -11,38 +11,12 @@
 
 import zlib
 from collections import Counter
-from collections.abc import Callable
 from heapq import nsmallest
 
 from lavendermount_core.models.members import Member, MemberStatus
 from lavendermountd.membership.table import MemberTable
 
 
-def first_reader(
-    table: MemberTable,
-    readers_per_zone: int,
-    is_unreachable: Callable[[str], bool],
-) -> Member:
-    """Return the node of the own region that reads a large version first.
-
-    :param table: known members.
-    :param readers_per_zone: number of nodes of each zone that wait at the log.
-    :param is_unreachable: whether a member, by its name, could not be reached recently.
-    """
-    own = table.own
-    by_zone: dict[str, list[Member]] = {}
-    for member in table.members.values():
-        if member.region == own.region and member.status == MemberStatus.ALIVE:
-            by_zone.setdefault(member.zone, []).append(member)
-    readers = [
-        reader
-        for members in by_zone.values()
-        for reader in nsmallest(readers_per_zone, members, key=_selection_key)
-        if reader.node_id == own.node_id or not is_unreachable(reader.node_id)
-    ]
-    return min(readers, key=_selection_key, default=own)
-
-
 def is_log_reader(table: MemberTable, readers_per_zone: int) -> bool:
     """Return whether this node waits at the log.
 
--- a/packages/node/src/lavendermountd/supervisor_tree.py
+++ b/packages/node/src/lavendermountd/supervisor_tree.py
@@ -79,8 +79,6 @@
         """Build the branch that exchanges gossip and control calls."""
         node = self.node
         announcer = PresetAnnouncer(node.gossip)
-        if node.settings.presets.readers_per_zone:
-            announcer.is_first_reader = node.follower.reachability.turn.is_own
         node.holder.on_change.append(announcer.note_change)
         node.evacuations.listeners.append(announcer.request)
         return self.supervisor(
