--- a/features/presets.feature
+++ b/features/presets.feature
@@ -170,10 +170,6 @@
     And a position of another era of the log, or one that it has passed, is ignored
     And a node that has refused the latest preset tells no position
 
-  Scenario: A node keeps up with versions that come faster than it can read and prepare them
-    Then a node that falls behind a storm of versions prepares only the newest
-    And it takes them from the log if the newest is refused, or is out of date
-
   Scenario: An invalid version does not hide the valid one before it
     Then a valid version that was read together with an invalid one behind it is in force
 
--- a/packages/node/src/lavendermountd/presets/keyed_follower.py
+++ b/packages/node/src/lavendermountd/presets/keyed_follower.py
@@ -162,13 +162,8 @@
         """Return whether the log may be in the era of a position."""
         return self.keyed_log.era in {UNKNOWN_ERA, era_of(position)}
 
-    async def read_newest(self) -> int:
-        """Read the newest record of each key, and continue behind it.
-
-        If it is refused, records that have not been read may hold a valid preset.
-
-        :returns: end of the stream as the log tells it.
-        """
+    async def read_newest(self) -> None:
+        """Read the newest record of each key."""
         transfer = Transfer()
         newest = await self.keyed_log.newest(self.stream, transfer)
         self.reachability.mark_answered()
@@ -177,16 +172,13 @@
         async with self.reachability.restart_request.applying:
             if body is not None:
                 await self.adopt_if_newer(body, transfer)
-            if self.offset == UNKNOWN_OFFSET or not self.is_latest_refused:
-                self.offset = max(self.offset, newest.end)
+            self.offset = newest.end
         self.is_caught_up.set()
-        return newest.end
 
     async def read_changes(self) -> None:
         """Read new records, and wait for them if all earlier ones were read.
 
-        Of several new records of the key, only the last valid one is adopted. If there
-        are more than one answer holds, the newest is read instead.
+        Of several new records of the key, only the last valid one is adopted.
         """
         if not self.is_caught_up.is_set():
             self.reachability.read_at_once()
@@ -196,9 +188,6 @@
             )
         )
         bodies = self.read_batch(batch, self.offset)
-        if await self.has_skipped_to_newest(batch):
-            await asyncio.sleep(COALESCE_S)
-            return
         async with self.reachability.restart_request.applying:
             await self.adopt_last_valid(bodies)
             # Peers take the position for one up to which all is applied.
@@ -208,19 +197,6 @@
         if bodies:
             await asyncio.sleep(COALESCE_S)
 
-    async def has_skipped_to_newest(self, batch: LogBatch) -> bool:
-        """Read the newest records if a batch ends before the stream does.
-
-        Versions that have been replaced by now are neither read nor prepared.
-
-        :param batch: the records that were read.
-        :returns: whether the records of the batch need not be applied.
-        """
-        if batch.next_offset >= batch.end or self.is_latest_refused:
-            return False
-        end = await self.read_newest()
-        return end >= batch.end and not self.is_latest_refused
-
     def read_batch(self, batch: LogBatch, known_offset: int) -> list[bytes]:
         """Pass on the records of zones, and return those of the preset.
 
