Connections: one function lets other tasks run after a read that is done at once

CallerConnection had the wait of read_available a second time, because it keeps the pending read. Both call finish_read now. The check of a reply's size before its body begins is no longer repeated: check_body_size has refused a larger one just before.

--- a/packages/node/src/lavendermountd/caller/connection.py
+++ b/packages/node/src/lavendermountd/caller/connection.py
@@ -21,7 +21,7 @@
 from lavendermountd.caller.exchange import CallExchange
 from lavendermountd.caller.service import CallService
 from lavendermountd.caller.time_limit import TimeLimit
-from lavendermountd.fair_reading import begin_read
+from lavendermountd.fair_reading import begin_read, finish_read
 from lavendermountd.http1.messages import (
     CONTENT_LENGTH,
     NO_BODY_STATUS,
@@ -138,19 +138,13 @@
                 await self.wait_until_read()
                 continue
             try:
-                chunk = await self.read_chunk()
+                self.pending_read = begin_read(self.stream)
+                chunk = await finish_read(self.pending_read)
             except StreamClosedError:
                 self.handle_disconnect()
                 return
             self.process_chunk(chunk)
 
-    async def read_chunk(self) -> bytes:
-        """Wait for data; let other tasks run if it has arrived already."""
-        self.pending_read = begin_read(self.stream)
-        if self.pending_read.done():
-            await asyncio.sleep(0)
-        return await self.pending_read
-
     async def wait_until_read(self) -> None:
         """Wait until the connection may be read again."""
         if self.state.parser.awaits_memory:
--- a/packages/node/src/lavendermountd/fair_reading.py
+++ b/packages/node/src/lavendermountd/fair_reading.py
@@ -22,15 +22,22 @@
 
     :raises StreamClosedError: if the connection closes first.
     """
-    pending = begin_read(stream)
-    if pending.done():
-        await asyncio.sleep(0)
-    return await pending
+    return await finish_read(begin_read(stream))
 
 
 def begin_read(stream: IOStream) -> asyncio.Future[bytes]:
-    """Begin to read; the caller must let other tasks run if it is done at once.
+    """Begin to read; ``finish_read`` waits for the data.
 
     :raises StreamClosedError: if the connection is closed.
     """
     return asyncio.ensure_future(stream.read_bytes(READ_BYTES, partial=True))
+
+
+async def finish_read(pending: asyncio.Future[bytes]) -> bytes:
+    """Wait for the data of a read; let other tasks run if it has arrived already.
+
+    :raises StreamClosedError: if the connection closes first.
+    """
+    if pending.done():
+        await asyncio.sleep(0)
+    return await pending
--- a/packages/node/src/lavendermountd/http1/reply_parser.py
+++ b/packages/node/src/lavendermountd/http1/reply_parser.py
@@ -171,7 +171,7 @@
         self.is_close_delimited = not length and encoding != 'chunked'
         size = int(length) if length.isdigit() else 0
         self.check_body_size(size)
-        if SMALL_BODY_BYTES < size <= self.max_body:
+        if size > SMALL_BODY_BYTES:
             self.begin_large_body(size)
 
     def begin_large_body(self, size: int) -> None:
