--- /dev/null
+++ b/packages/testbed/src/lavendermount_testbed/emulator/spread.py
@@ -0,0 +1,309 @@
+"""How long a preset takes to reach each node of a deployment, on simulated time.
+
+The nodes are real ones in one process; only the control calls between them, the log and
+the time that a preset takes to prepare are simulated.
+
+:units: seconds of simulated time; bytes as encoded, without those of the transport.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import random
+from collections import Counter
+from collections.abc import Callable
+from contextlib import ExitStack
+from functools import partial, partialmethod
+from ipaddress import ip_address
+from itertools import repeat
+from typing import Any, Final
+from unittest.mock import Mock, patch
+
+from lavendermount_core.config.loader import load_text
+from lavendermount_core.config.node import NodeSchema
+from lavendermount_core.models.members import Member
+from lavendermount_core.presets.records import PresetSnapshot
+from lavendermount_core.utils.registry import Registry
+from lavendermount_core.utils.steps import Steps
+from lavendermount_testbed.simulated_time import SimulatedTime
+from lavendermountd.control.channels import ChannelPool, ControlCallError
+from lavendermountd.control.server import ControlServicer
+from lavendermountd.node import Node
+from lavendermountd.presets.holder import InForcePreset, compile_preset
+from lavendermountd.presets.reader_selection import is_log_reader
+from lavendermountd.slices import run_in_slices
+from lavendermountd.supervisor_tree import NodeTree
+
+REGIONS: Final = ('accra', 'kumasi')
+ZONES_PER_REGION: Final = 2
+READERS_PER_ZONE: Final = 2
+IN_REGION_S: Final = 0.002
+BETWEEN_REGIONS_S: Final = 0.02
+WARM_UP_S: Final = 3
+LIMIT_S: Final = 12
+STEP_S: Final = 0.05
+# A preset is checked and compiled, each in a run of slices.
+STAGES: Final = 2
+FIRST_REVISION: Final = 1
+FIRST_HOST: Final = ip_address('10.0.0.1')
+CONTROL_SERVER: Final = 'control-server'
+PRESET_TEXT: Final = """name = "p"
+[choosing]
+zone_cost_ratio = 0.25
+[budget]
+local_bytes_s = 100000
+[[class]]
+name = "c"
+[[route]]
+service = "s"
+class = "c"
+"""
+
+Loss = Callable[['SimulatedDeployment'], list[Node]]
+losses: Registry[str, Loss] = Registry('loss of nodes')
+
+
+class SpreadScenario:
+    """What is simulated.
+
+    :param nodes: number of nodes.
+    :param loss: name of the way in which nodes are lost.
+    :param dead_ratio: share of the nodes that are lost just before the change.
+    :param is_refused: whether calls to lost nodes fail at once instead of never.
+    :param prepare_s: time in which a node prepares a preset.
+    """
+
+    __slots__ = ('nodes', 'loss', 'dead_ratio', 'is_refused', 'prepare_s')
+
+    def __init__(
+        self,
+        nodes: int = 56,
+        loss: str = 'random',
+        dead_ratio: float = 0.55,
+        is_refused: bool = False,
+        prepare_s: float = 0.2,
+    ) -> None:
+        """Initialize the fields."""
+        self.nodes = nodes
+        self.loss = loss
+        self.dead_ratio = dead_ratio
+        self.is_refused = is_refused
+        self.prepare_s = prepare_s
+
+    @property
+    def dead_count(self) -> int:
+        """Number of nodes that are lost."""
+        return int(self.dead_ratio * self.nodes)
+
+
+class SpreadResult:
+    """What one run has shown.
+
+    :param delays: time until the preset was in force at each living node; infinite if
+        it was not within the limit.
+    :param sent: number of calls, and bytes by distance, from the change on.
+    """
+
+    __slots__ = ('delays', 'sent')
+
+    def __init__(self, delays: list[float], sent: Counter[str]) -> None:
+        """Initialize the fields."""
+        self.delays = sorted(delays)
+        self.sent = sent
+
+
+class SimulatedNetwork:
+    """Carries the control calls between nodes."""
+
+    def __init__(self, scenario: SpreadScenario) -> None:
+        """Start without nodes."""
+        self.scenario = scenario
+        self.nodes: dict[str, Node] = {}
+        self.servicers: dict[str, ControlServicer] = {}
+        self.lost: set[str] = set()
+        self.sent: Counter[str] = Counter()
+
+    def add(self, node: Node) -> None:
+        """Let a node receive calls."""
+        address = node.identity.control_address_of(node.identity.member)
+        self.nodes[address] = node
+        self.servicers[address] = ControlServicer(node)
+
+    async def call(
+        self,
+        pool: ChannelPool,
+        address: str,
+        method: str,
+        request: Any,
+        timeout_s: float,
+    ) -> Any:
+        """Carry a call; see ``ChannelPool.call``.
+
+        :raises ControlCallError: if one of the nodes is lost.
+        """
+        sender, receiver = pool.identity.member, self.nodes[address].identity.member
+        distance, delay_s = _way(sender, receiver)
+        self.sent[distance] += request.ByteSize()
+        self.sent['calls'] += 1
+        if address in self.lost or pool.identity.node_id in self.lost:
+            await asyncio.sleep(delay_s if self.scenario.is_refused else timeout_s)
+            raise ControlCallError('no answer')
+        await asyncio.sleep(delay_s)
+        reply = await getattr(self.servicers[address], method)(request, Mock())
+        self.sent[distance] += reply.ByteSize()
+        await asyncio.sleep(delay_s)
+        return reply
+
+
+def _way(sender: Member, receiver: Member) -> tuple[str, float]:
+    """Return the kind of the way between two nodes, and its delay."""
+    if sender.region != receiver.region:
+        return 'region', BETWEEN_REGIONS_S
+    kind = 'zone' if sender.zone == receiver.zone else 'other-zone'
+    return kind, IN_REGION_S
+
+
+class SimulatedDeployment:
+    """Nodes that have a preset in force and learn of a newer one.
+
+    :param scenario: what is simulated.
+    :param seed: seed of everything that is drawn.
+    """
+
+    def __init__(self, scenario: SpreadScenario, seed: int) -> None:
+        """Build the nodes, which know each other."""
+        random.seed(seed)
+        self.scenario = scenario
+        self.network = SimulatedNetwork(scenario)
+        self.nodes = [_build_node(number) for number in range(scenario.nodes)]
+        members = [node.identity.member for node in self.nodes]
+        for node in self.nodes:
+            self.network.add(node)
+            for member in members:
+                node.table.merge(member)
+            _settle(node)
+        self.tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Put the first preset in force, and run the tasks of the nodes."""
+        for node in self.nodes:
+            node.holder.put_in_force(_preset(FIRST_REVISION))
+            for child in NodeTree(node).members().children:
+                if child.name != CONTROL_SERVER:
+                    self.tasks.append(asyncio.ensure_future(child.run()))
+
+    def lose_nodes(self) -> list[Node]:
+        """Lose nodes, and return the others."""
+        lost = losses.find(self.scenario.loss)(self)
+        self.network.lost = {
+            node.identity.control_address_of(node.identity.member) for node in lost
+        }
+        return [node for node in self.nodes if node not in lost]
+
+    def stop(self) -> None:
+        """Cancel the tasks of the nodes."""
+        for task in self.tasks:
+            task.cancel()
+
+
+def simulate_spread(scenario: SpreadScenario, seed: int) -> SpreadResult:
+    """Let nodes be lost, and at once after it a preset be read from the log.
+
+    The readers of the log that live read it; if there is none, one other node does.
+
+    :param scenario: what is simulated.
+    :param seed: seed of everything that is drawn.
+    """
+    with ExitStack() as stack:
+        clock = stack.enter_context(SimulatedTime())
+        deployment = SimulatedDeployment(scenario, seed)
+        stack.enter_context(_patched(deployment))
+        clock.run(deployment.start())
+        clock.advance(WARM_UP_S)
+        living = deployment.lose_nodes()
+        deployment.network.sent.clear()
+        readers = [node for node in living if _reads_log(node)] or living[:1]
+        for reader in readers:
+            reader.holder.put_in_force(_preset(FIRST_REVISION + 1))
+        delays = _watch(clock, living)
+        deployment.stop()
+        return SpreadResult(delays, deployment.network.sent)
+
+
+def _watch(clock: SimulatedTime, nodes: list[Node]) -> list[float]:
+    """Return after which time each node has the second preset in force."""
+    delays: list[float] = []
+    began_at = clock.now
+    while len(delays) < len(nodes):
+        delay_s = clock.now - began_at
+        if delay_s > LIMIT_S:
+            delay_s = math.inf
+        count = sum(node.holder.revision > FIRST_REVISION for node in nodes)
+        if delay_s == math.inf:
+            count = len(nodes)
+        delays.extend(repeat(delay_s, count - len(delays)))
+        clock.advance(STEP_S)
+    return delays
+
+
+@losses.register('random')
+def lose_random(deployment: SimulatedDeployment) -> list[Node]:
+    """Lose nodes drawn at random."""
+    return random.sample(deployment.nodes, deployment.scenario.dead_count)
+
+
+@losses.register('readers')
+def lose_readers(deployment: SimulatedDeployment) -> list[Node]:
+    """Lose the readers of the log, and others up to the share."""
+    readers = [node for node in deployment.nodes if _reads_log(node)]
+    others = [node for node in deployment.nodes if node not in readers]
+    count = max(0, deployment.scenario.dead_count - len(readers))
+    return readers + random.sample(others, count)
+
+
+def _reads_log(node: Node) -> bool:
+    return is_log_reader(node.table, READERS_PER_ZONE)
+
+
+def _settle(node: Node) -> None:
+    """Let a node have known the others for long."""
+    updates = node.gossip.exchange.updates
+    updates.transmission_counts.clear()
+
+
+def _build_node(number: int) -> Node:
+    region = REGIONS[number % len(REGIONS)]
+    zone = number // len(REGIONS) % ZONES_PER_REGION
+    host = FIRST_HOST + number
+    text = (
+        f'node_id = "node-{number}"\nregion = "{region}"\nzone = "{region}-{zone}"\n'
+        f'[listen]\nhost = "{host}"\ncaller_port = 1\nadmin_port = 2\npeer_port = 3\n'
+        f'control_port = 4\n[log]\nurl = "http://127.0.0.1:9"\n'
+    )
+    return Node(load_text(NodeSchema, text, 'spread'))
+
+
+def _preset(revision: int) -> InForcePreset:
+    return compile_preset(
+        PresetSnapshot(revision, revision + 1, 'p', str(revision), PRESET_TEXT)
+    )
+
+
+def _patched(deployment: SimulatedDeployment) -> ExitStack:
+    """Replace the calls between nodes, and the time that a preset takes to prepare."""
+    stack = ExitStack()
+    slices = partial(_run_slowly, deployment.scenario.prepare_s / STAGES)
+    call = partialmethod(_call, deployment.network)
+    stack.enter_context(patch.object(ChannelPool, 'call', call))
+    stack.enter_context(patch('lavendermountd.presets.holder.run_in_slices', slices))
+    return stack
+
+
+async def _run_slowly(seconds: float, steps: Steps[Any]) -> Any:
+    await asyncio.sleep(seconds)
+    return await run_in_slices(steps)
+
+
+async def _call(pool: ChannelPool, network: SimulatedNetwork, *arguments: Any) -> Any:
+    return await network.call(pool, *arguments)
