Gossip: every living node is told of a version by a living neighbour, and no round is lost

Cause: nothing bounded how long a living node stays untold. An announcement went to three members drawn at random, so that some are drawn by nobody. Those waited for their own rounds, which also go to members that have died; a round without an answer was not made up for and delayed the next. Change: the members form a ring on whose order all nodes agree (membership/ring.py). A node that has a new version tells the next living member in each direction, and two drawn at random instead of three; members known to have it are not told. While calls are not answered, more members are called (membership/staggered.py). A round without an answer is exchanged with another member at once, and the probes through others no longer delay the next round. Why it works: whichever members die, each living node has a living neighbour in either direction that does not stop before it has answered; and each round of its own brings the news of a living node.

--- a/features/spreading.feature
+++ b/features/spreading.feature
@@ -5,3 +5,10 @@
     Then each living node of 56 has it in force within 2.5 s in 6 of 6 runs if those lost never answer
     And each living node of 87 has it in force within 2.5 s in 4 of 4 runs if those lost refuse calls
     And each living node of 56 has it in force within 2.5 s in 6 of 6 runs if all readers of the log are among those lost
+
+  Scenario: A run of members that never answer delays the news by a second at most
+    Then a node whose next 15 neighbours have died tells the one behind them within 1 s
+
+  Scenario: All nodes agree on the ring, however they learned of its members
+    Then after random changes of its members each node is the next of exactly one other
+    And one pair of neighbours links each zone with the next
--- a/features/steps/spreading_steps.py
+++ b/features/steps/spreading_steps.py
@@ -2,11 +2,20 @@
 
 from __future__ import annotations
 
+import asyncio
+import random
+from itertools import pairwise
 from typing import Any
 
 from behave import given, then
+from builders import member
 
+from lavendermount_core.models.members import Member, MemberStatus
 from lavendermount_testbed.emulator.spread import SpreadScenario, simulate_spread
+from lavendermount_testbed.simulated_time import SimulatedTime
+from lavendermountd.membership.ring import MemberRing
+from lavendermountd.membership.staggered import call_until_answered
+from lavendermountd.membership.table import MemberTable
 
 LOSSES = {
     'those lost never answer': {},
@@ -32,3 +41,66 @@
     scenario = SpreadScenario(nodes, dead_ratio=context.dead_ratio, **LOSSES[loss])
     worst = [simulate_spread(scenario, seed).delays[-1] for seed in range(runs)]
     assert max(worst) <= limit_s, worst
+
+
+@then(
+    'a node whose next {dead:d} neighbours have died tells the one behind them within'
+    ' {limit_s:g} s'
+)
+def run_of_dead(context: Any, dead: int, limit_s: float) -> None:
+    """Call neighbours of which the first never answer."""
+    called: dict[str, float] = {}
+
+    async def call(neighbour: Member) -> bool:
+        assert neighbour.node_id not in called
+        called[neighbour.node_id] = time.now
+        if len(called) > dead:
+            return True
+        await asyncio.sleep(0.5)
+        return False
+
+    with SimulatedTime() as time:
+        neighbours = iter([member(f'n-{number}') for number in range(2 * dead)])
+        assert time.run(call_until_answered(neighbours, call))
+    delay_s = called[f'n-{dead}'] - called['n-0']
+    assert delay_s <= limit_s, called
+
+
+@then('after random changes of its members each node is the next of exactly one other')
+def ring_agrees(context: Any) -> None:
+    """Let the nodes learn of the members in another order each."""
+    rng = random.Random(5)
+    members = [
+        member(f'n-{number}', zone=f'zone-{number % 3}', region=f'r-{number % 2}')
+        for number in range(30)
+    ]
+    dead = [entry.with_status(MemberStatus.DEAD) for entry in members[20:]]
+    context.next_of = {}
+    for own in members[:20]:
+        table = MemberTable(own)
+        ring = MemberRing(table)
+        changes = rng.sample(members + dead, len(members) + len(dead))
+        for change in changes:
+            table.merge(change)
+        following, preceding = list(ring.after()), list(ring.before())
+        assert following == list(reversed(preceding))
+        assert len(following) == 19
+        context.next_of[own.node_id] = following[0]
+    context.ring_members = members
+    assert len({entry.node_id for entry in context.next_of.values()}) == 20
+
+
+@then('one pair of neighbours links each zone with the next')
+def zones_linked_once(context: Any) -> None:
+    """Walk around the ring and count the changes of the zone."""
+    entry = context.ring_members[0]
+    walk = [entry]
+    for _ in context.next_of:
+        entry = context.next_of[entry.node_id]
+        walk.append(entry)
+    assert walk[0].node_id == walk[-1].node_id
+    changes = [
+        (one.region, one.zone) != (other.region, other.zone)
+        for one, other in pairwise(walk)
+    ]
+    assert sum(changes) == 6, changes
--- a/packages/node/src/lavendermountd/membership/exchange.py
+++ b/packages/node/src/lavendermountd/membership/exchange.py
@@ -75,6 +75,9 @@
         self.is_zone_local = False
         self.revision: Callable[[], int] = _no_revision
         self.on_revision: Callable[[Member, int], None] = _ignore_revision
+        # Incarnation, and the highest revision that it has told, by node.
+        self.told_revisions: dict[str, tuple[int, int]] = {}
+        table.forget_listeners.append(self.forget)
         self.log_era: Callable[[], int] = _no_era
         self.on_log_era: Callable[[int], None] = _ignore_era
 
@@ -176,10 +179,22 @@
             self.evacuations.merge(zone_record(zone), sender.node_id)
         if message.log_era > max(0, self.log_era()):
             self.on_log_era(message.log_era)
+        told = (sender.incarnation, message.revision)
+        known = self.told_revisions.get(sender.node_id, told)
+        self.told_revisions[sender.node_id] = max(known, told)
         if message.revision > self.revision():
             self.on_revision(sender, message.revision)
         return self.differing_members(message)
 
+    def is_informed(self, member: Member) -> bool:
+        """Return whether a member has told that it has the revision of this node."""
+        told = self.told_revisions.get(member.node_id)
+        return told is not None and told >= (member.incarnation, self.revision())
+
+    def forget(self, node_id: str) -> None:
+        """Forget what a member has told."""
+        self.told_revisions.pop(node_id, None)
+
     def take_member(self, entry: control_pb2.Member) -> None:
         """Merge a member of a round; log and skip a malformed one."""
         try:
--- a/packages/node/src/lavendermountd/membership/gossip.py
+++ b/packages/node/src/lavendermountd/membership/gossip.py
@@ -23,6 +23,8 @@
 from lavendermountd.control.generated import control_pb2
 from lavendermountd.membership.exchange import GossipExchange
 from lavendermountd.membership.relays import is_relay, relays_of
+from lavendermountd.membership.ring import MemberRing
+from lavendermountd.membership.staggered import call_until_answered
 from lavendermountd.membership.suspicion import SuspicionTimers
 from lavendermountd.traffic_meter import TrafficMeter
 
@@ -39,6 +41,8 @@
 # Members of other zones that all nodes of a zone together probe in each round.
 ZONE_ROUNDS = 1
 REMOTE_TIMEOUT_S = 1.0
+# Members that are tried at most in place of one that does not answer.
+MAX_REPLACEMENTS = 8
 
 
 class Gossip:
@@ -66,6 +70,9 @@
         self.channels = channels
         self.timers = timers
         self.period_s = period_s
+        self.ring = MemberRing(self.table)
+        # Members that did not answer are probed through others meanwhile.
+        self.checks: set[asyncio.Task[None]] = set()
         self.probe_order: list[str] = []
         self.round_count = 0
         self.region_turn = 0
@@ -154,12 +161,28 @@
         ]
 
     async def probe(self, member: Member) -> None:
-        """Probe a member directly, then indirectly; suspect it if both fail.
+        """Probe a member; if it does not answer, exchange the round with another.
 
-        A dead member is probed only directly.
+        Each round then brings the news of a living member, and the next one is not
+        delayed.
         """
-        if await self.exchange_with(member, self.period_s * PROBE_TIMEOUT_RATIO):
+        timeout_s = self.period_s * PROBE_TIMEOUT_RATIO
+        if await self.exchange_with(member, timeout_s):
             return
+        check = asyncio.create_task(self.check_unanswered(member))
+        self.checks.add(check)
+        check.add_done_callback(self.checks.discard)
+        others = [other for other in self.probed_members() if other is not member]
+        chosen = random.sample(others, min(MAX_REPLACEMENTS, len(others)))
+        await call_until_answered(
+            iter(chosen), lambda other: self.exchange_with(other, timeout_s)
+        )
+
+    async def check_unanswered(self, member: Member) -> None:
+        """Probe a member that did not answer through others; suspect it if that fails.
+
+        A dead member is not probed again.
+        """
         if member.status == MemberStatus.DEAD:
             return
         if await self.probe_indirectly(member):
--- a/packages/node/src/lavendermountd/membership/urgent_updates.py
+++ b/packages/node/src/lavendermountd/membership/urgent_updates.py
@@ -11,12 +11,14 @@
 
 import asyncio
 import random
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
+from itertools import filterfalse, islice
 from typing import Final
 
 from lavendermount_core.models.members import Member
 from lavendermountd.membership.gossip import PROBE_TIMEOUT_RATIO, Gossip
 from lavendermountd.membership.relays import is_relay, relays_of
+from lavendermountd.membership.staggered import call_until_answered
 
 # Members of other zones that the nodes of a zone together tell. They learn it from the
 # log too, so these matter only if all of them are cut off from it.
@@ -25,6 +27,15 @@
 REMOTE_ROUNDS: Final = 2
 # Members that are tried at most for each one that must answer.
 MAX_TRIES: Final = 4
+# Members that are tried at most in each direction of the ring.
+MAX_NEIGHBOURS: Final = 16
+
+MemberTest = Callable[[Member], bool]
+
+
+def is_never_informed(member: Member) -> bool:
+    """Return that a member does not have the news."""
+    return False
 
 
 class UrgentUpdates:
@@ -39,29 +50,43 @@
         """Store the gossip."""
         self.gossip = gossip
 
-    async def tell_region(self, count: int) -> None:
+    async def tell_region(
+        self, count: int, is_informed: MemberTest = is_never_informed
+    ) -> None:
         """Tell members of the own region, or of any if there are no others.
 
         :param count: members that must answer; where traffic between zones is kept
             low, members of the own zone.
+        :param is_informed: whether a member is known to have the news.
         """
-        nearby, distant = self.peers()
+        nearby, distant = (
+            list(filterfalse(is_informed, members)) for members in self.peers()
+        )
         tries = MAX_TRIES * count
         chosen = iter(random.sample(nearby, min(tries, len(nearby))))
         others = iter(random.sample(distant, min(MAX_TRIES, len(distant))))
         await asyncio.gather(
-            self.tell_one(others), *(self.tell_one(chosen) for _ in range(count))
+            call_until_answered(others, self.tell),
+            *(call_until_answered(chosen, self.tell) for _ in range(count)),
         )
 
-    async def tell_one(self, members: Iterator[Member]) -> None:
-        """Tell one member after the other until one answers.
+    async def tell_neighbours(self, is_informed: MemberTest) -> None:
+        """Tell the next living member of the ring in each direction.
 
-        :param members: members to take from; others may take from them as well.
+        :param is_informed: whether a member is known to have the news.
         """
+        ring = self.gossip.ring
+        await asyncio.gather(
+            call_until_answered(_until_informed(ring.after(), is_informed), self.tell),
+            call_until_answered(_until_informed(ring.before(), is_informed), self.tell),
+        )
+
+    async def tell(self, member: Member) -> bool:
+        """Exchange a round with a member; return whether it answered."""
+        if member.region != self.gossip.table.own.region:
+            return await self.gossip.exchange_with_remote(member)
         timeout_s = self.gossip.period_s * PROBE_TIMEOUT_RATIO
-        for member in members:
-            if await self.gossip.exchange_with(member, timeout_s):
-                return
+        return await self.gossip.exchange_with(member, timeout_s)
 
     def peers(self) -> tuple[list[Member], list[Member]]:
         """List the members that are told, and members of other zones.
@@ -105,3 +130,13 @@
             if member.region == region and member.node_id not in names
         ]
         return relays + random.sample(others, min(MAX_TRIES, len(others)))
+
+
+def _until_informed(
+    members: Iterator[Member], is_informed: MemberTest
+) -> Iterator[Member]:
+    """Iterate over a few members, up to the first that has the news already."""
+    for member in islice(members, MAX_NEIGHBOURS):
+        if is_informed(member):
+            return
+        yield member
--- a/packages/node/src/lavendermountd/presets/announcer.py
+++ b/packages/node/src/lavendermountd/presets/announcer.py
@@ -12,14 +12,19 @@
 import random
 
 from lavendermountd.membership.gossip import Gossip
-from lavendermountd.membership.urgent_updates import UrgentUpdates
+from lavendermountd.membership.urgent_updates import (
+    MemberTest,
+    UrgentUpdates,
+    is_never_informed,
+)
 from lavendermountd.presets.holder import InForcePreset
 
-FANOUT = 3
+# Members drawn at random that are told, besides the neighbours on the ring.
+FANOUT = 2
 # The announcements of the nodes of a region are spread over this time.
 SPREAD_S = 0.1
 # Announcements that may wait for answers at the same time.
-MAX_ANNOUNCEMENTS = 4
+MAX_ANNOUNCEMENTS = 8
 
 
 class PresetAnnouncer:
@@ -28,20 +33,24 @@
     :param gossip: gossip, whose rounds name the revision in force.
     """
 
-    __slots__ = ('urgent', 'is_due', 'places')
+    __slots__ = ('gossip', 'urgent', 'is_due', 'has_other_news', 'places')
 
     def __init__(self, gossip: Gossip) -> None:
         """Start with nothing to announce."""
+        self.gossip = gossip
         self.urgent = UrgentUpdates(gossip)
         self.is_due = asyncio.Event()
+        # Members that have the preset may still lack this news.
+        self.has_other_news = False
         self.places = asyncio.Semaphore(MAX_ANNOUNCEMENTS)
 
     def note_change(self, preset: InForcePreset) -> None:
         """Request an announcement; changes in quick succession share one."""
-        self.request()
+        self.is_due.set()
 
     def request(self) -> None:
         """Request an announcement of other news, such as an evacuated zone."""
+        self.has_other_news = True
         self.is_due.set()
 
     async def run(self) -> None:
@@ -55,15 +64,29 @@
                 await self.is_due.wait()
                 await asyncio.sleep(random.uniform(0, SPREAD_S))
                 self.is_due.clear()
-                announcement = announcements.create_task(self.announce())
+                announcement = announcements.create_task(
+                    self.announce(self.choose_test())
+                )
                 announcement.add_done_callback(self.free_place)
 
     def free_place(self, announcement: asyncio.Task[None]) -> None:
         """Let another announcement begin."""
         self.places.release()
 
-    async def announce(self) -> None:
-        """Tell members of the own region; some nodes also tell another region."""
+    def choose_test(self) -> MemberTest:
+        """Return the test whether a member need not be told what is due now."""
+        if not self.has_other_news:
+            return self.gossip.exchange.is_informed
+        self.has_other_news = False
+        return is_never_informed
+
+    async def announce(self, is_informed: MemberTest) -> None:
+        """Tell members of the own region; some nodes also tell another region.
+
+        :param is_informed: whether a member need not be told.
+        """
         await asyncio.gather(
-            self.urgent.tell_region(FANOUT), self.urgent.tell_other_region()
+            self.urgent.tell_neighbours(is_informed),
+            self.urgent.tell_region(FANOUT, is_informed),
+            self.urgent.tell_other_region(),
         )
--- a/packages/testbed/src/lavendermount_testbed/emulator/spread.py
+++ b/packages/testbed/src/lavendermount_testbed/emulator/spread.py
@@ -146,7 +146,8 @@
         distance, delay_s = _way(sender, receiver)
         self.sent[distance] += request.ByteSize()
         self.sent['calls'] += 1
-        if address in self.lost or pool.identity.node_id in self.lost:
+        sender_address = pool.identity.control_address_of(sender)
+        if not self.lost.isdisjoint((address, sender_address)):
             await asyncio.sleep(delay_s if self.scenario.is_refused else timeout_s)
             raise ControlCallError('no answer')
         await asyncio.sleep(delay_s)
