Presets: a node passes a version on while it prepares it

One that was fetched also held up the fetch of the next, and each fetch was followed by a pause of 0.3 s. Change: what was received from a peer is passed on at once, compressed as it came, with the position of the log that it stands for (presets/relay.py). Fetching and preparing are two tasks; of what was received only the newest is prepared. One that is refused here is no longer passed on; each node validates for itself. A node announces a version once, not again when it comes into force. preset-fetched tells how long the fetch waited after the peer had told the revision (waited_ms).

--- a/features/mutations.py
+++ b/features/mutations.py
@@ -256,7 +256,7 @@
     Mutation(
         'catch-up',
         f'{NODE}/presets/catchup.py',
-        'if revision <= self.holder.revision:',
+        'if revision <= self.relay.revision:',
         'if True:',
         'presets',
         'A new node learns the preset from its peers while the log is down',
--- a/features/spreading.feature
+++ b/features/spreading.feature
@@ -12,3 +12,12 @@
   Scenario: All nodes agree on the ring, however they learned of its members
     Then after random changes of its members each node is the next of exactly one other
     And one pair of neighbours links each zone with the next
+
+  Scenario: The time to prepare a preset does not add up over the nodes that pass it on
+    Given no nodes are lost, and a preset takes 1 s to prepare
+    Then each living node of 56 has it in force within 2.5 s in 4 of 4 runs if none is lost
+
+  Scenario: A preset is passed on while it is being prepared, and no longer once it is refused
+    Given a node that has received preset 8 of a peer at position 40, and has preset 7 in force
+    Then it tells preset 8 and position 40 to peers, and preset 7 to operators
+    And it tells preset 7 to peers after it has refused preset 8
--- a/features/steps/peer_preset_steps.py
+++ b/features/steps/peer_preset_steps.py
@@ -25,6 +25,7 @@
 from lavendermountd.presets.parts import PartialPreset, PresetParts
 from lavendermountd.presets.peer_progress import PeerProgress
 from lavendermountd.presets.peer_start import PeerStart
+from lavendermountd.presets.relay import PresetRelay
 
 INVALID_REVISION = 10
 
@@ -133,7 +134,7 @@
 
 def parts_of(holder: PresetHolder) -> PresetParts:
     """Build the source of the parts of a node's preset."""
-    return PresetParts(holder, EvacuationTable(), int)
+    return PresetParts(PresetRelay(holder), EvacuationTable(), int)
 
 
 @then('a preset that changes while its parts are fetched arrives whole')
--- a/features/steps/preset_reading_steps.py
+++ b/features/steps/preset_reading_steps.py
@@ -270,7 +270,7 @@
     holder.put_in_force(compile_preset(snapshot))
     return ControlServicer(
         SimpleNamespace(
-            holder=holder,
+            catch_up=PresetCatchUp(holder, None),
             evacuations=EvacuationTable(),
             follower=PresetFollower(None, holder),
         )
--- a/features/steps/spreading_steps.py
+++ b/features/steps/spreading_steps.py
@@ -8,26 +8,38 @@
 from typing import Any
 
 from behave import given, then
-from builders import member
+from builders import member, preset_snapshot, ready_preset
 
 from lavendermount_core.models.members import Member, MemberStatus
 from lavendermount_testbed.emulator.spread import SpreadScenario, simulate_spread
 from lavendermount_testbed.simulated_time import SimulatedTime
+from lavendermountd.control.generated import control_pb2
+from lavendermountd.membership.evacuations import EvacuationTable
 from lavendermountd.membership.ring import MemberRing
 from lavendermountd.membership.staggered import call_until_answered
 from lavendermountd.membership.table import MemberTable
+from lavendermountd.presets.holder import PresetHolder
+from lavendermountd.presets.parts import PartialPreset, PresetParts
+from lavendermountd.presets.relay import PresetRelay, ReceivedPreset
 
 LOSSES = {
     'those lost never answer': {},
     'those lost refuse calls': {'is_refused': True},
     'all readers of the log are among those lost': {'loss': 'readers'},
+    'none is lost': {},
 }
 
 
 @given('{dead:d} of 100 nodes are lost just before a preset is read from the log')
 def lose_nodes(context: Any, dead: int) -> None:
     """Note the share of the nodes that are lost."""
-    context.dead_ratio = dead / 100
+    context.spread = {'dead_ratio': dead / 100}
+
+
+@given('no nodes are lost, and a preset takes {seconds:g} s to prepare')
+def slow_to_prepare(context: Any, seconds: float) -> None:
+    """Note the time that each node takes."""
+    context.spread = {'dead_ratio': 0, 'prepare_s': seconds}
 
 
 @then(
@@ -38,7 +50,7 @@
     context: Any, nodes: int, limit_s: float, runs: int, loss: str
 ) -> None:
     """Simulate the runs, each with a seed of its own."""
-    scenario = SpreadScenario(nodes, dead_ratio=context.dead_ratio, **LOSSES[loss])
+    scenario = SpreadScenario(nodes, **context.spread, **LOSSES[loss])
     worst = [simulate_spread(scenario, seed).delays[-1] for seed in range(runs)]
     assert max(worst) <= limit_s, worst
 
@@ -104,3 +116,41 @@
         for one, other in pairwise(walk)
     ]
     assert sum(changes) == 6, changes
+
+
+@given(
+    'a node that has received preset {newer:d} of a peer at position {position:d}, and'
+    ' has preset {older:d} in force'
+)
+def preset_received(context: Any, newer: int, position: int, older: int) -> None:
+    """Receive a preset, which is not prepared yet."""
+    holder = PresetHolder()
+    holder.put_in_force(ready_preset(older))
+    context.relay = PresetRelay(holder)
+    reply = control_pb2.PresetReply(log_position=position)
+    context.received = ReceivedPreset(
+        preset_snapshot(newer), reply, b'', member('peer')
+    )
+    context.relay.receive(context.received)
+    context.parts = PresetParts(context.relay, EvacuationTable(), lambda: 30)
+
+
+@then(
+    'it tells preset {newer:d} and position {position:d} to peers, and preset {older:d}'
+    ' to operators'
+)
+def passes_on(context: Any, newer: int, position: int, older: int) -> None:
+    """Ask as a peer and as an operator does."""
+    reply = context.parts.reply(PartialPreset().next_request())
+    assert (reply.revision, reply.log_position) == (newer, position)
+    assert context.relay.revision == newer
+    assert context.parts.reply(control_pb2.PresetRequest()).revision == older
+
+
+@then('it tells preset {older:d} to peers after it has refused preset {newer:d}')
+def no_longer_passed_on(context: Any, older: int, newer: int) -> None:
+    """Drop the preset, as after findings."""
+    context.relay.drop(context.received)
+    reply = context.parts.reply(PartialPreset().next_request())
+    assert (reply.revision, reply.log_position) == (older, 30)
+    assert context.relay.revision == older
--- a/packages/node/src/lavendermountd/control/server.py
+++ b/packages/node/src/lavendermountd/control/server.py
@@ -44,7 +44,7 @@
         """Initialize the servicer."""
         self.node = node
         self.preset_parts = PresetParts(
-            node.holder, node.evacuations, node.follower.applied_position
+            node.catch_up.relay, node.evacuations, node.follower.applied_position
         )
 
     async def Gossip(  # noqa: N802
--- a/packages/node/src/lavendermountd/node.py
+++ b/packages/node/src/lavendermountd/node.py
@@ -203,7 +203,7 @@
         self.evacuations.listeners.append(self.apply_evacuations)
         progress = PeerProgress(self.follower, self.evacuations)
         self.catch_up.on_adopted = progress.apply
-        self.gossip.exchange.revision = self.current_revision
+        self.gossip.exchange.revision = self.newest_revision
         self.gossip.exchange.on_revision = self.catch_up.note_revision
         self.gossip.exchange.log_era = self.current_log_era
         self.gossip.exchange.on_log_era = self.platform_log.note_era
@@ -257,9 +257,9 @@
         self.gate.limits.set_evacuated(zone in self.evacuations.evacuated)
         self.follower.reachability.suspect_lost_read()
 
-    def current_revision(self) -> int:
-        """Return the revision of the preset in force on this node."""
-        return self.holder.revision
+    def newest_revision(self) -> int:
+        """Return the revision of the newest preset that this node can pass on."""
+        return self.catch_up.relay.revision
 
     def current_log_era(self) -> int:
         """Return the era of the log that this node last saw."""
--- a/packages/node/src/lavendermountd/presets/announcer.py
+++ b/packages/node/src/lavendermountd/presets/announcer.py
@@ -11,6 +11,7 @@
 import asyncio
 import random
 
+from lavendermount_core.presets.records import NO_REVISION
 from lavendermountd.membership.gossip import Gossip
 from lavendermountd.membership.urgent_updates import (
     MemberTest,
@@ -33,19 +34,35 @@
     :param gossip: gossip, whose rounds name the revision in force.
     """
 
-    __slots__ = ('gossip', 'urgent', 'is_due', 'has_other_news', 'places')
+    __slots__ = (
+        'gossip',
+        'urgent',
+        'announced_revision',
+        'is_due',
+        'has_other_news',
+        'places',
+    )
 
     def __init__(self, gossip: Gossip) -> None:
         """Start with nothing to announce."""
         self.gossip = gossip
         self.urgent = UrgentUpdates(gossip)
+        self.announced_revision = NO_REVISION
         self.is_due = asyncio.Event()
         # Members that have the preset may still lack this news.
         self.has_other_news = False
         self.places = asyncio.Semaphore(MAX_ANNOUNCEMENTS)
 
     def note_change(self, preset: InForcePreset) -> None:
-        """Request an announcement; changes in quick succession share one."""
+        """Request an announcement, unless the preset was announced as received.
+
+        Changes in quick succession share one.
+        """
+        if preset.revision > self.announced_revision:
+            self.is_due.set()
+
+    def note_receipt(self) -> None:
+        """Request an announcement of a preset that is being prepared."""
         self.is_due.set()
 
     def request(self) -> None:
@@ -85,6 +102,7 @@
 
         :param is_informed: whether a member need not be told.
         """
+        self.announced_revision = self.gossip.exchange.revision()
         await asyncio.gather(
             self.urgent.tell_neighbours(is_informed),
             self.urgent.tell_region(FANOUT, is_informed),
--- a/packages/node/src/lavendermountd/presets/catchup.py
+++ b/packages/node/src/lavendermountd/presets/catchup.py
@@ -1,4 +1,4 @@
-"""Fetches the preset in force from a peer with a newer revision.
+"""Fetches presets from peers with a newer revision, and puts them in force.
 
 :units: seconds.
 :errors: none are raised; the next gossip round reports a newer peer again.
@@ -19,12 +19,13 @@
 from lavendermountd.control.generated import control_pb2
 from lavendermountd.presets.holder import PresetHolder
 from lavendermountd.presets.parts import PartialPreset
+from lavendermountd.presets.relay import PresetRelay, ReceivedPreset
 
 log = logging.getLogger(__name__)
 
 # Time limit of the call for one part of a preset.
 PART_TIMEOUT_S = 1.0
-FETCH_PAUSE_S = 0.3
+FETCH_PAUSE_S = 0.1
 
 
 class NewerPeer:
@@ -34,17 +35,20 @@
     :param revision: revision that it has told.
     """
 
-    __slots__ = ('member', 'revision')
+    __slots__ = ('member', 'revision', 'told_at')
 
     def __init__(self, member: Member, revision: int) -> None:
-        """Initialize the fields."""
+        """Initialize the fields; it has told the revision just now."""
         self.member = member
         self.revision = revision
+        self.told_at = time.monotonic()
 
 
 class PresetCatchUp:
     """Fetches the preset from a peer whose revision is higher.
 
+    The next one is fetched and passed on while the one before is being prepared.
+
     :param holder: holder that adopts the preset.
     :param channels: gRPC channels to the peers.
     """
@@ -52,9 +56,11 @@
     def __init__(self, holder: PresetHolder, channels: ChannelPool) -> None:
         """Start with no newer peer known."""
         self.holder = holder
+        self.relay = PresetRelay(holder)
         self.channels = channels
         self.newer_peers: dict[str, NewerPeer] = {}
         self.is_behind = asyncio.Event()
+        self.has_received = asyncio.Event()
         self.is_up_to_date = asyncio.Event()
         self.is_up_to_date.set()
         # Called after the preset of a peer was put in force.
@@ -63,22 +69,45 @@
 
     def note_revision(self, member: Member, revision: int) -> None:
         """Remember a peer if its revision is newer."""
-        if revision <= self.holder.revision:
+        if revision <= self.relay.revision:
             return
         self.newer_peers[member.node_id] = NewerPeer(member, revision)
         self.is_behind.set()
         self.is_up_to_date.clear()
 
     async def run(self) -> None:
+        """Fetch newer presets and put them in force, until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self.adopt_received())
+            await self.fetch_newer()
+
+    async def fetch_newer(self) -> None:
         """Fetch the preset whenever a peer is newer, until cancelled."""
         while True:
             await self.is_behind.wait()
             self.is_behind.clear()
             await self.catch_up()
-            if not self.is_behind.is_set():
-                self.is_up_to_date.set()
+            self.note_progress()
             await asyncio.sleep(FETCH_PAUSE_S)
 
+    async def adopt_received(self) -> None:
+        """Put what was received in force, until cancelled.
+
+        Of several presets only the newest is prepared.
+        """
+        while True:
+            await self.has_received.wait()
+            self.has_received.clear()
+            received = self.relay.pending
+            if received is not None:
+                await self.adopt(received)
+            self.note_progress()
+
+    def note_progress(self) -> None:
+        """Note whether nothing newer than the preset in force is known any more."""
+        if not self.is_behind.is_set() and self.relay.pending is None:
+            self.is_up_to_date.set()
+
     async def catch_up(self) -> None:
         """Ask one newer peer after the other, the newest first.
 
@@ -88,11 +117,11 @@
             peer = self.take_newest_peer()
             if peer is None:
                 return
-            await self.fetch(peer.member)
+            await self.fetch(peer)
 
     def take_newest_peer(self) -> NewerPeer | None:
         """Remove and return the newest peer, if any is newer than this node."""
-        revision = self.holder.revision
+        revision = self.relay.revision
         newer = [peer for peer in self.newer_peers.values() if peer.revision > revision]
         if not newer:
             self.newer_peers.clear()
@@ -100,8 +129,9 @@
         newest = max(newer, key=lambda peer: peer.revision)
         return self.newer_peers.pop(newest.member.node_id)
 
-    async def fetch(self, member: Member) -> None:
-        """Request the preset in force from a peer, and adopt it."""
+    async def fetch(self, peer: NewerPeer) -> None:
+        """Request the preset of a peer, and take it to be put in force."""
+        member = peer.member
         partial = PartialPreset()
         started_at = time.monotonic()
         try:
@@ -125,11 +155,15 @@
                 'revision': snapshot.revision,
                 'in_force': self.holder.revision,
                 'bytes': len(partial.received),
+                'waited_ms': round((started_at - peer.told_at) * MS_PER_S),
                 'fetch_ms': round((time.monotonic() - started_at) * MS_PER_S),
             },
         )
-        if snapshot.revision > self.holder.revision:
-            await self.adopt(snapshot, partial.head, member)
+        received = ReceivedPreset(
+            snapshot, partial.head, bytes(partial.received), member
+        )
+        self.relay.receive(received)
+        self.has_received.set()
 
     async def ask_progress(self, member: Member) -> None:
         """Learn up to which position of the log a peer has read.
@@ -177,23 +211,21 @@
             is_complete = partial.add(reply)
         return partial.snapshot()
 
-    async def adopt(
-        self, snapshot: PresetSnapshot, head: control_pb2.PresetReply, member: Member
-    ) -> None:
-        """Adopt the preset of a peer, and what else the peer has read from the log.
+    async def adopt(self, received: ReceivedPreset) -> None:
+        """Put a preset in force, and apply what else its peer has read from the log.
 
-        :param snapshot: the preset.
-        :param head: the reply that completed it.
-        :param member: the peer.
+        :param received: the preset.
         """
         try:
-            preset = await self.holder.prepare_if_newer(snapshot)
+            preset = await self.holder.prepare_if_newer(received.snapshot)
         except ConfigurationError as error:
             log.warning('preset-refused', extra={'findings': str(error)})
+            self.relay.drop(received)
             return
         if preset is not None:
-            self.holder.put_in_force(preset, member.node_id)
-        self.on_adopted(head, member)
+            self.holder.put_in_force(preset, received.peer.node_id)
+        self.relay.drop(received)
+        self.on_adopted(received.reply, received.peer)
 
 
 def _ignore_adoption(head: control_pb2.PresetReply, member: Member) -> None:
--- a/packages/node/src/lavendermountd/presets/parts.py
+++ b/packages/node/src/lavendermountd/presets/parts.py
@@ -21,7 +21,7 @@
     zone_message,
 )
 from lavendermountd.membership.evacuations import EvacuationTable
-from lavendermountd.presets.holder import PresetHolder
+from lavendermountd.presets.relay import PresetRelay
 
 PART_BYTES = 32768
 MAX_PART_BYTES = 262144
@@ -30,16 +30,19 @@
 
 
 class PresetParts:
-    """Answers the requests of other nodes for the preset in force.
+    """Answers the requests of other nodes for the preset.
 
-    :param holder: holds the preset.
+    Parts are those of the newest preset that can be passed on. A request for the whole
+    is answered with the preset in force.
+
+    :param relay: holds the newest preset.
     :param evacuations: states of the zones.
     :param log_position: returns the position of the log below which all records have
         been applied; 0 if there is none.
     """
 
     __slots__ = (
-        'holder',
+        'relay',
         'evacuations',
         'log_position',
         'compressed_text',
@@ -48,41 +51,52 @@
 
     def __init__(
         self,
-        holder: PresetHolder,
+        relay: PresetRelay,
         evacuations: EvacuationTable,
         log_position: Callable[[], int],
     ) -> None:
         """Start with nothing compressed."""
-        self.holder = holder
+        self.relay = relay
         self.evacuations = evacuations
         self.log_position = log_position
         self.compressed_text = ''
         self.compressed = b''
 
     def reply(self, request: control_pb2.PresetRequest) -> control_pb2.PresetReply:
-        """Return the preset in force, or a part of it.
+        """Return the preset, or a part of it.
 
         If there is none, or the fold isn't settled, ``is_settled`` is false.
 
-        :param request: names the part; the reply contains the whole preset if its part
-            has no size.
+        :param request: names the part; the reply contains the whole preset in force if
+            its part has no size.
         """
-        fold = self.holder.fold
+        pending = self.relay.pending
+        if pending is not None and request.part_bytes > 0:
+            if pending.compressed:
+                self.keep_compressed(pending.snapshot.body, pending.compressed)
+            reply = self.part_message(pending.snapshot, request)
+            reply.log_position = pending.reply.log_position
+            reply.zones.extend(pending.reply.zones)
+            return reply
+        holder = self.relay.holder
+        fold = holder.fold
         is_known = fold is not None and (fold.is_settled or fold.must_carry_over)
-        if fold is None or not is_known or self.holder.current is None:
+        if fold is None or not is_known or holder.current is None:
             return control_pb2.PresetReply(is_settled=False)
         snapshot = fold.snapshot()
         if request.part_bytes <= 0:
             return preset_message(snapshot)
-        return self.part_message(snapshot, request)
+        reply = self.part_message(snapshot, request)
+        reply.log_position = self.log_position()
+        return reply
 
     def part_message(
         self, snapshot: PresetSnapshot, request: control_pb2.PresetRequest
     ) -> control_pb2.PresetReply:
         """Build the reply to a request for a part."""
         if self.compressed_text != snapshot.body:
-            self.compressed_text = snapshot.body
-            self.compressed = zlib.compress(snapshot.body.encode(), COMPRESSION_LEVEL)
+            body = snapshot.body.encode()
+            self.keep_compressed(snapshot.body, zlib.compress(body, COMPRESSION_LEVEL))
         start = max(0, request.part_offset)
         end = start + min(request.part_bytes, MAX_PART_BYTES)
         return control_pb2.PresetReply(
@@ -93,10 +107,14 @@
             version=snapshot.version,
             part=self.compressed[start:end],
             compressed_bytes=len(self.compressed),
-            log_position=self.log_position(),
             zones=map(zone_message, self.evacuations.states.values()),
         )
 
+    def keep_compressed(self, text: str, compressed: bytes) -> None:
+        """Keep the compressed body of a preset for further requests."""
+        self.compressed_text = text
+        self.compressed = compressed
+
 
 class PartialPreset:
     """Collects the parts of a preset.
--- a/packages/node/src/lavendermountd/supervisor_tree.py
+++ b/packages/node/src/lavendermountd/supervisor_tree.py
@@ -80,6 +80,7 @@
         node = self.node
         announcer = PresetAnnouncer(node.gossip)
         node.holder.on_change.append(announcer.note_change)
+        node.catch_up.relay.on_receive = announcer.note_receipt
         node.evacuations.listeners.append(announcer.request)
         return self.supervisor(
             'members',
