Log readers: the others ask the log for its end before they read a version

Reads of 0.96 MB took 2.4 to 4.9 s there. Nodes that start read the newest record 0.5 s later, although a peer has told them its preset, and the changes once more when they know a position. Change: a node that does not wait at the log asks for the end of the log (a page of newest records behind the last key, which holds none). If there is news, it leaves it to the readers for up to 0.8 s, drawn at random, and reads it only if nobody has told it by then. A starting node that has the preset of a peer waits up to 3 s for a position.

--- a/features/fakes.py
+++ b/features/fakes.py
@@ -199,6 +199,11 @@
         bodies = {'config': self.records[-1]} if self.records else {}
         return NewestRecords(len(self.records), bodies)
 
+    async def end(self, stream: str) -> int:
+        """Return the offset behind the newest record."""
+        self.check_available()
+        return len(self.records)
+
     async def read(
         self,
         stream: str,
--- a/features/presets.feature
+++ b/features/presets.feature
@@ -184,3 +184,8 @@
     Then a preset that changes while its parts are fetched arrives whole
     And parts that are empty, truncated, too large or not compressed are refused
     And a node of an earlier version gets the whole preset, and its own is accepted
+
+  Scenario: Nodes that do not wait at the log read no version that others are about to tell
+    Then a node that finds news in the log, and is told of it within 0.5 s, reads no record
+    And a node that finds news in the log, and is told of nothing, reads it within 2 s
+    And a node that starts reads no record while a peer that told its preset may tell its position
--- a/features/steps/peer_preset_steps.py
+++ b/features/steps/peer_preset_steps.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 import zlib
 from typing import Any
-from unittest.mock import Mock, patch
+from unittest.mock import AsyncMock, Mock, patch
 
 from behave import then
 from builders import large_preset_snapshot, member, preset_snapshot
@@ -312,3 +313,72 @@
     node = asyncio.run(follow())
     assert node.holder.revision == 9, node.decoded
     assert node.follower.applied_position() == 0
+
+
+async def _find_news(told_after_s: float) -> tuple[FollowingNode, float]:
+    """Let a node that does not wait at the log check it when a version is new there.
+
+    :param told_after_s: when a peer tells of it.
+    :returns: the node, and how long it took until the version was in force.
+    """
+    node = FollowingNode()
+    node.log.is_released.set()
+    node.follower.ask_peers = AsyncMock()
+    await node.follower.step()
+    schedule = node.follower.reachability.schedule
+    schedule.is_reader = bool
+    # Checks follow each other at the shortest interval.
+    schedule.region_size = lambda: 0.01
+    node.log.records.append(b'8')
+    asyncio.get_running_loop().call_later(told_after_s, node.fetch_from_peer, 8, 2)
+    started_at = time.monotonic()
+    while node.holder.revision < 8 and time.monotonic() < started_at + 5:
+        await node.follower.step()
+    return node, time.monotonic() - started_at
+
+
+@then(
+    'a node that finds news in the log, and is told of it within {seconds:g} s, reads no'
+    ' record'
+)
+def news_left_to_others(context: Any, seconds: float) -> None:
+    """Tell it at different times, and let it wait as long as it may."""
+    with patch.object(random, 'uniform', lambda low, high: high):
+        for told_after_s in (0, seconds / 2, seconds):
+            node, _ = asyncio.run(_find_news(told_after_s))
+            assert node.decoded == [5], (told_after_s, node.decoded)
+
+
+@then(
+    'a node that finds news in the log, and is told of nothing, reads it within'
+    ' {seconds:g} s'
+)
+def news_read(context: Any, seconds: float) -> None:
+    """Let no peer tell it in time."""
+    node, elapsed_s = asyncio.run(_find_news(4))
+    assert node.decoded == [5, 8], node.decoded
+    assert elapsed_s <= seconds, elapsed_s
+
+
+@then(
+    'a node that starts reads no record while a peer that told its preset may tell its'
+    ' position'
+)
+def start_leaves_record(context: Any) -> None:
+    """Let the peer tell its preset at once, and its position after two seconds."""
+
+    async def start() -> FollowingNode:
+        node = FollowingNode()
+        node.log.records = [b'5', b'6', b'', b'8']
+        node.log.is_released.set()
+        node.follower.reachability.schedule.is_reader = bool
+        node.fetch_from_peer(8, 0)
+        asyncio.get_running_loop().call_later(2, node.fetch_from_peer, 8, 4)
+        async with asyncio.timeout(4):
+            while not node.follower.reachability.is_reachable:
+                await node.follower.step()
+        return node
+
+    node = asyncio.run(start())
+    assert node.log.newest_reads == 0
+    assert node.decoded == [], node.decoded
--- a/packages/core/src/lavendermount_core/log/adapter.py
+++ b/packages/core/src/lavendermount_core/log/adapter.py
@@ -227,6 +227,14 @@
         :raises LogUnavailableError: if the log did not respond.
         """
 
+    @abc.abstractmethod
+    async def end(self, stream: str) -> int:
+        """Return the position behind the newest record, without reading any record.
+
+        :param stream: name of the stream.
+        :raises LogUnavailableError: if the log did not respond.
+        """
+
     @abc.abstractmethod
     def split_key(self, body: bytes) -> KeyedRecord:
         """Split a record that ``read`` returned for a keyed stream.
--- a/packages/node/src/lavendermountd/presets/keyed_follower.py
+++ b/packages/node/src/lavendermountd/presets/keyed_follower.py
@@ -9,8 +9,10 @@
 
 import asyncio
 import logging
+import random
 import time
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 from lavendermount_core.exceptions import (
     ConfigurationError,
@@ -38,6 +40,11 @@
 UNKNOWN_OFFSET = -1
 # How long a starting node waits for the presets of others before it reads the log.
 PEER_HEAD_START_S = 0.5
+# How long one that has the preset of a peer waits for its position of the log.
+POSITION_WAIT_S = 3.0
+POSITION_CHECK_S = 0.1
+# Longest time for which a node leaves news to the readers of the log.
+PEER_LEAD_S = 0.8
 # Changes in quick succession are coalesced into one read.
 COALESCE_S = 0.4
 
@@ -80,6 +87,7 @@
         self.reachability = LogReachability(LONG_POLL_S)
         self.is_caught_up = asyncio.Event()
         self.asking: asyncio.Task[None] | None = None
+        self.asked_at = time.monotonic()
         self.is_latest_refused = False
         self.ask_peers: Callable[[], Awaitable[None]] = _ask_nobody
 
@@ -145,12 +153,15 @@
     async def start_from_peer(self) -> None:
         """Take the position of a peer whose preset is in force here, if one told it.
 
-        The peers have a short time to tell it before the log is read. If one tells it
-        during that read, the read is abandoned.
+        The peers have a short time to tell it before the log is read, and more if one
+        has told its preset. If one tells it during that read, the read is abandoned.
         """
         if self.asking is None:
+            self.asked_at = time.monotonic()
             self.asking = asyncio.ensure_future(self.ask_peers())
             await asyncio.wait({self.asking}, timeout=PEER_HEAD_START_S)
+        while self.may_learn_position():
+            await asyncio.sleep(POSITION_CHECK_S)
         if not self.peer_position or not self.is_current_era(self.peer_position):
             return
         self.offset = self.peer_position
@@ -158,6 +169,15 @@
         self.is_caught_up.set()
         log.info('log-position-taken', extra={'position': self.offset})
 
+    def may_learn_position(self) -> bool:
+        """Return whether a peer that told its preset may still tell its position."""
+        waited_s = time.monotonic() - self.asked_at
+        return (
+            self.holder.current is not None
+            and not self.peer_position
+            and waited_s < POSITION_WAIT_S
+        )
+
     def is_current_era(self, position: int) -> bool:
         """Return whether the log may be in the era of a position."""
         return self.keyed_log.era in {UNKNOWN_ERA, era_of(position)}
@@ -182,10 +202,15 @@
         """
         if not self.is_caught_up.is_set():
             self.reachability.read_at_once()
-        batch = await self.reachability.read(
+        wait_s = await self.reachability.wait_until_due()
+        is_reader = self.reachability.schedule.is_reader()
+        if not is_reader and not await self.is_behind():
+            return
+        batch = await self.reachability.read_now(
             lambda wait_s, transfer: self.keyed_log.read(
                 self.stream, self.offset, wait_s, transfer
-            )
+            ),
+            wait_s,
         )
         bodies = self.read_batch(batch, self.offset)
         async with self.reachability.restart_request.applying:
@@ -197,6 +222,20 @@
         if bodies:
             await asyncio.sleep(COALESCE_S)
 
+    async def is_behind(self) -> bool:
+        """Return whether the log has records that no other node tells in time.
+
+        Reading the end of the log first keeps the link of the region free: the readers
+        of the log are about to tell what is new, unless all of them are lost.
+        """
+        end = await self.reachability.check(partial(self.keyed_log.end, self.stream))
+        if end > self.offset and self.is_caught_up.is_set():
+            await asyncio.sleep(random.uniform(0, PEER_LEAD_S))
+        if end > self.offset:
+            return True
+        self.is_caught_up.set()
+        return False
+
     def read_batch(self, batch: LogBatch, known_offset: int) -> list[bytes]:
         """Pass on the records of zones, and return those of the preset.
 
--- a/packages/node/src/lavendermountd/presets/reachability.py
+++ b/packages/node/src/lavendermountd/presets/reachability.py
@@ -87,14 +87,38 @@
         )
         self.restart()
 
+    async def check(self, call: Callable[[], Awaitable[int]]) -> int:
+        """Ask the log for a position instead of records.
+
+        :param call: asks.
+        :raises LogUnavailableError: if there is no answer in time.
+        """
+        self.transfer = Transfer()
+        try:
+            async with self.limit(0):
+                position = await call()
+        except TimeoutError as error:
+            raise LogUnavailableError('no answer to a check in time') from error
+        self.is_lost_read_suspected = False
+        self.mark_answered()
+        return position
+
     async def read(self, call: ReadCall) -> LogBatch:
-        """Read records; wait for news only while the log answers.
+        """Read records when it is due; wait for news only while the log answers.
 
         :param call: makes the read, given how long it may wait for news, and notes the
             progress of the answer.
         :raises LogUnavailableError: if there is no answer in time.
         """
-        wait_s = await self.wait_until_due()
+        return await self.read_now(call, await self.wait_until_due())
+
+    async def read_now(self, call: ReadCall, wait_s: float) -> LogBatch:
+        """Read records without waiting before.
+
+        :param call: as for ``read``.
+        :param wait_s: how long the read may wait for news.
+        :raises LogUnavailableError: if there is no answer in time.
+        """
         self.is_waiting = wait_s > 0
         self.transfer = Transfer()
         try:
