Log readers: those with the most bandwidth read, and one a zone while a large version is in force

Cause: four nodes of a region read each version whole, chosen by hash; most VMs have 10 Mbit/s, on which a version takes 0.4 s and a storm of three a second never ends. What a node is told of its own link played no part. While a large version is in force (64 KiB or more), one node a zone waits at the log, and the one that would wait with it asks for the end of the log once a second.

--- a/features/presets.feature
+++ b/features/presets.feature
@@ -189,3 +189,10 @@
     Then a node that finds news in the log, and is told of it within 0.5 s, reads no record
     And a node that finds news in the log, and is told of nothing, reads it within 2 s
     And a node that starts reads no record while a peer that told its preset may tell its position
+
+  Scenario: The readers of a large version do not fill the link that their region shares
+    Given 24 nodes in 2 zones that know each other, of which 3 of each zone have more bandwidth
+    Then 2 nodes of each zone wait at the log while a small version is in force, and no standby
+    And 1 node of each zone waits, and 1 is a standby, while a large one is in force
+    And all of these have more bandwidth
+    And a standby checks the log once a second on average
--- a/features/steps/log_reader_steps.py
+++ b/features/steps/log_reader_steps.py
@@ -7,6 +7,7 @@
 import time
 from functools import partial
 from statistics import fmean
+from types import SimpleNamespace
 from typing import Any
 from unittest.mock import Mock
 
@@ -19,6 +20,7 @@
 from lavendermountd.presets.poll_schedule import REGION_READS_PER_S, PollSchedule
 from lavendermountd.presets.reachability import LogReachability
 from lavendermountd.presets.reader_selection import (
+    ReaderRole,
     count_readers,
     is_log_reader,
 )
@@ -173,3 +175,70 @@
         if table.own.zone == 'zone-0' and is_log_reader(table, READERS_PER_ZONE)
     ]
     assert len(set(living) - set(readers)) == READERS_PER_ZONE, living
+
+
+@given(
+    '{count:d} nodes in {zones:d} zones that know each other, of which {fast:d} of each'
+    ' zone have more bandwidth'
+)
+def nodes_with_bandwidth(context: Any, count: int, zones: int, fast: int) -> None:
+    """Build their member records."""
+    many_nodes(context, count, zones)
+    for entry in context.members:
+        entry.link_mbps = 10
+    for entry in context.members[-fast * zones :]:
+        entry.link_mbps = 200
+
+
+def roles_by_zone(members: list[Member], body_chars: int) -> dict[str, list[list[str]]]:
+    """List the readers and the standbys of each zone, as each node decides."""
+    preset = SimpleNamespace(snapshot=SimpleNamespace(body='x' * body_chars))
+    holder = SimpleNamespace(current=preset)
+    roles: dict[str, list[list[str]]] = {}
+    for table in tables_of(members):
+        readers, standbys = roles.setdefault(table.own.zone, [[], []])
+        role = ReaderRole(table, holder, READERS_PER_ZONE)
+        if role.is_reader():
+            readers.append(table.own.node_id)
+        if role.is_standby():
+            standbys.append(table.own.node_id)
+    return roles
+
+
+@then(
+    '{readers:d} nodes of each zone wait at the log while a small version is in force,'
+    ' and no standby'
+)
+def readers_of_small(context: Any, readers: int) -> None:
+    """Count them in each zone."""
+    for waiting, standbys in roles_by_zone(context.members, 1000).values():
+        assert (len(waiting), len(standbys)) == (readers, 0)
+
+
+@then(
+    '{readers:d} node of each zone waits, and {count:d} is a standby, while a large one is'
+    ' in force'
+)
+def readers_of_large(context: Any, readers: int, count: int) -> None:
+    """Count them in each zone."""
+    context.roles = roles_by_zone(context.members, 400_000)
+    for waiting, standbys in context.roles.values():
+        assert (len(waiting), len(standbys)) == (readers, count)
+
+
+@then('all of these have more bandwidth')
+def readers_are_fast(context: Any) -> None:
+    """Look the nodes up."""
+    fast = {entry.node_id for entry in context.members if entry.link_mbps > 10}
+    for waiting, standbys in context.roles.values():
+        assert {*waiting, *standbys} <= fast
+
+
+@then('a standby checks the log once a second on average')
+def standby_checks(context: Any) -> None:
+    """Draw many intervals in a large region."""
+    schedule = PollSchedule(LONGEST_WAIT_S)
+    schedule.region_size = lambda: 1000
+    schedule.is_standby = lambda: True
+    mean_s = fmean(schedule.check_interval_s() for _ in range(DRAWS))
+    assert abs(mean_s - 1) < RATE_TOLERANCE, mean_s
--- a/packages/core/src/lavendermount_core/config/node.py
+++ b/packages/core/src/lavendermount_core/config/node.py
@@ -190,6 +190,13 @@
         low=1048576,
         high=10**12,
     )
+    link_mbps = opt.Integer(
+        0,
+        "Bandwidth of the VM's link; nodes with more read the log for the others; 0 if "
+        'it is not known.',
+        'Mbit/s',
+        high=10**6,
+    )
     dialect = opt.Text(
         'native', 'Name of the HTTP dialect that callers and targets use.'
     )
--- a/packages/core/src/lavendermount_core/models/members.py
+++ b/packages/core/src/lavendermount_core/models/members.py
@@ -42,6 +42,7 @@
     :param host: IP address of the VM.
     :param peer_port: TCP port for requests from other nodes.
     :param control_port: TCP port for gossip and operators.
+    :param link_mbps: bandwidth of the VM's link in Mbit/s; 0 if it is not known.
     """
 
     __slots__ = (
@@ -55,6 +56,7 @@
         'host',
         'peer_port',
         'control_port',
+        'link_mbps',
     )
 
     def __init__(
@@ -69,6 +71,7 @@
         host: str,
         peer_port: int,
         control_port: int,
+        link_mbps: int = 0,
     ) -> None:
         """Initialize the fields."""
         self.node_id = node_id
@@ -81,6 +84,7 @@
         self.host = host
         self.peer_port = peer_port
         self.control_port = control_port
+        self.link_mbps = link_mbps
 
     @classmethod
     def checked_from_row(cls, row: Any) -> Self:
@@ -92,10 +96,10 @@
         member = super().checked_from_row(row)
         if not member.node_id or not is_ip_address(member.host):
             raise RecordError('Member: the name or the IP address is missing')
-        counters = (member.incarnation, member.version)
+        counters = (member.incarnation, member.version, member.link_mbps)
         ports = (member.peer_port, member.control_port)
         if not all(0 <= counter <= MAX_COUNTER for counter in counters):
-            raise RecordError('Member: incarnation or version is out of range')
+            raise RecordError('Member: a counter or the bandwidth is out of range')
         if not all(0 <= port <= MAX_PORT for port in ports):
             raise RecordError('Member: a port is out of range')
         if member.status not in tuple(MemberStatus):
--- a/packages/node/src/lavendermountd/identity.py
+++ b/packages/node/src/lavendermountd/identity.py
@@ -36,6 +36,7 @@
             listen.host,
             listen.peer_port,
             listen.control_port,
+            settings.link_mbps,
         )
 
     @property
--- a/packages/node/src/lavendermountd/log_readers.py
+++ b/packages/node/src/lavendermountd/log_readers.py
@@ -23,7 +23,7 @@
 from lavendermountd.presets.holder import PresetHolder
 from lavendermountd.presets.keyed_follower import KeyedPresetFollower
 from lavendermountd.presets.peer_start import start_from_peers
-from lavendermountd.presets.reader_selection import count_readers, is_log_reader
+from lavendermountd.presets.reader_selection import ReaderRole
 
 if TYPE_CHECKING:
     from lavendermountd.node import Node
@@ -61,10 +61,11 @@
         evacuations,
     )
     schedule = follower.reachability.schedule
-    count = options.readers_per_zone
-    if count:
-        schedule.is_reader = partial(is_log_reader, table, count)
-        schedule.reader_count = partial(count_readers, table, count)
+    if options.readers_per_zone:
+        role = ReaderRole(table, holder, options.readers_per_zone)
+        schedule.is_reader = role.is_reader
+        schedule.is_standby = role.is_standby
+        schedule.reader_count = role.reader_count
     return follower
 
 
--- a/packages/node/src/lavendermountd/presets/poll_schedule.py
+++ b/packages/node/src/lavendermountd/presets/poll_schedule.py
@@ -23,6 +23,8 @@
 REGION_RETRIES_PER_S = 4.0
 # Rate of the reads of all nodes of a region that do not wait at the log.
 REGION_CHECKS_PER_S = 1.0
+# Rate of the checks of each standby.
+STANDBY_CHECKS_PER_S = 1.0
 MAX_DOUBLINGS = 10
 MIN_WAIT_S = 0.2
 MIN_RETRY_S = 0.1
@@ -41,6 +43,7 @@
         'max_wait_s',
         'region_size',
         'is_reader',
+        'is_standby',
         'reader_count',
         'reads_without_news',
     )
@@ -51,6 +54,8 @@
         self.region_size: Callable[[], int] = _alone
         # Whether this node waits at the log; the others only check it at times.
         self.is_reader: Callable[[], bool] = _always
+        # Whether this node checks the log often.
+        self.is_standby: Callable[[], bool] = _never
         # Nodes of the region that wait at the log; ``None`` if all of them do.
         self.reader_count: Callable[[], int] | None = None
         self.reads_without_news = 0
@@ -70,10 +75,14 @@
     def check_interval_s(self) -> float:
         """Return how long a node that does not wait at the log lets pass.
 
+        A standby checks at a rate of its own, the others at one that the region shares.
         The others tell it of news meanwhile. The rate does not fall over time, because
         these reads matter when all nodes that wait there are cut off.
         """
-        drawn_s = random.expovariate(REGION_CHECKS_PER_S / self.region_size())
+        rate_per_s = REGION_CHECKS_PER_S / self.region_size()
+        if self.is_standby():
+            rate_per_s = STANDBY_CHECKS_PER_S
+        drawn_s = random.expovariate(rate_per_s)
         return min(max(drawn_s, MIN_WAIT_S), self.max_wait_s)
 
     def retry_s(self) -> float:
@@ -87,6 +96,11 @@
     return True
 
 
+def _never() -> bool:
+    """Do not check often; replaced when the node's components are connected."""
+    return False
+
+
 def _alone() -> int:
     """Count only this node; replaced when the node's components are connected."""
     return 1
--- a/packages/node/src/lavendermountd/presets/reader_selection.py
+++ b/packages/node/src/lavendermountd/presets/reader_selection.py
@@ -4,7 +4,8 @@
 readers, a few nodes of each zone wait, and tell the others by gossip. The others read
 only now and then, in case all of these are cut off from the log.
 
-:shapes: chosen by rendezvous hash, so that nodes with the same members choose alike.
+:shapes: those with the most bandwidth, and among these by rendezvous hash, so that
+    nodes with the same members choose alike.
 """
 
 from __future__ import annotations
@@ -12,9 +13,57 @@
 import zlib
 from collections import Counter
 from heapq import nsmallest
+from typing import Final
 
 from lavendermount_core.models.members import Member, MemberStatus
 from lavendermountd.membership.table import MemberTable
+from lavendermountd.presets.holder import PresetHolder
+
+# Size of a preset's body from which one node of each zone reads its versions.
+LARGE_BODY_CHARS: Final = 65536
+
+
+class ReaderRole:
+    """Decides whether a node waits at the log, and how often it checks the log if not.
+
+    A large version that several nodes read would fill the link that the region shares.
+    While one is in force, one node of each zone waits, and the others that would wait
+    for small ones are standbys, which check the log often.
+
+    :param table: known members.
+    :param holder: holds the preset in force.
+    :param readers_per_zone: number of nodes of each zone that wait for small versions.
+    """
+
+    __slots__ = ('table', 'holder', 'readers_per_zone')
+
+    def __init__(
+        self, table: MemberTable, holder: PresetHolder, readers_per_zone: int
+    ) -> None:
+        """Initialize the fields."""
+        self.table = table
+        self.holder = holder
+        self.readers_per_zone = readers_per_zone
+
+    @property
+    def waiting_per_zone(self) -> int:
+        """Number of nodes of each zone that wait now."""
+        preset = self.holder.current
+        if preset is None or len(preset.snapshot.body) < LARGE_BODY_CHARS:
+            return self.readers_per_zone
+        return min(self.readers_per_zone, 1)
+
+    def is_reader(self) -> bool:
+        """Return whether this node waits at the log."""
+        return is_log_reader(self.table, self.waiting_per_zone)
+
+    def is_standby(self) -> bool:
+        """Return whether this node would wait at the log for small versions only."""
+        return not self.is_reader() and is_log_reader(self.table, self.readers_per_zone)
+
+    def reader_count(self) -> int:
+        """Count the nodes of the own region that wait at the log."""
+        return count_readers(self.table, self.waiting_per_zone)
 
 
 def is_log_reader(table: MemberTable, readers_per_zone: int) -> bool:
@@ -52,5 +101,6 @@
     return sum(min(size, readers_per_zone) for size in zone_sizes.values()) or 1
 
 
-def _selection_key(member: Member) -> tuple[int, str]:
-    return zlib.crc32(f'{member.node_id}/log-reader'.encode()), member.node_id
+def _selection_key(member: Member) -> tuple[int, int, str]:
+    digest = zlib.crc32(f'{member.node_id}/log-reader'.encode())
+    return -member.link_mbps, digest, member.node_id
