--- a/packages/testbed/src/lavendermount_testbed/__main__.py
+++ b/packages/testbed/src/lavendermount_testbed/__main__.py
@@ -10,6 +10,10 @@
 
 MAX_PORT = 65535
 DEFAULT_CONNECTIONS = 40
+SPREAD_NODES = 56
+SPREAD_DEAD_RATIO = 0.55
+SPREAD_PREPARE_S = 0.2
+SPREAD_SEEDS = 20
 PORT_TYPE = click.IntRange(1, MAX_PORT)
 
 
@@ -142,6 +146,27 @@
     sys.exit(run_loss_soak(seeds, seconds, connections, without, log_folder))
 
 
+@cli.command()
+@click.option('--nodes', default=SPREAD_NODES, help='Number of nodes.')
+@click.option(
+    '--dead', default=SPREAD_DEAD_RATIO, help='Share of the nodes that are lost.'
+)
+@click.option('--loss', default='random', help='Which nodes are lost.')
+@click.option('--refused', is_flag=True, help='Let calls to lost nodes fail at once.')
+@click.option(
+    '--prepare', default=SPREAD_PREPARE_S, help='Seconds to prepare a version.'
+)
+@click.option('--seeds', default=SPREAD_SEEDS, help='Number of runs.')
+def spread(
+    nodes: int, dead: float, loss: str, refused: bool, prepare: float, seeds: int
+) -> None:
+    """Simulate how a version spreads over nodes of which many have just died."""
+    from lavendermount_testbed.emulator.spread import SpreadScenario, report_spread
+
+    scenario = SpreadScenario(nodes, loss, dead, refused, prepare)
+    click.echo(report_spread(scenario, seeds))
+
+
 @cli.command()
 @click.option('--check', is_flag=True, help='Compare only; write no file.')
 def reference(check: bool) -> None:
--- a/packages/testbed/src/lavendermount_testbed/emulator/spread.py
+++ b/packages/testbed/src/lavendermount_testbed/emulator/spread.py
@@ -17,6 +17,7 @@
 from functools import partial, partialmethod
 from ipaddress import ip_address
 from itertools import repeat
+from statistics import median
 from typing import Any, Final
 from unittest.mock import Mock, patch
 
@@ -232,6 +233,25 @@
         return SpreadResult(delays, deployment.network.sent)
 
 
+def report_spread(scenario: SpreadScenario, seeds: int) -> str:
+    """Simulate some runs and describe their results in one line.
+
+    :param scenario: what is simulated.
+    :param seeds: number of runs.
+    """
+    worst: list[float] = []
+    sent: Counter[str] = Counter()
+    for seed in range(seeds):
+        spread = simulate_spread(scenario, seed)
+        worst.append(spread.delays[-1])
+        sent.update(spread.sent)
+    means = ' '.join(f'{kind}={sent[kind] // seeds}' for kind in sorted(sent))
+    return (
+        f'runs={seeds} last_node_s: median={median(worst):.2f} worst={max(worst):.2f}'
+        f' bytes: {means}'
+    )
+
+
 def _watch(clock: SimulatedTime, nodes: list[Node]) -> list[float]:
     """Return after which time each node has the second preset in force."""
     delays: list[float] = []
