--- a/features/spreading.feature
+++ b/features/spreading.feature
@@ -21,3 +21,7 @@
     Given a node that has received preset 8 of a peer at position 40, and has preset 7 in force
     Then it tells preset 8 and position 40 to peers, and preset 7 to operators
     And it tells preset 7 to peers after it has refused preset 8
+
+  Scenario: A member that restarted is told again what its former process knew
+    Given a node with revision 8 in force, which a member has told it has too
+    Then the member is not told of it, but its next process is, and so is a member with revision 7
--- a/features/steps/spreading_steps.py
+++ b/features/steps/spreading_steps.py
@@ -6,6 +6,7 @@
 import random
 from itertools import pairwise
 from typing import Any
+from unittest.mock import Mock
 
 from behave import given, then
 from builders import member, preset_snapshot, ready_preset
@@ -14,7 +15,9 @@
 from lavendermount_testbed.emulator.spread import SpreadScenario, simulate_spread
 from lavendermount_testbed.simulated_time import SimulatedTime
 from lavendermountd.control.generated import control_pb2
+from lavendermountd.control.messages import member_message
 from lavendermountd.membership.evacuations import EvacuationTable
+from lavendermountd.membership.exchange import GossipExchange
 from lavendermountd.membership.ring import MemberRing
 from lavendermountd.membership.staggered import call_until_answered
 from lavendermountd.membership.table import MemberTable
@@ -154,3 +157,29 @@
     reply = context.parts.reply(PartialPreset().next_request())
     assert (reply.revision, reply.log_position) == (older, 30)
     assert context.relay.revision == older
+
+
+@given('a node with revision {revision:d} in force, which a member has told it has too')
+def member_told(context: Any, revision: int) -> None:
+    """Merge the rounds of two members."""
+    table = MemberTable(member('own'))
+    context.exchange = GossipExchange(table, Mock(), Mock(), Mock(), EvacuationTable())
+    context.exchange.revision = lambda: revision
+    for name, told in (('same', revision), ('behind', revision - 1)):
+        message = control_pb2.GossipRound(
+            sender=member_message(member(name)), revision=told
+        )
+        context.exchange.merge(message)
+
+
+@then(
+    'the member is not told of it, but its next process is, and so is a member with'
+    ' revision {older:d}'
+)
+def told_again(context: Any, older: int) -> None:
+    """Ask whether each is known to have the preset."""
+    is_informed = context.exchange.is_informed
+    assert is_informed(member('same'))
+    assert not is_informed(member('same', incarnation=2))
+    assert not is_informed(member('behind'))
+    assert not is_informed(member('unknown'))
