Follower: a node that starts beside a restored log lets its peers tell first

Cause: a starting node waits half a second for its peers and then puts the newest record of the log in force. Beside load the answer of a peer takes longer, and the record of a log that came back from an older copy is older than what the peers have in force. Change: if the era says that the log has come back from an older copy, a starting node that has read the record lets its peers tell for up to 2 s from its start before it puts the record in force. The new scenario fails on the code before (preset 5 in force) and passes now.

--- a/features/presets.feature
+++ b/features/presets.feature
@@ -190,6 +190,11 @@
     And a node that finds news in the log, and is told of nothing, reads it within 2 s
     And a node that starts reads no record while a peer that told its preset may tell its position
 
+  Scenario: A node that starts beside a log from an older copy puts nothing older in force than its peers have
+    Given a log that came back from an older copy, and holds preset 5
+    Then a starting node whose peer tells preset 8 after 0.9 s never has preset 5 in force
+    And a starting node whose peers tell nothing has preset 5 in force within 3 s
+
   Scenario: The readers of a large version do not fill the link that their region shares
     Given 24 nodes in 2 zones that know each other, of which 3 of each zone have more bandwidth
     Then 2 nodes of each zone wait at the log while a small version is in force, and no standby
--- a/features/steps/peer_preset_steps.py
+++ b/features/steps/peer_preset_steps.py
@@ -9,7 +9,7 @@
 from typing import Any
 from unittest.mock import AsyncMock, Mock, patch
 
-from behave import then
+from behave import given, then
 from builders import large_preset_snapshot, member, preset_snapshot
 from fakes import FakeLog
 
@@ -382,3 +382,51 @@
     node = asyncio.run(start())
     assert node.log.newest_reads == 0
     assert node.decoded == [], node.decoded
+
+
+@given('a log that came back from an older copy, and holds preset {revision:d}')
+def restored_log(context: Any, revision: int) -> None:
+    """Build a node that has not read the log yet."""
+    context.node = FollowingNode()
+    context.node.log.records = [str(revision).encode()]
+    context.node.log.era = 1
+    context.node.log.is_released.set()
+
+
+async def _start_beside_restored_log(node: FollowingNode, told_after_s: float) -> None:
+    """Start a node whose peer tells preset 8 after some time."""
+
+    async def ask() -> None:
+        await asyncio.sleep(told_after_s)
+        node.fetch_from_peer(8, 0)
+
+    node.follower.ask_peers = ask
+    async with asyncio.timeout(5):
+        while not node.follower.is_caught_up.is_set():
+            await node.follower.step()
+    node.follower.asking.cancel()
+
+
+@then(
+    'a starting node whose peer tells preset {newer:d} after {seconds:g} s never has'
+    ' preset {older:d} in force'
+)
+def never_older(context: Any, newer: int, seconds: float, older: int) -> None:
+    """Start the node, and list what it puts in force."""
+    node, in_force = context.node, []
+    node.holder.on_change.append(lambda preset: in_force.append(preset.revision))
+    asyncio.run(_start_beside_restored_log(node, seconds))
+    assert in_force == [newer], in_force
+
+
+@then(
+    'a starting node whose peers tell nothing has preset {revision:d} in force within'
+    ' {seconds:g} s'
+)
+def read_without_peers(context: Any, revision: int, seconds: float) -> None:
+    """Start another node, whose peers do not answer."""
+    restored_log(context, revision)
+    started_at = time.monotonic()
+    asyncio.run(_start_beside_restored_log(context.node, 60))
+    assert context.node.holder.revision == revision
+    assert time.monotonic() - started_at <= seconds
--- a/packages/core/src/lavendermount_core/log/adapter.py
+++ b/packages/core/src/lavendermount_core/log/adapter.py
@@ -22,6 +22,8 @@
 # The lower bits of a position are the offset, the others the era.
 OFFSET_BITS = 40
 UNKNOWN_ERA = -1
+# Era of a log that has never come back from an older copy.
+FIRST_ERA = 0
 # An era of more digits would not fit into a position.
 ERA_PATTERN = re.compile('[0-9]{1,6}')
 
--- a/packages/node/src/lavendermountd/presets/keyed_follower.py
+++ b/packages/node/src/lavendermountd/presets/keyed_follower.py
@@ -21,6 +21,7 @@
     RecordError,
 )
 from lavendermount_core.log.adapter import (
+    FIRST_ERA,
     UNKNOWN_ERA,
     KeyedLog,
     KeyedRecord,
@@ -40,6 +41,8 @@
 UNKNOWN_OFFSET = -1
 # How long a starting node waits for the presets of others before it reads the log.
 PEER_HEAD_START_S = 0.5
+# How long it does so if the log has come back from an older copy.
+RESTORED_HEAD_START_S = 2.0
 # How long one that has the preset of a peer waits for its position of the log.
 POSITION_WAIT_S = 3.0
 POSITION_CHECK_S = 0.1
@@ -189,12 +192,23 @@
         self.reachability.mark_answered()
         self.evacuations.read_newest(newest)
         body = newest.bodies.get(self.key)
+        await self.wait_for_peers()
         async with self.reachability.restart_request.applying:
             if body is not None:
                 await self.adopt_if_newer(body, transfer)
             self.offset = newest.end
         self.is_caught_up.set()
 
+    async def wait_for_peers(self) -> None:
+        """Let peers tell their preset first if the log came back from an older copy.
+
+        They have a short time; the record may be older than what they have in force.
+        """
+        if self.keyed_log.era <= FIRST_ERA or self.asking is None:
+            return
+        left_s = self.asked_at + RESTORED_HEAD_START_S - time.monotonic()
+        await asyncio.wait({self.asking}, timeout=max(0, left_s))
+
     async def read_changes(self) -> None:
         """Read new records, and wait for them if all earlier ones were read.
 
