Checks: a node that finds news asks another region before it reads a large record

Cause: all nodes that were left found the news within a second and read 0.9 MB each over the link that they share: five reads at once took 1.0 to 1.4 s. Change: a node that finds news at a check, and is not told of it, asks up to three nodes of other regions (0.25 s each) and fetches from the first that has it; it reads the record only if none does.

--- a/features/presets.feature
+++ b/features/presets.feature
@@ -188,6 +188,8 @@
   Scenario: Nodes that do not wait at the log read no version that others are about to tell
     Then a node that finds news in the log, and is told of it within 0.5 s, reads no record
     And a node that finds news in the log, and is told of nothing, reads it within 2 s
+    And it reads no record if a node of another region has the version
+    And a node of another region that does not answer delays the read by less than a second
     And a node that starts reads no record while a peer that told its preset may tell its position
 
   Scenario: A node that starts beside a log from an older copy puts nothing older in force than its peers have
--- a/features/steps/peer_preset_steps.py
+++ b/features/steps/peer_preset_steps.py
@@ -18,11 +18,15 @@
 from lavendermount_core.log.adapter import LogBatch, NewestRecords, join_position
 from lavendermount_core.presets.checked import CheckedPreset, check_steps
 from lavendermount_core.utils.steps import Steps
+from lavendermount_testbed.simulated_time import SimulatedTime
 from lavendermountd.control.generated import control_pb2
 from lavendermountd.membership.evacuations import EvacuationTable
+from lavendermountd.membership.table import MemberTable
 from lavendermountd.presets import parts as parts_module
+from lavendermountd.presets.catchup import PresetCatchUp
 from lavendermountd.presets.holder import PresetHolder, compile_preset
 from lavendermountd.presets.keyed_follower import KeyedPresetFollower
+from lavendermountd.presets.other_regions import OtherRegions
 from lavendermountd.presets.parts import PartialPreset, PresetParts
 from lavendermountd.presets.peer_progress import PeerProgress
 from lavendermountd.presets.peer_start import PeerStart
@@ -315,20 +319,25 @@
     assert node.follower.applied_position() == 0
 
 
-async def _find_news(told_after_s: float) -> tuple[FollowingNode, float]:
-    """Let a node that does not wait at the log check it when a version is new there.
-
-    :param told_after_s: when a peer tells of it.
-    :returns: the node, and how long it took until the version was in force.
-    """
+async def _started_checker() -> FollowingNode:
+    """Start a node that does not wait at the log, and checks it often."""
     node = FollowingNode()
     node.log.is_released.set()
     node.follower.ask_peers = AsyncMock()
     await node.follower.step()
     schedule = node.follower.reachability.schedule
     schedule.is_reader = bool
-    # Checks follow each other at the shortest interval.
     schedule.region_size = lambda: 0.01
+    return node
+
+
+async def _find_news(told_after_s: float) -> tuple[FollowingNode, float]:
+    """Let a node that does not wait at the log check it when a version is new there.
+
+    :param told_after_s: when a peer tells of it.
+    :returns: the node, and how long it took until the version was in force.
+    """
+    node = await _started_checker()
     node.log.records.append(b'8')
     asyncio.get_running_loop().call_later(told_after_s, node.fetch_from_peer, 8, 2)
     started_at = time.monotonic()
@@ -430,3 +439,47 @@
     asyncio.run(_start_beside_restored_log(context.node, 60))
     assert context.node.holder.revision == revision
     assert time.monotonic() - started_at <= seconds
+
+
+@then('it reads no record if a node of another region has the version')
+def fetched_from_other_region(context: Any) -> None:
+    """Let the node of the other region tell the version when it is asked."""
+
+    async def find() -> FollowingNode:
+        node = await _started_checker()
+        node.log.records.append(b'8')
+
+        async def ask() -> None:
+            node.fetch_from_peer(8, 2)
+
+        node.follower.ask_other_regions = ask
+        async with asyncio.timeout(4):
+            while node.holder.revision < 8:
+                await node.follower.step()
+        return node
+
+    assert asyncio.run(find()).decoded == [5]
+
+
+class SilentCatchUp(PresetCatchUp):
+    """Catches up with peers of which none answers."""
+
+    async def ask_progress(self, peer: Any, timeout_s: float = 1) -> bool:
+        """Wait for the whole time."""
+        await asyncio.sleep(timeout_s)
+        return False
+
+
+@then(
+    'a node of another region that does not answer delays the read by less than a second'
+)
+def other_region_silent(context: Any) -> None:
+    """Ask many nodes of another region."""
+    table = MemberTable(member('own'))
+    for number in range(9):
+        table.merge(member(f'n-{number}', region='south'))
+    other_regions = OtherRegions(table, SilentCatchUp(PresetHolder(), None))
+    with SimulatedTime() as simulated:
+        started_at = simulated.now
+        simulated.run(other_regions.ask())
+        assert simulated.now - started_at < 1
--- a/packages/node/src/lavendermountd/log_readers.py
+++ b/packages/node/src/lavendermountd/log_readers.py
@@ -22,6 +22,7 @@
 from lavendermountd.presets.follower import PresetFollower
 from lavendermountd.presets.holder import PresetHolder
 from lavendermountd.presets.keyed_follower import KeyedPresetFollower
+from lavendermountd.presets.other_regions import OtherRegions
 from lavendermountd.presets.peer_start import start_from_peers
 from lavendermountd.presets.reader_selection import ReaderRole
 
@@ -78,6 +79,9 @@
     node.gossip.on_unanswered = note_loss
     node.links.backoff.on_failure = note_loss
     start_from_peers(node)
+    if isinstance(node.follower, KeyedPresetFollower):
+        other_regions = OtherRegions(node.table, node.catch_up)
+        node.follower.ask_other_regions = other_regions.ask
 
 
 def _require_keyed_log(platform_log: LogAdapter) -> KeyedLog:
--- a/packages/node/src/lavendermountd/presets/catchup.py
+++ b/packages/node/src/lavendermountd/presets/catchup.py
@@ -165,30 +165,35 @@
         self.relay.receive(received)
         self.has_received.set()
 
-    async def ask_progress(self, member: Member) -> None:
+    async def ask_progress(
+        self, member: Member, timeout_s: float = PART_TIMEOUT_S
+    ) -> bool:
         """Learn up to which position of the log a peer has read.
 
         What it tells counts only if the preset that it has in force is the one in force
         here; a newer one is fetched.
 
         :param member: the peer.
+        :param timeout_s: time within which it must answer.
+        :returns: whether it did, and has a preset.
         """
         request = control_pb2.PresetRequest(part_bytes=1)
         try:
             reply = await self.channels.call_member(
-                member, 'Preset', request, PART_TIMEOUT_S
+                member, 'Preset', request, timeout_s
             )
         except ControlCallError as error:
             log.debug(
                 'progress-unknown',
                 extra={'peer': member.node_id, 'cause': str(error)},
             )
-            return
+            return False
         if not reply.is_settled:
-            return
+            return False
         self.note_revision(member, reply.revision)
         if reply.revision == self.holder.revision:
             self.on_adopted(reply, member)
+        return True
 
     async def receive(
         self, member: Member, partial: PartialPreset
--- a/packages/node/src/lavendermountd/presets/keyed_follower.py
+++ b/packages/node/src/lavendermountd/presets/keyed_follower.py
@@ -93,6 +93,7 @@
         self.asked_at = time.monotonic()
         self.is_latest_refused = False
         self.ask_peers: Callable[[], Awaitable[None]] = _ask_nobody
+        self.ask_other_regions: Callable[[], Awaitable[None]] = _ask_nobody
 
     def restart(self) -> None:
         """Read again at once, and abandon a read that is waiting.
@@ -246,6 +247,8 @@
         if end > self.offset and self.is_caught_up.is_set():
             lead_s = PEER_LEAD_S / self.reachability.check_pace.factor
             await asyncio.sleep(random.uniform(0, lead_s))
+            if end > self.offset:
+                await self.ask_other_regions()
         if end > self.offset:
             return True
         self.is_caught_up.set()
