--- a/packages/node/src/lavendermountd/presets/announcer.py
+++ b/packages/node/src/lavendermountd/presets/announcer.py
@@ -1,4 +1,4 @@
-"""Tells other nodes at once that another preset is in force.
+"""Tells other nodes at once that this node has another preset.
 
 Each node would learn it from the log, but the read of some may have been lost.
 
@@ -31,7 +31,7 @@
 class PresetAnnouncer:
     """Gossips with some members after each change of the preset in force.
 
-    :param gossip: gossip, whose rounds name the revision in force.
+    :param gossip: gossip, whose rounds name the newest revision.
     """
 
     __slots__ = (
@@ -58,7 +58,7 @@
 
         Changes in quick succession share one.
         """
-        if preset.revision > self.announced_revision:
+        if preset.revision != self.announced_revision:
             self.is_due.set()
 
     def note_receipt(self) -> None:
