--- a/packages/node/src/lavendermountd/membership/gossip.py
+++ b/packages/node/src/lavendermountd/membership/gossip.py
@@ -71,7 +71,7 @@
         self.timers = timers
         self.period_s = period_s
         self.ring = MemberRing(self.table)
-        # Members that did not answer are probed through others meanwhile.
+        # Probes through others of members that did not answer.
         self.checks: set[asyncio.Task[None]] = set()
         self.probe_order: list[str] = []
         self.round_count = 0
--- a/packages/node/src/lavendermountd/presets/keyed_follower.py
+++ b/packages/node/src/lavendermountd/presets/keyed_follower.py
@@ -222,8 +222,8 @@
         if not is_reader and not await self.is_behind():
             return
         batch = await self.reachability.read_now(
-            lambda wait_s, transfer: self.keyed_log.read(
-                self.stream, self.offset, wait_s, transfer
+            lambda limit_s, transfer: self.keyed_log.read(
+                self.stream, self.offset, limit_s, transfer
             ),
             wait_s,
         )
--- a/packages/testbed/src/lavendermount_testbed/emulator/spread.py
+++ b/packages/testbed/src/lavendermount_testbed/emulator/spread.py
@@ -297,17 +297,14 @@
 def _watch(clock: SimulatedTime, nodes: list[Node]) -> list[float]:
     """Return after which time each node has the second preset in force."""
     delays: list[float] = []
+    waiting = nodes
     began_at = clock.now
-    while len(delays) < len(nodes):
-        delay_s = clock.now - began_at
-        if delay_s > LIMIT_S:
-            delay_s = math.inf
-        count = sum(node.holder.revision > FIRST_REVISION for node in nodes)
-        if delay_s == math.inf:
-            count = len(nodes)
-        delays.extend(repeat(delay_s, count - len(delays)))
+    while waiting and clock.now < began_at + LIMIT_S:
+        waiting = [node for node in nodes if node.holder.revision == FIRST_REVISION]
+        newly_done = len(nodes) - len(waiting) - len(delays)
+        delays.extend(repeat(clock.now - began_at, newly_done))
         clock.advance(STEP_S)
-    return delays
+    return delays + list(repeat(math.inf, len(waiting)))
 
 
 @losses.register('random')
