--- a/features/fakes.py
+++ b/features/fakes.py
@@ -16,6 +16,7 @@
     LogUnavailableError,
 )
 from lavendermount_core.log.adapter import (
+    FIRST_ERA,
     KeyedRecord,
     LogAdapter,
     LogBatch,
@@ -189,6 +190,7 @@
         """Start empty."""
         self.records: list[bytes] = []
         self.oldest = 0
+        self.era = FIRST_ERA
         self.is_unavailable = False
 
     async def newest(
