Read once more: one limit on the silence of the log for reads and checks, and less state

LogReachability.check had the time limit, its translation and the noting of the answer of read_now a second time; both use answered_in_time now, and a check that is not answered has the cause of a read. The reply for a part is given its position when it is built, not after. A received preset is dropped in one place, once it is in force or refused. The simulated log no longer counts calls that nothing reads, and the report of the simulation calls its figures sent, as calls are among them. No behaviour, check or bound changed.

--- a/packages/node/src/lavendermountd/presets/catchup.py
+++ b/packages/node/src/lavendermountd/presets/catchup.py
@@ -101,6 +101,7 @@
             received = self.relay.pending
             if received is not None:
                 await self.adopt(received)
+                self.relay.drop(received)
             self.note_progress()
 
     def note_progress(self) -> None:
@@ -225,11 +226,9 @@
             preset = await self.holder.prepare_if_newer(received.snapshot)
         except ConfigurationError as error:
             log.warning('preset-refused', extra={'findings': str(error)})
-            self.relay.drop(received)
             return
         if preset is not None:
             self.holder.put_in_force(preset, received.peer.node_id)
-        self.relay.drop(received)
         self.on_adopted(received.reply, received.peer)
 
 
--- a/packages/node/src/lavendermountd/presets/parts.py
+++ b/packages/node/src/lavendermountd/presets/parts.py
@@ -74,8 +74,8 @@
         if pending is not None and request.part_bytes > 0:
             if pending.compressed:
                 self.keep_compressed(pending.snapshot.body, pending.compressed)
-            reply = self.part_message(pending.snapshot, request)
-            reply.log_position = pending.reply.log_position
+            position = pending.reply.log_position
+            reply = self.part_message(pending.snapshot, request, position)
             reply.zones.extend(pending.reply.zones)
             return reply
         holder = self.relay.holder
@@ -86,14 +86,20 @@
         snapshot = fold.snapshot()
         if request.part_bytes <= 0:
             return preset_message(snapshot)
-        reply = self.part_message(snapshot, request)
-        reply.log_position = self.log_position()
-        return reply
+        return self.part_message(snapshot, request, self.log_position())
 
     def part_message(
-        self, snapshot: PresetSnapshot, request: control_pb2.PresetRequest
+        self,
+        snapshot: PresetSnapshot,
+        request: control_pb2.PresetRequest,
+        position: int,
     ) -> control_pb2.PresetReply:
-        """Build the reply to a request for a part."""
+        """Build the reply to a request for a part.
+
+        :param snapshot: the preset.
+        :param request: names the part.
+        :param position: position of the log that the preset stands for; 0 if unknown.
+        """
         if self.compressed_text != snapshot.body:
             body = snapshot.body.encode()
             self.keep_compressed(snapshot.body, zlib.compress(body, COMPRESSION_LEVEL))
@@ -107,6 +113,7 @@
             version=snapshot.version,
             part=self.compressed[start:end],
             compressed_bytes=len(self.compressed),
+            log_position=position,
             zones=map(zone_message, self.evacuations.states.values()),
         )
 
--- a/packages/node/src/lavendermountd/presets/reachability.py
+++ b/packages/node/src/lavendermountd/presets/reachability.py
@@ -9,8 +9,8 @@
 import asyncio
 import logging
 import time
-from collections.abc import Awaitable, Callable, Coroutine
-from contextlib import AbstractAsyncContextManager, nullcontext
+from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
+from contextlib import AbstractAsyncContextManager, asynccontextmanager, nullcontext
 from typing import Any
 
 from lavendermount_core.exceptions import LogUnavailableError
@@ -93,15 +93,8 @@
         :param call: asks.
         :raises LogUnavailableError: if there is no answer in time.
         """
-        self.transfer = Transfer()
-        try:
-            async with self.limit(0):
-                position = await call()
-        except TimeoutError as error:
-            raise LogUnavailableError('no answer to a check in time') from error
-        self.is_lost_read_suspected = False
-        self.mark_answered()
-        return position
+        async with self.answered_in_time(0):
+            return await call()
 
     async def read(self, call: ReadCall) -> LogBatch:
         """Read records when it is due; wait for news only while the log answers.
@@ -120,16 +113,11 @@
         :raises LogUnavailableError: if there is no answer in time.
         """
         self.is_waiting = wait_s > 0
-        self.transfer = Transfer()
         try:
-            async with self.limit(wait_s):
+            async with self.answered_in_time(wait_s):
                 batch = await call(wait_s, self.transfer)
-        except TimeoutError as error:
-            raise LogUnavailableError('no answer to a read in time') from error
         finally:
             self.is_waiting = False
-        self.is_lost_read_suspected = False
-        self.mark_answered()
         if batch.records:
             self.schedule.restart()
         else:
@@ -150,6 +138,22 @@
             left_s = await self.check_pace.advance(left_s, self.schedule.region_size())
         return self.schedule.wait_s()
 
+    @asynccontextmanager
+    async def answered_in_time(self, wait_s: float) -> AsyncIterator[None]:
+        """Limit the silence of the log, and record its answer.
+
+        :param wait_s: how long the log may wait for news before it answers.
+        :raises LogUnavailableError: if there is no answer in time.
+        """
+        self.transfer = Transfer()
+        try:
+            async with self.limit(wait_s):
+                yield
+        except TimeoutError as error:
+            raise LogUnavailableError('no answer to a read in time') from error
+        self.is_lost_read_suspected = False
+        self.mark_answered()
+
     def limit(self, wait_s: float) -> AbstractAsyncContextManager[None]:
         """Limit the silence of the log during a read.
 
--- a/packages/testbed/src/lavendermount_testbed/emulator/simulated_log.py
+++ b/packages/testbed/src/lavendermount_testbed/emulator/simulated_log.py
@@ -23,16 +23,14 @@
 
 
 class StoredRecords:
-    """The records of the log, and the calls that were made."""
+    """The records of the log."""
 
-    __slots__ = ('bodies', 'has_grown', 'reads', 'checks')
+    __slots__ = ('bodies', 'has_grown')
 
     def __init__(self) -> None:
         """Start empty."""
         self.bodies: list[bytes] = []
         self.has_grown = asyncio.Condition()
-        self.reads = 0
-        self.checks = 0
 
     async def append(self, body: bytes) -> None:
         """Append a record, and wake the reads that wait for it."""
@@ -67,14 +65,12 @@
         self, stream: str, transfer: Transfer | None = None
     ) -> NewestRecords:
         """Read the newest record."""
-        self.stored.reads += 1
         await asyncio.sleep(ANSWER_S)
         bodies = self.stored.bodies
         return NewestRecords(len(bodies), {KEY: bodies[-1]} if bodies else {})
 
     async def end(self, stream: str) -> int:
         """Return the number of records."""
-        self.stored.checks += 1
         await asyncio.sleep(ANSWER_S)
         return len(self.stored.bodies)
 
@@ -86,7 +82,6 @@
         transfer: Transfer | None = None,
     ) -> LogBatch:
         """Read the records from an offset on; wait for the next one at the end."""
-        self.stored.reads += 1
         await asyncio.sleep(ANSWER_S)
         bodies = self.stored.bodies
         try:
--- a/packages/testbed/src/lavendermount_testbed/emulator/spread.py
+++ b/packages/testbed/src/lavendermount_testbed/emulator/spread.py
@@ -290,7 +290,7 @@
     means = ' '.join(f'{kind}={sent[kind] // seeds}' for kind in sorted(sent))
     return (
         f'runs={seeds} last_node_s: median={median(worst):.2f} worst={max(worst):.2f}'
-        f' bytes: {means}'
+        f' sent: {means}'
     )
 
 
