Channels: a call over a connection that fell silent is made over a new one as well

What callers saw: single nodes answer 404 for a route that was added 3 s before, nobody has died, the neighbours are in time.

Cause: a connection may fall silent for good, and only a call shows it. Those between two nodes of a zone of 20 are used about three times a minute. A node whose connections fell silent half a minute ago is missed by the one call of each neighbour on the ring, which then go on to others; its own rounds spend theirs in the same way. Class: a guarantee that rests on the first call over a connection that nothing has tried since.

Change: a call over a connection without a reply for 1 s is also made over a new one after 0.2 s; the first reply counts. All control calls may be repeated. This is tried before the peer is blamed, so silent connections raise no suspicions either.

--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -12,6 +12,7 @@
 
 from lavendermount_core.config.loader import load_text
 from lavendermount_core.config.node import NodeSchema
+from lavendermount_testbed.relay import Link, Relay
 from lavendermountd.claims.records import Claim
 from lavendermountd.control.generated import control_pb2, control_pb2_grpc
 from lavendermountd.control.messages import member_message
@@ -19,6 +20,11 @@
 
 ANSWER_S = 0.6
 GOSSIP_TIMEOUT_S = 0.1
+RELAY_HOST = '127.0.0.2'
+LINK_MBIT = 1000
+IDLE_S = 1.2
+CLOSING_S = 0.1
+ROUND_TIMEOUT_S = 2
 DEADLINE_S = 5
 
 
@@ -62,6 +68,45 @@
     await server.stop(None)
 
 
+class AnsweringServicer(control_pb2_grpc.ControlServicer):
+    """Answers gossip."""
+
+    async def Gossip(self, request: Any, context: Any) -> Any:  # noqa: N802
+        """Answer with a round of this node."""
+        sender = member_message(member('peer', region='r'))
+        return control_pb2.GossipRound(sender=sender, revision=-1)
+
+
+@then(
+    'a gossip round is answered although the connection of the round before has'
+    ' fallen silent'
+)
+def round_after_silence(context: Any) -> None:
+    """Gossip over a link that loses what open connections carry."""
+    asyncio.run(_gossip_after_silence())
+
+
+async def _gossip_after_silence() -> None:
+    server = grpc.aio.server()
+    control_pb2_grpc.add_ControlServicer_to_server(AnsweringServicer(), server)
+    port = server.add_insecure_port('127.0.0.1:0')
+    await server.start()
+    link = Link(0, LINK_MBIT)
+    relay = Relay(link, '127.0.0.1')
+    listener = await relay.serve_port(RELAY_HOST, port)
+    node = Node(load_text(NodeSchema, NODE_SETTINGS, 'test'))
+    peer = member('peer', region='r', host=RELAY_HOST, control_port=port)
+    assert await node.gossip.exchange_with(peer, DEADLINE_S)
+    link.silence_open = True
+    await asyncio.sleep(IDLE_S)
+    assert await node.gossip.exchange_with(peer, ROUND_TIMEOUT_S)
+    await node.channels.close()
+    listener.close()
+    relay.abort_all()
+    await server.stop(None)
+    await asyncio.sleep(CLOSING_S)
+
+
 @then(
     'a node recovers once when gossip names a later era of the log, '
     'and ignores earlier ones'
--- a/packages/node/src/lavendermountd/control/channels.py
+++ b/packages/node/src/lavendermountd/control/channels.py
@@ -1,5 +1,9 @@
 """Control calls to other nodes over a pool of gRPC channels.
 
+An open connection may have fallen silent for good while new ones work, and only a call
+shows it. A call over one that was idle is therefore made over a new one as well if its
+reply takes long. All control calls may be repeated.
+
 :units: seconds.
 :errors: ``ControlCallError`` from a call that failed or timed out.
 """
@@ -7,6 +11,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -18,6 +23,10 @@
 from lavendermountd.identity import Identity
 
 MAX_CHANNELS = 64
+# Time since the last reply after which a connection may have fallen silent.
+DOUBT_AFTER_S = 1.0
+# Time without a reply after which a call is made over a new connection as well.
+REPEAT_AFTER_S = 0.2
 CHANNEL_OPTIONS = (
     ('grpc.enable_retries', 0),
     ('grpc.max_reconnect_backoff_ms', 1000),
@@ -40,7 +49,7 @@
     :param address: IP address and port of the control server.
     """
 
-    __slots__ = ('channel', 'stub', 'active_calls', 'is_dropped')
+    __slots__ = ('channel', 'stub', 'active_calls', 'is_dropped', 'replied_at')
 
     def __init__(self, address: str) -> None:
         """Open the channel; it connects with the first call."""
@@ -48,6 +57,12 @@
         self.stub = ControlStub(self.channel)  # type: ignore[no-untyped-call]
         self.active_calls = 0
         self.is_dropped = False
+        self.replied_at = time.monotonic()
+
+    @property
+    def is_doubtful(self) -> bool:
+        """Return whether the connection may have fallen silent."""
+        return time.monotonic() - self.replied_at > DOUBT_AFTER_S
 
     async def call(self, method: str, request: Any, timeout_s: float) -> Any:
         """Make one call, and close a dropped channel after its last call.
@@ -56,10 +71,12 @@
         """
         self.active_calls += 1
         try:
-            return await self.make_call(method, request, timeout_s)
+            reply = await self.make_call(method, request, timeout_s)
         finally:
             self.active_calls -= 1
             await self.close_if_unused()
+        self.replied_at = time.monotonic()
+        return reply
 
     async def make_call(self, method: str, request: Any, timeout_s: float) -> Any:
         """Make one call.
@@ -129,6 +146,28 @@
         :raises ControlCallError: if it does not.
         :returns: the reply.
         """
+        pooled = self.channels.get(address)
+        if pooled is None or not pooled.is_doubtful:
+            return await self.call_once(address, method, request, timeout_s)
+        first = asyncio.ensure_future(
+            self.call_once(address, method, request, timeout_s)
+        )
+        try:
+            async with asyncio.timeout(min(REPEAT_AFTER_S, timeout_s)):
+                return await asyncio.shield(first)
+        except TimeoutError:
+            await self.drop(address, pooled)
+        except asyncio.CancelledError:
+            first.cancel()
+            raise
+        left_s = timeout_s - REPEAT_AFTER_S
+        second = asyncio.ensure_future(self.call_once(address, method, request, left_s))
+        return await _first_reply(first, second)
+
+    async def call_once(
+        self, address: str, method: str, request: Any, timeout_s: float
+    ) -> Any:
+        """Call an address over one channel; see ``call``."""
         pooled = self.channels.pop(address, None)
         if pooled is None:
             await self.evict_if_full()
@@ -160,6 +199,25 @@
             await pooled.channel.close()
 
 
+async def _first_reply(*calls: asyncio.Future[Any]) -> Any:
+    """Wait until one of some calls has a reply, and cancel the others.
+
+    :raises ControlCallError: if all of them fail.
+    """
+    pending = set(calls)
+    try:
+        while True:
+            done, pending = await asyncio.wait(
+                pending, return_when=asyncio.FIRST_COMPLETED
+            )
+            replied = [call for call in done if call.exception() is None]
+            if replied or not pending:
+                return (replied or list(done))[0].result()
+    finally:
+        for call in pending:
+            call.cancel()
+
+
 async def _await_reply(reply: Awaitable[Any]) -> Any:
     """Wait for the reply of a call.
 
--- a/packages/testbed/src/lavendermount_testbed/emulator/control_network.py
+++ b/packages/testbed/src/lavendermount_testbed/emulator/control_network.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import random
+import time
 from collections import Counter
 from functools import partial
 from typing import Any, Final
@@ -93,6 +94,7 @@
         self.channel = AsyncMock()
         self.active_calls = 0
         self.is_dropped = False
+        self.replied_at = time.monotonic()
         self.network = network
         self.ends = (origin, address)
         self.is_silent = False
