Catch-up: peers that told of a preset and do not answer are waited for together

What callers saw: single nodes answer 404 for a route that was added 3 s before.

Cause: a node that was told of a newer preset asked one teller after the other and waited 1 s for each that did not answer; it then waited to be told again, up to a round of gossip more. Tellers may have died, be cut off in one direction, or have lost one call.

Change: while no peer has sent a first part, the next one is asked after 0.25 s, also one that tells only meanwhile. The first that answers sends the preset. A peer that has not answered is asked once more, after those not yet asked.

--- a/features/presets.feature
+++ b/features/presets.feature
@@ -135,6 +135,10 @@
     When gossip names two peers with newer presets, and the newest does not answer
     Then the preset of the other is in force within 1.5 s
 
+  Scenario: Peers that told of a preset and do not answer delay it by less than a second together
+    When gossip names four peers with newer presets, and only the oldest answers
+    Then the preset of the other is in force within 1.5 s
+
   Scenario: What a node announces is not lost among members that have just died
     Given a region in which 6 of 12 other nodes have just died
     Then a node that announces a preset reaches three that live, in 200 of 200
--- a/features/steps/preset_reading_steps.py
+++ b/features/steps/preset_reading_steps.py
@@ -224,17 +224,17 @@
 
 
 class FakeChannels:
-    """Channels to peers, of which one never answers."""
+    """Channels to peers, of which some never answer."""
 
-    def __init__(self, silent_node: str) -> None:
-        """Store the name of the node that never answers."""
-        self.silent_node = silent_node
+    def __init__(self, *silent_nodes: str) -> None:
+        """Store the names of the nodes that never answer."""
+        self.silent_nodes = silent_nodes
 
     async def call_member(
         self, peer: Any, method: str, request: Any, timeout_s: float
     ) -> Any:
         """Answer with the preset of revision 7, or run into the timeout."""
-        if peer.node_id == self.silent_node:
+        if peer.node_id in self.silent_nodes:
             await asyncio.sleep(timeout_s)
             raise ControlCallError('DEADLINE_EXCEEDED')
         return preset_message(preset_snapshot(7))
@@ -308,20 +308,29 @@
 @when('gossip names two peers with newer presets, and the newest does not answer')
 def two_newer_peers(context: Any) -> None:
     """Name the peer that answers first, so that it is not the latest one known."""
+    context.elapsed_s = asyncio.run(_catch_up({'other': 7, 'silent': 9}))
 
-    async def catch_up() -> float:
-        holder = PresetHolder()
-        catching_up = PresetCatchUp(holder, FakeChannels('silent'))
-        catching_up.note_revision(member('other'), 7)
-        catching_up.note_revision(member('silent'), 9)
-        started_at = time.monotonic()
-        task = asyncio.create_task(catching_up.run())
-        while holder.revision < 7 and time.monotonic() - started_at < 5:
-            await asyncio.sleep(0.01)
-        task.cancel()
-        return time.monotonic() - started_at
 
-    context.elapsed_s = asyncio.run(catch_up())
+@when('gossip names four peers with newer presets, and only the oldest answers')
+def four_newer_peers(context: Any) -> None:
+    """Name them in the order of their revisions."""
+    silent = {f'silent-{revision}': revision for revision in (8, 9, 10)}
+    context.elapsed_s = asyncio.run(_catch_up({'other': 7, **silent}))
+
+
+async def _catch_up(revisions: dict[str, int]) -> float:
+    """Return the time until the preset of the one peer that answers is in force."""
+    holder = PresetHolder()
+    silent_nodes = set(revisions) - {'other'}
+    catching_up = PresetCatchUp(holder, FakeChannels(*silent_nodes))
+    for name, revision in revisions.items():
+        catching_up.note_revision(member(name), revision)
+    started_at = time.monotonic()
+    task = asyncio.create_task(catching_up.run())
+    while holder.revision < 7 and time.monotonic() - started_at < 5:
+        await asyncio.sleep(0.01)
+    task.cancel()
+    return time.monotonic() - started_at
 
 
 @then('the preset of the other is in force within {seconds:g} s')
--- a/packages/node/src/lavendermountd/presets/catchup.py
+++ b/packages/node/src/lavendermountd/presets/catchup.py
@@ -9,11 +9,11 @@
 import asyncio
 import logging
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 from lavendermount_core.exceptions import ConfigurationError, RecordError
 from lavendermount_core.models.members import Member
-from lavendermount_core.presets.records import PresetSnapshot
 from lavendermount_core.utils.units import MS_PER_S
 from lavendermountd.control.channels import ChannelPool, ControlCallError
 from lavendermountd.control.generated import control_pb2
@@ -26,6 +26,12 @@
 # Time limit of the call for one part of a preset.
 PART_TIMEOUT_S = 1.0
 FETCH_PAUSE_S = 0.1
+# Time without an answer after which the next peer is asked as well.
+NEXT_PEER_S = 0.25
+# Peers that are asked for their first part at the same time.
+MAX_ASKED = 8
+# Times that a peer is asked without an answer, until it tells its revision anew.
+MAX_ATTEMPTS = 2
 
 
 class NewerPeer:
@@ -35,13 +41,61 @@
     :param revision: revision that it has told.
     """
 
-    __slots__ = ('member', 'revision', 'told_at')
+    __slots__ = ('member', 'revision', 'told_at', 'attempts')
 
     def __init__(self, member: Member, revision: int) -> None:
         """Initialize the fields; it has told the revision just now."""
         self.member = member
         self.revision = revision
         self.told_at = time.monotonic()
+        self.attempts = 0
+
+
+class PresetTransfer:
+    """A preset that a peer is sending part by part.
+
+    :param peer: the peer.
+    """
+
+    __slots__ = ('peer', 'partial', 'started_at', 'is_complete')
+
+    def __init__(self, peer: NewerPeer) -> None:
+        """Start without a part."""
+        self.peer = peer
+        self.partial = PartialPreset()
+        self.started_at = time.monotonic()
+        self.is_complete = False
+
+
+class PendingRequests:
+    """Requests for the first part of a preset, of which one answer is enough."""
+
+    __slots__ = ('peers',)
+
+    def __init__(self) -> None:
+        """Start without requests."""
+        self.peers: dict[asyncio.Task[PresetTransfer | None], NewerPeer] = {}
+
+    def add(
+        self, peer: NewerPeer, request: Coroutine[Any, Any, PresetTransfer | None]
+    ) -> None:
+        """Make a request to a peer."""
+        self.peers[asyncio.create_task(request)] = peer
+
+    async def first_answer(self) -> PresetTransfer | None:
+        """Wait for an answer, at most until the next peer is to be asked."""
+        done, _ = await asyncio.wait(
+            self.peers, timeout=NEXT_PEER_S, return_when=asyncio.FIRST_COMPLETED
+        )
+        for finished in done:
+            self.peers.pop(finished)
+        return next(filter(None, (task.result() for task in done)), None)
+
+    def cancel(self) -> list[NewerPeer]:
+        """Cancel the requests that are left, and return their peers."""
+        for task in self.peers:
+            task.cancel()
+        return list(self.peers.values())
 
 
 class PresetCatchUp:
@@ -110,45 +164,85 @@
             self.is_up_to_date.set()
 
     async def catch_up(self) -> None:
-        """Ask one newer peer after the other, the newest first.
+        """Fetch presets until no peer that answers has a newer one.
 
         A peer that does not answer is not asked again until gossip names it anew.
         """
         while True:
-            peer = self.take_newest_peer()
-            if peer is None:
+            transfer = await self.begin_transfer()
+            if transfer is None:
                 return
-            await self.fetch(peer)
+            await self.complete(transfer)
+
+    async def begin_transfer(self) -> PresetTransfer | None:
+        """Ask newer peers for the first part of their preset, the newest first.
+
+        While none answers, the next one is asked as well, also if it has told its
+        revision only now.
+
+        :returns: the transfer from the first that answered, if any did.
+        """
+        requests = PendingRequests()
+        try:
+            return await self.wait_for_first_part(requests)
+        finally:
+            for peer in requests.cancel():
+                self.newer_peers.setdefault(peer.member.node_id, peer)
+
+    async def wait_for_first_part(
+        self, requests: PendingRequests
+    ) -> PresetTransfer | None:
+        """Ask one peer after the other until one answers; see ``begin_transfer``."""
+        while True:
+            has_place = len(requests.peers) < MAX_ASKED
+            peer = self.take_newest_peer() if has_place else None
+            if peer is not None:
+                requests.add(peer, self.request_first_part(peer))
+            if not requests.peers:
+                return None
+            transfer = await requests.first_answer()
+            if transfer is not None:
+                return transfer
 
     def take_newest_peer(self) -> NewerPeer | None:
-        """Remove and return the newest peer, if any is newer than this node."""
+        """Remove and return the newest peer, if any is newer; those not yet asked first."""
         revision = self.relay.revision
         newer = [peer for peer in self.newer_peers.values() if peer.revision > revision]
         if not newer:
             self.newer_peers.clear()
             return None
-        newest = max(newer, key=lambda peer: peer.revision)
+        newest = max(newer, key=lambda peer: (-peer.attempts, peer.revision))
         return self.newer_peers.pop(newest.member.node_id)
 
-    async def fetch(self, peer: NewerPeer) -> None:
-        """Request the preset of a peer, and take it to be put in force."""
-        member = peer.member
-        partial = PartialPreset()
-        started_at = time.monotonic()
+    async def request_first_part(self, peer: NewerPeer) -> PresetTransfer | None:
+        """Ask a peer for the first part of its preset.
+
+        :returns: the transfer; ``None`` if there is no answer, or no preset.
+        """
+        transfer = PresetTransfer(peer)
         try:
-            snapshot = await self.receive(member, partial)
+            has_part = await self.receive_part(transfer)
         except (ControlCallError, RecordError) as error:
-            log.info(
-                'preset-fetch-failed',
-                extra={
-                    'peer': member.node_id,
-                    'cause': str(error),
-                    'received_bytes': len(partial.received),
-                },
-            )
-            return
-        if snapshot is None:
+            self.report_failure(transfer, error)
+            peer.attempts += 1
+            if peer.attempts < MAX_ATTEMPTS:
+                self.newer_peers.setdefault(peer.member.node_id, peer)
+            return None
+        return transfer if has_part else None
+
+    async def complete(self, transfer: PresetTransfer) -> None:
+        """Receive the parts that are left, and take the preset to be put in force."""
+        member = transfer.peer.member
+        partial = transfer.partial
+        try:
+            while not transfer.is_complete:
+                if not await self.receive_part(transfer):
+                    return
+            snapshot = partial.snapshot()
+        except (ControlCallError, RecordError) as error:
+            self.report_failure(transfer, error)
             return
+        started_at = transfer.started_at
         log.info(
             'preset-fetched',
             extra={
@@ -156,7 +250,7 @@
                 'revision': snapshot.revision,
                 'in_force': self.holder.revision,
                 'bytes': len(partial.received),
-                'waited_ms': round((started_at - peer.told_at) * MS_PER_S),
+                'waited_ms': round((started_at - transfer.peer.told_at) * MS_PER_S),
                 'fetch_ms': round((time.monotonic() - started_at) * MS_PER_S),
             },
         )
@@ -166,6 +260,34 @@
         self.relay.receive(received)
         self.has_received.set()
 
+    async def receive_part(self, transfer: PresetTransfer) -> bool:
+        """Receive the next part.
+
+        :raises ControlCallError: if it does not arrive in time.
+        :raises RecordError: if it is malformed.
+        :returns: whether the peer has a preset.
+        """
+        reply = await self.channels.call_member(
+            transfer.peer.member,
+            'Preset',
+            transfer.partial.next_request(),
+            PART_TIMEOUT_S,
+        )
+        if reply.is_settled:
+            transfer.is_complete = transfer.partial.add(reply)
+        return bool(reply.is_settled)
+
+    def report_failure(self, transfer: PresetTransfer, error: Exception) -> None:
+        """Log that a preset could not be fetched."""
+        log.info(
+            'preset-fetch-failed',
+            extra={
+                'peer': transfer.peer.member.node_id,
+                'cause': str(error),
+                'received_bytes': len(transfer.partial.received),
+            },
+        )
+
     async def ask_progress(
         self, member: Member, timeout_s: float = PART_TIMEOUT_S
     ) -> bool:
@@ -196,27 +318,6 @@
             self.on_adopted(reply, member)
         return True
 
-    async def receive(
-        self, member: Member, partial: PartialPreset
-    ) -> PresetSnapshot | None:
-        """Receive the preset in force of a peer, part by part.
-
-        :param member: the peer.
-        :param partial: collects the parts.
-        :raises ControlCallError: if a part does not arrive in time.
-        :raises RecordError: if the parts are malformed.
-        :returns: the preset; ``None`` if the peer knows none.
-        """
-        is_complete = False
-        while not is_complete:
-            reply = await self.channels.call_member(
-                member, 'Preset', partial.next_request(), PART_TIMEOUT_S
-            )
-            if not reply.is_settled:
-                return None
-            is_complete = partial.add(reply)
-        return partial.snapshot()
-
     async def adopt(self, received: ReceivedPreset) -> None:
         """Put a preset in force, and apply what else its peer has read from the log.
 
