Crowds: nine crowds of callers that do not behave, and a single request at the limits

What callers saw: clients that send requests of legal size, of very many short header lines, with large bodies or in tiny chunks, and stop just short of the end, ended a process by its memory.

A single head of 16 kB of short lines and a body of 1 MB in chunks of 1 byte are served.

--- /dev/null
+++ b/features/steps/crowd_steps.py
@@ -0,0 +1,77 @@
+"""Steps that check a node beside crowds of callers that do not behave."""
+
+from __future__ import annotations
+
+import asyncio
+import resource
+import socket
+from typing import Any
+
+from behave import given, then, when
+from builders import DeploymentBuilder
+from crowd_builders import (
+    Crowd,
+    count_descriptors,
+    large_body_in_bytes,
+    payloads,
+    whole_short_lines,
+)
+from deployment_steps import instance_of, start_deployment
+from memory_builders import MB, peak_mb
+
+# Long enough for any machine; a node that hangs does not answer within it.
+ANSWER_TIMEOUT_S = 20
+READ_BYTES = 4096
+
+
+@given('a node with {size:d} MB for bodies, which may open {descriptors:d} descriptors')
+def node_with_limits(context: Any, size: int, descriptors: int) -> None:
+    """Start one node and its target."""
+    builder = DeploymentBuilder().with_nodes(1)
+    builder.settings.body_memory_bytes = size * MB
+    start_deployment(context, builder)
+    node = instance_of(context, 1).node
+    limits = (descriptors, descriptors)
+    resource.prlimit(node.popen.pid, resource.RLIMIT_NOFILE, limits)
+    context.start_mb = peak_mb(node)
+
+
+@when('{count:d} callers at once each send {payload} and stay open')
+def send_crowd(context: Any, count: int, payload: str) -> None:
+    """Send what a crowd sends; note what the node has open then."""
+    instance = instance_of(context, 1)
+    crowd = Crowd(instance.caller_port, payloads.find(payload)())
+    asyncio.run(crowd.send(count))
+    context.descriptors = count_descriptors(instance.node)
+    crowd.close()
+
+
+@then('it runs, and has fewer than {limit:d} descriptors open')
+def runs_within_descriptors(context: Any, limit: int) -> None:
+    """Check the process and what was open beside the crowd."""
+    assert instance_of(context, 1).node.is_running
+    assert context.descriptors < limit, context.descriptors
+
+
+@then('it serves an order once they have gone')
+def serves_order(context: Any) -> None:
+    """Send an order on a new connection."""
+    request = b'POST /order HTTP/1.1\r\nHost: shop\r\nContent-Length: 4\r\n\r\npump'
+    assert _exchange(context, request).startswith(b'HTTP/1.1 200 ')
+
+
+@then(
+    'it serves a head of 16 kB of short lines, and a body of 1 MB in chunks of 1 byte'
+)
+def serves_at_limits(context: Any) -> None:
+    """Send both requests on connections of their own."""
+    for request in (whole_short_lines(), large_body_in_bytes() + b'0\r\n\r\n'):
+        assert _exchange(context, request).startswith(b'HTTP/1.1 200 ')
+
+
+def _exchange(context: Any, request: bytes) -> bytes:
+    """Send a request and return the first bytes of the reply."""
+    address = ('127.0.0.1', instance_of(context, 1).caller_port)
+    with socket.create_connection(address, ANSWER_TIMEOUT_S) as connection:
+        connection.sendall(request)
+        return connection.recv(READ_BYTES)
