Requests: header lines and small bodies are kept as bytes until they are complete

What callers saw: a crowd whose heads of 16 kB have lines of six bytes, or whose bodies come in chunks of one byte, ends a process by its memory.

Cause: each line became a tuple and a string, each chunk a place in a list, as it arrived: 30 times the bytes of a head, 8 times those of a body. Nothing counted them. Class: a limit in bytes on the wire for what is held as objects.

Change: lines are appended to one buffer and decoded when the request is complete. Decoded, a head of more than 64 lines takes a share of the memory for bodies; without room the request is refused with 503, not run. The three headers that are needed earlier are noted as they pass. Chunks of a small body are appended to one buffer.

A single head of 16 kB is still served.

--- a/packages/node/src/lavendermountd/http1/request_parser.py
+++ b/packages/node/src/lavendermountd/http1/request_parser.py
@@ -11,14 +11,14 @@
 
 import httptools
 
-from lavendermount_core.models.calls import Body, Headers
+from lavendermount_core.models.calls import Body
 from lavendermountd.http1.framing import FramingLimit
+from lavendermountd.http1.head_buffer import EXPECT, HeadBuffer
 from lavendermountd.http1.messages import (
     CONTENT_LENGTH,
     TRANSFER_ENCODING,
     WireRequest,
     encode_head,
-    find_header,
 )
 from lavendermountd.memory import (
     SMALL_BODY_BYTES,
@@ -80,8 +80,8 @@
         'is_resuming',
         'method',
         'target',
-        'headers',
-        'parts',
+        'head',
+        'small_body',
         'large_body',
         'body_size',
         'head_size',
@@ -104,9 +104,9 @@
         self.is_resuming = False
         self.method = ''
         self.target = b''
-        self.headers: Headers = []
-        self.parts: list[bytes] = []
-        # Takes the place of ``parts`` for a body above ``SMALL_BODY_BYTES``.
+        self.head = HeadBuffer()
+        self.small_body = bytearray()
+        # Takes the place of ``small_body`` for a body above ``SMALL_BODY_BYTES``.
         self.large_body: BodyBuffer | None = None
         self.body_size = 0
         self.head_size = 0
@@ -207,7 +207,7 @@
         """
         kept = [
             (name, text)
-            for name, text in self.headers
+            for name, text in self.head.decode()
             if name.lower() in {CONTENT_LENGTH, TRANSFER_ENCODING}
         ]
         if not self.parser.should_keep_alive():
@@ -242,7 +242,7 @@
 
     def drop_body(self) -> None:
         """Free what was read of the body."""
-        self.parts = []
+        self.small_body = bytearray()
         self.large_body = None
 
     def on_message_begin(self) -> None:
@@ -252,7 +252,7 @@
         self.is_between_messages = False
         self.is_reading_head = True
         self.target = b''
-        self.headers = []
+        self.head = HeadBuffer()
         self.drop_body()
         self.body_size = 0
         self.head_size = 0
@@ -272,7 +272,7 @@
         if self.is_resuming:
             return
         self.framing.note_report()
-        self.headers.append((name.decode('latin-1'), text.decode('latin-1')))
+        self.head.add(name, text)
         self.check_head_size(len(name) + len(text))
 
     def check_head_size(self, size: int) -> None:
@@ -290,11 +290,11 @@
         self.framing.note_report()
         self.method = self.parser.get_method().decode('latin-1')
         self.offers_upgrade = self.parser.should_upgrade()
-        length = find_header(self.headers, CONTENT_LENGTH)
-        if length and find_header(self.headers, TRANSFER_ENCODING):
+        length = self.head.find(CONTENT_LENGTH)
+        if length and self.head.find(TRANSFER_ENCODING):
             self.error_status = HTTPStatus.BAD_REQUEST
             raise ValueError('both Content-Length and Transfer-Encoding are set')
-        expectation = find_header(self.headers, 'expect').lower()
+        expectation = self.head.find(EXPECT).lower()
         self.expects_continue = expectation == CONTINUE_EXPECTATION
         size = int(length) if length.isdigit() else 0
         if size > self.limits.body_bytes:
@@ -315,9 +315,8 @@
             large_body.count_refusal()
             self.refuse_body(HTTPStatus.SERVICE_UNAVAILABLE, size)
             return
-        for part in self.parts:
-            large_body.add(part)
-        self.parts = []
+        large_body.add(self.small_body)
+        self.small_body = bytearray()
         self.large_body = large_body
 
     def on_body(self, part: bytes) -> None:
@@ -333,7 +332,7 @@
         if self.large_body is not None:
             self.large_body.add(part)
             return
-        self.parts.append(part)
+        self.small_body += part
         if self.body_size > SMALL_BODY_BYTES:
             self.begin_large_body(self.body_size)
 
@@ -363,7 +362,7 @@
         One that was complete before there was room for it is refused.
         """
         if self.large_body is None:
-            body: Body = b''.join(self.parts)
+            body: Body = bytes(self.small_body)
         elif self.awaits_memory:
             self.large_body.count_refusal()
             self.error_status = HTTPStatus.SERVICE_UNAVAILABLE
@@ -376,10 +375,14 @@
     def build_request(self, keeps_alive: bool) -> WireRequest:
         """Build the current request from the parsed parts."""
         body = self.take_body()
+        headers, is_whole = self.head.decode_within(self.limits.memory)
+        self.head = HeadBuffer()
+        if not is_whole:
+            self.error_status = self.error_status or HTTPStatus.SERVICE_UNAVAILABLE
         return WireRequest(
             '' if self.has_failed else self.method,
             self.target.decode('latin-1'),
-            self.headers,
+            headers,
             body,
             keeps_alive,
             self.error_status,
--- a/packages/node/src/lavendermountd/memory.py
+++ b/packages/node/src/lavendermountd/memory.py
@@ -122,6 +122,20 @@
         self.size = size
 
 
+def hold_share(budget: MemoryBudget, holder: object, size: int) -> Share:
+    """Give a share back when the object that holds it is freed.
+
+    :param budget: budget from which the share is or will be taken.
+    :param holder: object that can be referenced weakly.
+    :param size: bytes that were taken so far.
+    :returns: the share, whose size may change meanwhile.
+    """
+    share = Share(size)
+    finalizer = weakref.finalize(holder, budget.freed.append, share)
+    finalizer.atexit = False
+    return share
+
+
 class HeldBody(bytearray):  # noqa: WPS600
     """Bytes of a large body; their share is given back when they are freed.
 
@@ -150,10 +164,8 @@
         self.kind = kind
         self.max_bytes = max_bytes
         self.body = HeldBody()
-        self.share = Share()
+        self.share = hold_share(budget, self.body, 0)
         self.missing_bytes = 0
-        finalizer = weakref.finalize(self.body, budget.freed.append, self.share)
-        finalizer.atexit = False
 
     @property
     def can_fit(self) -> bool:
--- a/packages/node/src/lavendermountd/presets/catchup.py
+++ b/packages/node/src/lavendermountd/presets/catchup.py
@@ -205,7 +205,7 @@
                 return transfer
 
     def take_newest_peer(self) -> NewerPeer | None:
-        """Remove and return the newest peer, if any is newer; those not yet asked first."""
+        """Remove and return the newest newer peer, those not yet asked first."""
         revision = self.relay.revision
         newer = [peer for peer in self.newer_peers.values() if peer.revision > revision]
         if not newer:
