Connections: what callers have sent is read in pieces of 16 kB

What callers saw: many bodies of legal size at once end a process by its memory although their sum is within the memory for bodies.

Cause: all connections that have data are read in one turn of the event loop, 64 kB each, before any of it is processed. With 500 connections that is 32 MB, and buffers of this size leave holes in the heap.

Change: 16 kB are read at a time from a caller.

--- a/packages/node/src/lavendermountd/caller/connection.py
+++ b/packages/node/src/lavendermountd/caller/connection.py
@@ -34,6 +34,8 @@
 log = logging.getLogger(__name__)
 
 LINGER_S = 1.0
+# The reads of all connections that have data are in memory at the same time.
+READ_BYTES = 16384
 CONTINUE_RESPONSE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -138,7 +140,7 @@
                 await self.wait_until_read()
                 continue
             try:
-                self.pending_read = begin_read(self.stream)
+                self.pending_read = begin_read(self.stream, READ_BYTES)
                 chunk = await finish_read(self.pending_read)
             except StreamClosedError:
                 self.handle_disconnect()
--- a/packages/node/src/lavendermountd/caller/server.py
+++ b/packages/node/src/lavendermountd/caller/server.py
@@ -15,7 +15,7 @@
 from tornado.netutil import bind_sockets
 from tornado.tcpserver import TCPServer
 
-from lavendermountd.caller.connection import CallerConnection
+from lavendermountd.caller.connection import READ_BYTES, CallerConnection
 from lavendermountd.caller.service import CallService
 from lavendermountd.http1.client import configure_socket
 
@@ -33,7 +33,7 @@
 
     def __init__(self, service: CallService) -> None:
         """Create the server without listening; ``run`` starts to listen."""
-        super().__init__()
+        super().__init__(read_chunk_size=READ_BYTES)
         self.service = service
         self.connections: set[CallerConnection] = set()
         self.backlog_tasks: set[asyncio.Task[None]] = set()
@@ -86,7 +86,7 @@
             except OSError:
                 return
             connection.setblocking(False)  # noqa: WPS425
-            stream = IOStream(connection)
+            stream = IOStream(connection, read_chunk_size=READ_BYTES)
             task = asyncio.ensure_future(self.handle_stream(stream, address))
             self.backlog_tasks.add(task)
             task.add_done_callback(self.backlog_tasks.discard)
--- a/packages/node/src/lavendermountd/fair_reading.py
+++ b/packages/node/src/lavendermountd/fair_reading.py
@@ -25,12 +25,13 @@
     return await finish_read(begin_read(stream))
 
 
-def begin_read(stream: IOStream) -> asyncio.Future[bytes]:
+def begin_read(stream: IOStream, max_bytes: int = READ_BYTES) -> asyncio.Future[bytes]:
     """Begin to read; ``finish_read`` waits for the data.
 
+    :param max_bytes: most that is read.
     :raises StreamClosedError: if the connection is closed.
     """
-    return asyncio.ensure_future(stream.read_bytes(READ_BYTES, partial=True))
+    return asyncio.ensure_future(stream.read_bytes(max_bytes, partial=True))
 
 
 async def finish_read(pending: asyncio.Future[bytes]) -> bytes:
