Intake: connections of callers are bounded by memory and descriptors, and the heaviest give way

What callers saw: crowds whose requests stop just short of their end and stay open end a process by its memory; with enough of them a node has no descriptor left, and its event loop spins on the listener.

Cause: nothing counted connections, heads and small bodies, nor bounded the connections below the descriptors of the process. Those who came first kept what they held until their time limit, so that ordinary callers would have had to wait for it.

Change: connections, heads and small bodies are counted in an account of their own, a quarter of the memory for bodies and 32 MiB at most. When it is full, incomplete requests are refused with 503, not run, and idle connections closed, first those that have held most for longest without a finished request; an ordinary request is complete soon. A request in progress never gives way. An upload without room makes those give way that have had no data for 1 s.

--- a/packages/core/src/lavendermount_core/config/node.py
+++ b/packages/core/src/lavendermount_core/config/node.py
@@ -185,11 +185,19 @@
     body_memory_bytes = opt.Integer(
         268435456,
         'Memory for the bodies of requests and replies that the node holds at once; '
-        'bodies of at most 16 KiB do not count.',
+        'bodies of at most 16 KiB do not count. A quarter of it, 32 MiB at most, is '
+        'added for the connections of callers.',
         'bytes',
         low=1048576,
         high=10**12,
     )
+    max_descriptors = opt.Integer(
+        0,
+        'Descriptors that the node may open; connections of callers use three quarters '
+        'of them, or all but 1,024; 0 uses the limit of the process.',
+        'descriptors',
+        high=10**7,
+    )
     link_mbps = opt.Integer(
         0,
         "Bandwidth of the VM's link; nodes with more read the log for the others; 0 if "
--- a/packages/node/src/lavendermountd/caller/connection.py
+++ b/packages/node/src/lavendermountd/caller/connection.py
@@ -182,12 +182,14 @@
     def process_chunk(self, chunk: bytes) -> None:
         """Parse a chunk and start the requests that it completes."""
         self.state.receive(chunk)
+        self.service.intake.update(self)
         self.start_requests()
         self.prompt_for_body()
         self.time_limit.update()
 
     async def wait_for_memory(self) -> None:
         """Wait until there is room for the body, or it is refused."""
+        self.service.intake.make_room(self.state.parser.large_body)
         await self.state.wait_for_memory()
         self.start_requests()
         self.prompt_for_body()
@@ -267,6 +269,12 @@
             exchange.end()
         self.announce_close()
 
+    def give_way(self) -> None:
+        """Refuse the request that is not complete, and close the connection."""
+        self.state.give_way()
+        self.start_requests()
+        self.announce_close()
+
     def close_if_idle(self, idle_s: float) -> None:
         """Close the connection if it was unused for some time.
 
--- a/packages/node/src/lavendermountd/caller/connection_state.py
+++ b/packages/node/src/lavendermountd/caller/connection_state.py
@@ -40,6 +40,7 @@
         'waiting',
         'close_cause',
         'used_at',
+        'finished_at',
         'head_since',
         'discarded_bytes',
     )
@@ -54,6 +55,8 @@
         # ``None`` as long as further requests are accepted.
         self.close_cause: CloseCause | None = None
         self.used_at = time.monotonic()
+        # When the last reply was written, or the connection opened.
+        self.finished_at = self.used_at
         self.head_since: float = 0
         self.discarded_bytes = 0
 
@@ -72,6 +75,11 @@
         """Return whether no request is in progress or partially read."""
         return self.parser.is_between_messages and not self.owes_replies
 
+    @property
+    def may_give_way(self) -> bool:
+        """Return whether nothing is lost if the connection closes."""
+        return self.is_accepting and not self.owes_replies
+
     @property
     def is_full(self) -> bool:
         """Return whether to read nothing until a request has ended."""
@@ -174,6 +182,11 @@
         self.stop_accepting(CloseCause.BODY_TIMEOUT)
         self.waiting.extend(self.parser.give_up(HTTPStatus.REQUEST_TIMEOUT))
 
+    def give_way(self) -> None:
+        """Accept no further request, and refuse the one that is not complete."""
+        self.stop_accepting(CloseCause.MEMORY)
+        self.waiting.extend(self.parser.give_up(HTTPStatus.SERVICE_UNAVAILABLE))
+
     def end(self) -> None:
         """Accept no further request, because the node ends."""
         if self.is_accepting:
@@ -196,6 +209,7 @@
         """Remove the first request, whose reply has been written."""
         self.exchanges.popleft()
         self.used_at = time.monotonic()
+        self.finished_at = self.used_at
 
     def has_been_idle(self, idle_s: float) -> bool:
         """Return whether the connection was unused for some time.
--- a/packages/node/src/lavendermountd/caller/server.py
+++ b/packages/node/src/lavendermountd/caller/server.py
@@ -47,6 +47,8 @@
         :returns: serves the connection until it closes.
         """
         connection = CallerConnection(self.service, stream)
+        if not self.service.intake.add(connection):
+            return _refuse(stream)
         self.connections.add(connection)
         return self.serve(connection)
 
@@ -57,6 +59,7 @@
             await connection.run()
         finally:
             self.connections.discard(connection)
+            self.service.intake.remove(connection)
 
     async def run(self, host: str, port: int) -> None:
         """Listen until cancelled."""
@@ -109,3 +112,8 @@
         for connection in tuple(self.connections):
             with contextlib.suppress(OSError):
                 connection.stream.close()
+
+
+async def _refuse(stream: IOStream) -> None:
+    """Close a connection for which there is no descriptor."""
+    stream.close()
--- a/packages/node/src/lavendermountd/caller/service.py
+++ b/packages/node/src/lavendermountd/caller/service.py
@@ -14,6 +14,7 @@
 from lavendermount_core.utils.units import DEFAULT_MAX_BODY_BYTES, MS_PER_S
 from lavendermountd.allotments.client import Take
 from lavendermountd.allotments.service import Allotments
+from lavendermountd.caller.intake import Intake
 from lavendermountd.claims.claims import ClaimService
 from lavendermountd.dialects.base import Dialect
 from lavendermountd.gate.attempts import AttemptResult
@@ -62,6 +63,7 @@
         self.origin = origin
         self.allotments = allotments
         self.limits = RequestLimits(DEFAULT_HEADER_BYTES, DEFAULT_MAX_BODY_BYTES)
+        self.intake = Intake(self.limits)
         self.header_timeout_s = DEFAULT_HEADER_TIMEOUT_S
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self.is_stopping = False
--- a/packages/node/src/lavendermountd/node.py
+++ b/packages/node/src/lavendermountd/node.py
@@ -181,6 +181,7 @@
             allotments,
         )
         self.service.limits.memory = self.gate.client.memory
+        self.service.intake.max_descriptors = self.settings.max_descriptors
         self.caller_server = CallerServer(self.service)
         self.peer_server = PeerServer(self.gate, self.freeze_guard)
         self.peer_server.memory = self.gate.client.memory
