Connections: requests in many parts are processed one chunk in a pass of the event loop

What callers saw: many bodies in chunks of one byte hang a node: ordinary requests run into their time limits, also for some time after the crowd has gone.

Cause: a chunk of one byte takes as much work as a large one. A read of 16 kB holds 2,700 of them, some milliseconds, and all connections that have data take theirs in the same pass of the event loop. Class: work that is bounded by bytes and not by what it costs.

Change: from its 2,000th header line or part of a body on, a request waits for its turn: one chunk of all such requests is processed in a pass.

--- a/features/crowds.feature
+++ b/features/crowds.feature
@@ -23,3 +23,8 @@
   Scenario: A single request at the limits is served in calm
     Given a node with 20 MB for bodies, which may open 700 descriptors
     Then it serves a head of 16 kB of short lines, and a body of 1 MB in chunks of 1 byte
+
+  Scenario: Callers whose data takes much work leave the event loop to others between their reads
+    Given 40 callers that have each sent 16 kB of a body in chunks of 1 byte
+    When each sends 64 kB more at once
+    Then at most 64 kB of it are processed in any turn of the event loop, and all of it in the end
--- a/features/steps/crowd_steps.py
+++ b/features/steps/crowd_steps.py
@@ -5,23 +5,32 @@
 import asyncio
 import resource
 import socket
+from collections import Counter
+from contextlib import AsyncExitStack
 from typing import Any
+from unittest.mock import patch
 
 from behave import given, then, when
 from builders import DeploymentBuilder
+from connection_builders import connected_caller, echo_service
 from crowd_builders import (
     Crowd,
     count_descriptors,
     large_body_in_bytes,
     payloads,
+    small_body_in_bytes,
     whole_short_lines,
 )
 from deployment_steps import instance_of, start_deployment
 from memory_builders import MB, peak_mb
 
+from lavendermountd.caller.connection_state import ConnectionState
+
 # Long enough for any machine; a node that hangs does not answer within it.
 ANSWER_TIMEOUT_S = 20
 READ_BYTES = 4096
+FIRST_CHUNKS = small_body_in_bytes()[:16384]
+MORE_CHUNKS = b'1\r\nc\r\n' * 10922
 
 
 @given('a node with {size:d} MB for bodies, which may open {descriptors:d} descriptors')
@@ -71,6 +80,65 @@
     assert reply.startswith(b'HTTP/1.1 200 '), reply
 
 
+@given('{count:d} callers that have each sent 16 kB of a body in chunks of 1 byte')
+def laborious_callers(context: Any, count: int) -> None:
+    """Note how many there are."""
+    context.count = count
+
+
+@when('each sends 64 kB more at once')
+def more_at_once(context: Any) -> None:
+    """Count what is processed in each turn of the event loop."""
+    context.processed = asyncio.run(_bytes_by_turn(context.count))
+
+
+@then(
+    'at most 64 kB of it are processed in any turn of the event loop, and all of it in'
+    ' the end'
+)
+def little_in_a_turn(context: Any) -> None:
+    """Check the turns."""
+    most = max(context.processed.values())
+    assert most <= len(MORE_CHUNKS), most
+    assert sum(context.processed.values()) == context.count * len(MORE_CHUNKS)
+
+
+async def _bytes_by_turn(count: int) -> Counter[int]:
+    """Return the number of bytes that are processed, by turn of the event loop."""
+    processed: Counter[int] = Counter()
+    turn = 0
+    receive = ConnectionState.receive
+
+    def count_received(state: ConnectionState, chunk: bytes) -> None:
+        processed[turn] += len(chunk)
+        receive(state, chunk)
+
+    async def count_turns() -> None:
+        nonlocal turn
+        while True:
+            turn += 1
+            await asyncio.sleep(0)
+
+    async def wait_for(size: int) -> None:
+        while sum(processed.values()) < size:
+            await asyncio.sleep(0)
+
+    service = echo_service(0)
+    async with AsyncExitStack() as stack:
+        stack.enter_context(patch.object(ConnectionState, 'receive', count_received))
+        callers = [
+            (await stack.enter_async_context(connected_caller(service)))[0]
+            for _ in range(count)
+        ]
+        counting = asyncio.create_task(count_turns())
+        for chunks in (FIRST_CHUNKS, MORE_CHUNKS):
+            processed.clear()
+            await asyncio.gather(*(caller.send(chunks) for caller in callers))
+            await asyncio.wait_for(wait_for(count * len(chunks)), ANSWER_TIMEOUT_S)
+        counting.cancel()
+    return processed
+
+
 def _exchange(context: Any, request: bytes) -> bytes:
     """Send a request and return the first bytes of the reply."""
     address = ('127.0.0.1', instance_of(context, 1).caller_port)
--- a/packages/node/src/lavendermountd/caller/connection.py
+++ b/packages/node/src/lavendermountd/caller/connection.py
@@ -36,6 +36,8 @@
 LINGER_S = 1.0
 # The reads of all connections that have data are in memory at the same time.
 READ_BYTES = 16384
+# Header lines and parts of a body from which a request waits for its turn.
+MANY_PARTS = 2000
 CONTINUE_RESPONSE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -145,7 +147,19 @@
             except StreamClosedError:
                 self.handle_disconnect()
                 return
+            await self.process_in_turn(chunk)
+
+    async def process_in_turn(self, chunk: bytes) -> None:
+        """Process a chunk; of requests in many parts, one chunk in a pass of the loop.
+
+        A part of a byte takes as much work as one of many.
+        """
+        if self.state.parser.part_count < MANY_PARTS:
+            self.process_chunk(chunk)
+            return
+        async with self.service.intake.turn:
             self.process_chunk(chunk)
+            await asyncio.sleep(0)
 
     async def wait_until_read(self) -> None:
         """Wait until the connection may be read again."""
--- a/packages/node/src/lavendermountd/caller/intake.py
+++ b/packages/node/src/lavendermountd/caller/intake.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 import resource
 import time
@@ -45,7 +46,7 @@
     :param limits: hold the memory budget of the node.
     """
 
-    __slots__ = ('limits', 'counted', 'held_bytes', 'max_descriptors')
+    __slots__ = ('limits', 'counted', 'held_bytes', 'max_descriptors', 'turn')
 
     def __init__(self, limits: RequestLimits) -> None:
         """Start without connections."""
@@ -55,6 +56,8 @@
         self.held_bytes = 0
         # Descriptors that the node may open; 0 for the limit of the process.
         self.max_descriptors = 0
+        # Held while data of a request in many parts is processed.
+        self.turn = asyncio.Lock()
 
     @property
     def capacity_bytes(self) -> int:
--- a/packages/node/src/lavendermountd/http1/request_parser.py
+++ b/packages/node/src/lavendermountd/http1/request_parser.py
@@ -87,6 +87,7 @@
         'head_size',
         'head_received_size',
         'head_count',
+        'part_count',
         'error_status',
     )
 
@@ -112,6 +113,8 @@
         self.head_size = 0
         self.head_received_size = 0
         self.head_count = 0
+        # Header lines and parts of the body of the current request.
+        self.part_count = 0
         self.error_status = 0
 
     @property
@@ -258,6 +261,7 @@
         self.head_size = 0
         self.head_received_size = 0
         self.head_count += 1
+        self.part_count = 0
         self.error_status = 0
 
     def on_url(self, url: bytes) -> None:
@@ -272,6 +276,7 @@
         if self.is_resuming:
             return
         self.framing.note_report()
+        self.part_count += 1
         self.head.add(name, text)
         self.check_head_size(len(name) + len(text))
 
@@ -322,6 +327,7 @@
     def on_body(self, part: bytes) -> None:
         """Store a part of the body unless the body is refused."""
         self.framing.note_report()
+        self.part_count += 1
         self.body_size += len(part)
         if self.error_status:
             self.refuse_body(self.error_status, self.body_size)
