Logs: the state of a node every 10 s, and the revision early in the line of a refusal

The users' record of late versions has nodes of which nothing is logged for 34 s, and lines cut at 200 characters. What would tell the hypotheses apart was missing: whether a node without work heard of other nodes and of the log, which revision it had, and whether its time of day was set. node-state says so; request-refused names the revision before what may be long.

--- a/packages/node/src/lavendermountd/caller/exchange.py
+++ b/packages/node/src/lavendermountd/caller/exchange.py
@@ -236,12 +236,12 @@
             'request-refused',
             extra={
                 'request': self.request_id,
+                'revision': self.service.holder.revision,
                 'outcome': refusal.outcome,
                 'reason': refusal.reason,
                 'detail': refusal.detail,
                 'retry_after_s': round(refusal.retry_after_s, 3),
                 'elapsed_ms': round((time.monotonic() - self.arrived_at) * MS_PER_S),
-                'revision': self.service.holder.revision,
             },
         )
         return self.service.dialect.refusal_reply(refusal, self.request_id)
--- a/packages/node/src/lavendermountd/supervisor_tree.py
+++ b/packages/node/src/lavendermountd/supervisor_tree.py
@@ -8,7 +8,7 @@
     │              preset-announcer
     ├── target     peer-server, target-watch
     ├── callers    caller-server, admin-server, endpoints of adapters
-    └── clock      freeze-guard, fence
+    └── clock      freeze-guard, fence, state-log
 
 The preset-keeper and the preset-carrier run only if presets are read from a stream.
 
@@ -31,6 +31,7 @@
 from lavendermountd.presets.carry_over import PresetCarrier
 from lavendermountd.presets.follower import PresetFollower
 from lavendermountd.presets.republisher import PresetRepublisher
+from lavendermountd.state_log import log_state
 from lavendermountd.supervision.supervisor import Child, Supervisor
 
 
@@ -126,6 +127,7 @@
             [
                 Child('freeze-guard', self.node.freeze_guard.run),
                 Child('fence', self.node.resume_after_freeze),
+                Child('state-log', self.run_state_log),
             ],
         )
 
@@ -133,6 +135,10 @@
         """Build a supervisor that counts restarts in the metrics."""
         return Supervisor(name, children, self.node.metrics.count_restart)
 
+    def run_state_log(self) -> Awaitable[None]:
+        """Log the state of the node at regular intervals."""
+        return log_state(self.node)
+
     def run_recorder(self) -> Awaitable[None]:
         """Append recorded decisions to the log in batches."""
         return self.node.recorder.run(self.node.settings.recorder.flush_ms / MS_PER_S)
