--- a/packages/testbed/src/lavendermount_testbed/__main__.py
+++ b/packages/testbed/src/lavendermount_testbed/__main__.py
@@ -156,14 +156,35 @@
 @click.option(
     '--prepare', default=SPREAD_PREPARE_S, help='Seconds to prepare a version.'
 )
+@click.option('--log', is_flag=True, help='Let the nodes read the log.')
+@click.option(
+    '--silent', type=float, default=0, help='Share of the nodes with silent links.'
+)
+@click.option(
+    '--lost-calls', type=float, default=0, help='Share of the calls that are lost.'
+)
+@click.option(
+    '--after', type=float, default=0, help='Seconds from the change to the loss.'
+)
 @click.option('--seeds', default=SPREAD_SEEDS, help='Number of runs.')
-def spread(
-    nodes: int, dead: float, loss: str, refused: bool, prepare: float, seeds: int
+def spread(  # noqa: WPS211, WPS216
+    nodes: int,
+    dead: float,
+    loss: str,
+    refused: bool,
+    prepare: float,
+    log: bool,
+    silent: float,
+    lost_calls: float,
+    after: float,
+    seeds: int,
 ) -> None:
     """Simulate how a version spreads over nodes of which many have just died."""
     from lavendermount_testbed.emulator.spread import SpreadScenario, report_spread
 
-    scenario = SpreadScenario(nodes, loss, dead, refused, prepare)
+    scenario = SpreadScenario(
+        nodes, loss, dead, refused, prepare, log, silent, lost_calls, after
+    )
     click.echo(report_spread(scenario, seeds))
 
 
--- a/packages/testbed/src/lavendermount_testbed/emulator/spread.py
+++ b/packages/testbed/src/lavendermount_testbed/emulator/spread.py
@@ -91,6 +91,7 @@
     :param silent_ratio: share of the nodes whose connections have fallen silent
         ``SILENT_FOR_S`` before the change; new ones work.
     :param lost_calls: share of the calls that get no answer.
+    :param loss_after_s: how long after the change nodes are lost.
     """
 
     __slots__ = (
@@ -102,6 +103,7 @@
         'has_log',
         'silent_ratio',
         'lost_calls',
+        'loss_after_s',
     )
 
     def __init__(
@@ -114,6 +116,7 @@
         has_log: bool = False,
         silent_ratio: float = 0,
         lost_calls: float = 0,
+        loss_after_s: float = 0,
     ) -> None:
         """Initialize the fields."""
         self.nodes = nodes
@@ -124,6 +127,7 @@
         self.has_log = has_log
         self.silent_ratio = silent_ratio
         self.lost_calls = lost_calls
+        self.loss_after_s = loss_after_s
 
     @property
     def dead_count(self) -> int:
@@ -219,7 +223,7 @@
 
 
 def simulate_spread(scenario: SpreadScenario, seed: int) -> SpreadResult:
-    """Let nodes be lost, and at once after it a preset be written.
+    """Let nodes be lost, and a preset be written at once after it or shortly before.
 
     :param scenario: what is simulated.
     :param seed: seed of everything that is drawn.
@@ -228,16 +232,17 @@
         clock = stack.enter_context(SimulatedTime())
         deployment = SimulatedDeployment(scenario, seed)
         stack.enter_context(_patched(deployment))
-        clock.run(deployment.start())
-        clock.advance(WARM_UP_S)
-        if scenario.silent_ratio:
-            clock.advance(CONNECTING_S)
-            deployment.silence_nodes()
-            clock.advance(SILENT_FOR_S)
+        _warm_up(clock, deployment)
+        delay_s = scenario.loss_after_s
+        if delay_s:
+            deployment.network.sent.clear()
+            clock.run(deployment.write(deployment.nodes))
+            clock.advance(delay_s)
         living = deployment.lose_nodes()
-        deployment.network.sent.clear()
-        clock.run(deployment.write(living))
-        delays = _watch(clock, living)
+        if not delay_s:
+            deployment.network.sent.clear()
+            clock.run(deployment.write(living))
+        delays = [delay_s + each for each in _watch(clock, living)]
         deployment.stop(living)
         return SpreadResult(delays, deployment.network.sent)
 
@@ -261,6 +266,16 @@
     )
 
 
+def _warm_up(clock: SimulatedTime, deployment: SimulatedDeployment) -> None:
+    """Run the nodes until they may be disturbed."""
+    clock.run(deployment.start())
+    clock.advance(WARM_UP_S)
+    if deployment.scenario.silent_ratio:
+        clock.advance(CONNECTING_S)
+        deployment.silence_nodes()
+        clock.advance(SILENT_FOR_S)
+
+
 def _watch(clock: SimulatedTime, nodes: list[Node]) -> list[float]:
     """Return after which time each node has the second preset in force."""
     delays: list[float] = []
