Requests: one that is refused while it waits for memory is refused once

What callers saw: nothing yet. An upload that waits for memory and to be told to continue, and is refused meanwhile because the node ends or it gives way, would be refused again when its wait ends: a second reply, which its caller takes for that to a later request.

Cause: a request could be refused after it had been refused. Change: a parser that has failed does not fail again.

--- a/features/crowds.feature
+++ b/features/crowds.feature
@@ -28,3 +28,6 @@
     Given 40 callers that have each sent 16 kB of a body in chunks of 1 byte
     When each sends 64 kB more at once
     Then at most 64 kB of it are processed in any turn of the event loop, and all of it in the end
+
+  Scenario: An upload that gives way while it waits for memory is refused once
+    Then an upload that waits to be told to continue, and gives way meanwhile, is refused once
--- a/features/steps/crowd_steps.py
+++ b/features/steps/crowd_steps.py
@@ -7,6 +7,7 @@
 import socket
 from collections import Counter
 from contextlib import AsyncExitStack
+from http import HTTPStatus
 from typing import Any
 from unittest.mock import patch
 
@@ -14,6 +15,7 @@
 from builders import DeploymentBuilder
 from connection_builders import connected_caller, echo_service
 from crowd_builders import (
+    HEAD_BYTES,
     Crowd,
     count_descriptors,
     large_body_in_bytes,
@@ -25,6 +27,9 @@
 from memory_builders import MB, peak_mb
 
 from lavendermountd.caller.connection_state import ConnectionState
+from lavendermountd.http1.messages import WireRequest
+from lavendermountd.http1.request_parser import RequestLimits, RequestParser
+from lavendermountd.memory import MemoryBudget
 
 # Long enough for any machine; a node that hangs does not answer within it.
 ANSWER_TIMEOUT_S = 20
@@ -103,6 +108,31 @@
     assert sum(context.processed.values()) == context.count * len(MORE_CHUNKS)
 
 
+@then(
+    'an upload that waits to be told to continue, and gives way meanwhile, is refused'
+    ' once'
+)
+def refused_once(context: Any) -> None:
+    """Let the upload give way while nothing is free."""
+    memory = MemoryBudget(MB)
+    memory.take(MB)
+    parser = RequestParser(RequestLimits(HEAD_BYTES, MB, memory))
+
+    async def give_way() -> list[WireRequest]:
+        waiting = asyncio.create_task(parser.wait_for_memory())
+        await asyncio.sleep(0)
+        refused = parser.give_up(HTTPStatus.SERVICE_UNAVAILABLE)
+        return refused + await waiting
+
+    parser.feed(
+        b'POST /order HTTP/1.1\r\nHost: shop\r\nExpect: 100-continue\r\n'
+        b'Content-Length: 700000\r\n\r\n'
+    )
+    assert parser.awaits_memory
+    refused = asyncio.run(give_way())
+    assert [request.error_status for request in refused] == [503], refused
+
+
 async def _bytes_by_turn(count: int) -> Counter[int]:
     """Return the number of bytes that are processed, by turn of the event loop."""
     processed: Counter[int] = Counter()
--- a/packages/node/src/lavendermountd/http1/request_parser.py
+++ b/packages/node/src/lavendermountd/http1/request_parser.py
@@ -229,6 +229,8 @@
 
         :param status: HTTP status of the refusal.
         """
+        if self.has_failed:
+            return
         self.has_failed = True
         self.is_reading_head = False
         if self.is_between_messages:
