Channels, intake: one wait for both calls; unfinished lines and targets are counted

A call that is cancelled while its channel is dropped cancels both attempts. Searching for stalled uploads sorts these only.

--- a/packages/node/src/lavendermountd/caller/intake.py
+++ b/packages/node/src/lavendermountd/caller/intake.py
@@ -121,15 +121,21 @@
         :param upload: the one without room; ``None`` if there is none.
         """
         missing_bytes = 0 if upload is None else upload.missing_bytes
-        stalled_since = time.monotonic() - STALLED_S
+        now = time.monotonic()
+        stalled = [
+            each
+            for each in self.counted
+            if _upload_bytes(each)
+            and each.state.may_give_way
+            and each.state.used_at < now - STALLED_S
+        ]
+        stalled.sort(key=lambda each: _weight(each, now), reverse=True)
         chosen = []
-        for connection in self.choose(len(self.counted)):
+        for connection in stalled:
             if missing_bytes <= 0:
                 break
-            upload_bytes = _upload_bytes(connection)
-            if upload_bytes and connection.state.used_at < stalled_since:
-                chosen.append(connection)
-                missing_bytes -= upload_bytes
+            chosen.append(connection)
+            missing_bytes -= _upload_bytes(connection)
         self.report(chosen, 'memory for bodies')
         self.let_give_way(chosen)
 
@@ -163,7 +169,9 @@
 def _incomplete_bytes(connection: CallerConnection) -> int:
     """Return what a request that is not complete takes, besides a large body."""
     parser = connection.state.parser
-    return parser.head.held_bytes + len(parser.small_body)
+    head_bytes = parser.head.held_bytes + len(parser.target)
+    # The parser itself holds a line that has no end yet.
+    return max(head_bytes, parser.head_received_size) + len(parser.small_body)
 
 
 def _upload_bytes(connection: CallerConnection) -> int:
--- a/packages/node/src/lavendermountd/control/channels.py
+++ b/packages/node/src/lavendermountd/control/channels.py
@@ -147,22 +147,21 @@
         :returns: the reply.
         """
         pooled = self.channels.get(address)
-        if pooled is None or not pooled.is_doubtful:
+        if pooled is None or not pooled.is_doubtful or timeout_s <= REPEAT_AFTER_S:
             return await self.call_once(address, method, request, timeout_s)
-        first = asyncio.ensure_future(
-            self.call_once(address, method, request, timeout_s)
-        )
+        first = asyncio.create_task(self.call_once(address, method, request, timeout_s))
+        calls = {first}
         try:
-            async with asyncio.timeout(min(REPEAT_AFTER_S, timeout_s)):
-                return await asyncio.shield(first)
-        except TimeoutError:
-            await self.drop(address, pooled)
-        except asyncio.CancelledError:
-            first.cancel()
-            raise
-        left_s = timeout_s - REPEAT_AFTER_S
-        second = asyncio.ensure_future(self.call_once(address, method, request, left_s))
-        return await _first_reply(first, second)
+            await asyncio.wait(calls, timeout=REPEAT_AFTER_S)
+            if not first.done():
+                await self.drop(address, pooled)
+                left_s = timeout_s - REPEAT_AFTER_S
+                again = self.call_once(address, method, request, left_s)
+                calls.add(asyncio.create_task(again))
+            return await _first_reply(calls)
+        finally:
+            for call in calls:
+                call.cancel()
 
     async def call_once(
         self, address: str, method: str, request: Any, timeout_s: float
@@ -199,23 +198,17 @@
             await pooled.channel.close()
 
 
-async def _first_reply(*calls: asyncio.Future[Any]) -> Any:
-    """Wait until one of some calls has a reply, and cancel the others.
+async def _first_reply(calls: set[asyncio.Task[Any]]) -> Any:
+    """Wait until one of some calls has a reply.
 
     :raises ControlCallError: if all of them fail.
     """
-    pending = set(calls)
-    try:
-        while True:
-            done, pending = await asyncio.wait(
-                pending, return_when=asyncio.FIRST_COMPLETED
-            )
-            replied = [call for call in done if call.exception() is None]
-            if replied or not pending:
-                return (replied or list(done))[0].result()
-    finally:
-        for call in pending:
-            call.cancel()
+    pending = calls
+    while True:
+        done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+        replied = [call for call in done if call.exception() is None]
+        if replied or not pending:
+            return (replied or list(done))[0].result()
 
 
 async def _await_reply(reply: Awaitable[Any]) -> Any:
