--- a/features/crowds.feature
+++ b/features/crowds.feature
@@ -29,5 +29,5 @@
     When each sends 64 kB more at once
     Then at most 64 kB of it are processed in any turn of the event loop, and all of it in the end
 
-  Scenario: An upload that gives way while it waits for memory is refused once
-    Then an upload that waits to be told to continue, and gives way meanwhile, is refused once
+  Scenario: An upload that is shed while it waits for memory is refused once
+    Then an upload that waits to be told to continue, and is shed meanwhile, is refused once
--- a/features/steps/crowd_steps.py
+++ b/features/steps/crowd_steps.py
@@ -109,16 +109,16 @@
 
 
 @then(
-    'an upload that waits to be told to continue, and gives way meanwhile, is refused'
+    'an upload that waits to be told to continue, and is shed meanwhile, is refused'
     ' once'
 )
 def refused_once(context: Any) -> None:
-    """Let the upload give way while nothing is free."""
+    """Refuse the upload while nothing is free."""
     memory = MemoryBudget(MB)
     memory.take(MB)
     parser = RequestParser(RequestLimits(HEAD_BYTES, MB, memory))
 
-    async def give_way() -> list[WireRequest]:
+    async def shed() -> list[WireRequest]:
         waiting = asyncio.create_task(parser.wait_for_memory())
         await asyncio.sleep(0)
         refused = parser.give_up(HTTPStatus.SERVICE_UNAVAILABLE)
@@ -129,7 +129,7 @@
         b'Content-Length: 700000\r\n\r\n'
     )
     assert parser.awaits_memory
-    refused = asyncio.run(give_way())
+    refused = asyncio.run(shed())
     assert [request.error_status for request in refused] == [503], refused
 
 
--- a/packages/node/src/lavendermountd/caller/connection.py
+++ b/packages/node/src/lavendermountd/caller/connection.py
@@ -36,7 +36,7 @@
 LINGER_S = 1.0
 # The reads of all connections that have data are in memory at the same time.
 READ_BYTES = 16384
-# Header lines and parts of a body from which a request waits for its turn.
+# Header lines and parts of a body from which a request is parsed in turn.
 MANY_PARTS = 2000
 CONTINUE_RESPONSE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
@@ -157,7 +157,7 @@
         if self.state.parser.part_count < MANY_PARTS:
             self.process_chunk(chunk)
             return
-        async with self.service.intake.turn:
+        async with self.service.intake.parsing:
             self.process_chunk(chunk)
             await asyncio.sleep(0)
 
@@ -283,9 +283,9 @@
             exchange.end()
         self.announce_close()
 
-    def give_way(self) -> None:
+    def shed(self) -> None:
         """Refuse the request that is not complete, and close the connection."""
-        self.state.give_way()
+        self.state.shed()
         self.start_requests()
         self.announce_close()
 
--- a/packages/node/src/lavendermountd/caller/connection_state.py
+++ b/packages/node/src/lavendermountd/caller/connection_state.py
@@ -76,7 +76,7 @@
         return self.parser.is_between_messages and not self.owes_replies
 
     @property
-    def may_give_way(self) -> bool:
+    def is_sheddable(self) -> bool:
         """Return whether nothing is lost if the connection closes."""
         return self.is_accepting and not self.owes_replies
 
@@ -182,7 +182,7 @@
         self.stop_accepting(CloseCause.BODY_TIMEOUT)
         self.waiting.extend(self.parser.give_up(HTTPStatus.REQUEST_TIMEOUT))
 
-    def give_way(self) -> None:
+    def shed(self) -> None:
         """Accept no further request, and refuse the one that is not complete."""
         self.stop_accepting(CloseCause.MEMORY)
         self.waiting.extend(self.parser.give_up(HTTPStatus.SERVICE_UNAVAILABLE))
--- a/packages/node/src/lavendermountd/caller/intake.py
+++ b/packages/node/src/lavendermountd/caller/intake.py
@@ -1,9 +1,9 @@
 """Bounds what the connections of all callers hold before their requests are complete.
 
 Each connection takes memory and a descriptor, also if it sends nothing, and more for a
-request that is not complete. When there is too little left, those give way that have
+request that is not complete. When there is too little left, those are shed that have
 held most for longest without a finished request: an ordinary request is complete soon.
-Nothing gives way while its request is in progress.
+No connection is shed while its request is in progress.
 
 :units: bytes; seconds on the node's monotonic clock.
 :errors: none are raised.
@@ -34,19 +34,19 @@
 # Part of the descriptors that is kept for other nodes, the target and the log.
 RESERVED_DIVISOR: Final = 4
 MAX_RESERVED: Final = 1024
-# Part of the connections that give way together, so that not each newcomer searches.
+# Part of the connections that are shed together, so that not each newcomer searches.
 BATCH_DIVISOR: Final = 32
-# Time without data after which an upload gives way to one that has no room.
+# Time without data after which an upload is shed for one that has no room.
 STALLED_S: Final = 1.0
 
 
 class Intake:
-    """Counts what connections hold, and chooses those that give way.
+    """Counts what connections hold, and chooses those that are shed.
 
     :param limits: hold the memory budget of the node.
     """
 
-    __slots__ = ('limits', 'counted', 'held_bytes', 'max_descriptors', 'turn')
+    __slots__ = ('limits', 'counted', 'held_bytes', 'max_descriptors', 'parsing')
 
     def __init__(self, limits: RequestLimits) -> None:
         """Start without connections."""
@@ -57,7 +57,7 @@
         # Descriptors that the node may open; 0 for the limit of the process.
         self.max_descriptors = 0
         # Held while data of a request in many parts is processed.
-        self.turn = asyncio.Lock()
+        self.parsing = asyncio.Lock()
 
     @property
     def capacity_bytes(self) -> int:
@@ -98,14 +98,14 @@
         self.held_bytes -= self.counted.pop(connection, 0)
 
     def update(self, connection: CallerConnection) -> None:
-        """Count what a connection holds now; others give way if that is too much."""
+        """Count what a connection holds now; others are shed if that is too much."""
         if connection not in self.counted:
             return
         self.count(connection)
         if self.held_bytes > self.capacity_bytes:
             chosen = self.choose(1 + len(self.counted) // BATCH_DIVISOR)
             self.report(chosen, 'memory')
-            self.let_give_way(chosen)
+            self.shed(chosen)
 
     def count(self, connection: CallerConnection) -> None:
         """Count what a connection holds; one that is about to close holds nothing."""
@@ -116,7 +116,7 @@
         self.counted[connection] = size
 
     def make_room(self, upload: BodyBuffer | None) -> None:
-        """Let uploads that have stalled give way to one without room.
+        """Shed uploads that have stalled for one without room.
 
         :param upload: the one without room; ``None`` if there is none.
         """
@@ -126,7 +126,7 @@
             each
             for each in self.counted
             if _upload_bytes(each)
-            and each.state.may_give_way
+            and each.state.is_sheddable
             and each.state.used_at < now - STALLED_S
         ]
         stalled.sort(key=lambda each: _weight(each, now), reverse=True)
@@ -137,29 +137,29 @@
             chosen.append(connection)
             missing_bytes -= _upload_bytes(connection)
         self.report(chosen, 'memory for bodies')
-        self.let_give_way(chosen)
+        self.shed(chosen)
 
-    def let_give_way(self, connections: list[CallerConnection]) -> None:
+    def shed(self, connections: list[CallerConnection]) -> None:
         """Refuse incomplete requests and close idle connections."""
         for connection in connections:
-            connection.give_way()
+            connection.shed()
             self.count(connection)
 
     def choose(self, count: int) -> list[CallerConnection]:
-        """Choose the connections that give way first."""
+        """Choose the connections that are shed first."""
         now = time.monotonic()
-        able = [each for each in self.counted if each.state.may_give_way]
+        able = [each for each in self.counted if each.state.is_sheddable]
         return nlargest(count, able, key=lambda each: _weight(each, now))
 
-    def report(self, connections: list[CallerConnection], lack: str) -> None:
-        """Log connections that give way."""
+    def report(self, connections: list[CallerConnection], resource_name: str) -> None:
+        """Log connections that are shed."""
         if not connections:
             return
         log.warning(
-            'connections-given-way',
+            'connections-shed',
             extra={
                 'count': len(connections),
-                'lack': lack,
+                'resource': resource_name,
                 'open': len(self.counted),
                 'held_bytes': self.held_bytes,
             },
