--- a/packages/node/src/lavendermountd/presets/catchup.py
+++ b/packages/node/src/lavendermountd/presets/catchup.py
@@ -166,7 +166,8 @@
     async def catch_up(self) -> None:
         """Fetch presets until no peer that answers has a newer one.
 
-        A peer that does not answer is not asked again until gossip names it anew.
+        A peer that has not answered ``MAX_ATTEMPTS`` times is not asked again until
+        gossip names it anew.
         """
         while True:
             transfer = await self.begin_transfer()
@@ -205,7 +206,7 @@
                 return transfer
 
     def take_newest_peer(self) -> NewerPeer | None:
-        """Remove and return the newest newer peer, those not yet asked first."""
+        """Remove and return the next peer to ask: the newest not yet asked first."""
         revision = self.relay.revision
         newer = [peer for peer in self.newer_peers.values() if peer.revision > revision]
         if not newer:
