--- a/features/crowds.feature
+++ b/features/crowds.feature
@@ -31,3 +31,6 @@
 
   Scenario: An upload that is shed while it waits for memory is refused once
     Then an upload that waits to be told to continue, and is shed meanwhile, is refused once
+
+  Scenario: The lines of a long head are those that were sent, also where they stand last
+    Then a head of 3 to 300 lines is read as it was sent, with its length in the last line
--- a/features/steps/crowd_steps.py
+++ b/features/steps/crowd_steps.py
@@ -108,6 +108,22 @@
     assert sum(context.processed.values()) == context.count * len(MORE_CHUNKS)
 
 
+@then(
+    'a head of 3 to 300 lines is read as it was sent, with its length in the last line'
+)
+def lines_as_sent(context: Any) -> None:
+    """Read heads whose lines have names and values of several lengths."""
+    for count in (3, 63, 64, 65, 66, 300):
+        lines = [(f'x{number:03d}', 'v' * (number % 7)) for number in range(count - 1)]
+        lines.append(('Content-LENGTH', '4'))
+        head = ''.join(f'{name}: {text}\r\n' for name, text in lines)
+        parser = RequestParser(RequestLimits(HEAD_BYTES, MB, MemoryBudget(MB)))
+        request = f'POST /order HTTP/1.1\r\n{head}\r\npump'.encode()
+        (received,) = parser.feed(request)
+        assert list(received.headers) == lines, count
+        assert (received.body, received.error_status) == (b'pump', 0)
+
+
 @then(
     'an upload that waits to be told to continue, and is shed meanwhile, is refused'
     ' once'
