--- a/packages/node/src/lavendermountd/presets/catchup.py
+++ b/packages/node/src/lavendermountd/presets/catchup.py
@@ -31,7 +31,7 @@
 # Peers that are asked for their first part at the same time.
 MAX_ASKED = 8
 # Times that a peer is asked without an answer, until it tells its revision anew.
-MAX_ATTEMPTS = 2
+TRIES_PER_PEER = 2
 
 
 class NewerPeer:
@@ -41,14 +41,14 @@
     :param revision: revision that it has told.
     """
 
-    __slots__ = ('member', 'revision', 'told_at', 'attempts')
+    __slots__ = ('member', 'revision', 'told_at', 'tries')
 
     def __init__(self, member: Member, revision: int) -> None:
         """Initialize the fields; it has told the revision just now."""
         self.member = member
         self.revision = revision
         self.told_at = time.monotonic()
-        self.attempts = 0
+        self.tries = 0
 
 
 class PresetTransfer:
@@ -166,7 +166,7 @@
     async def catch_up(self) -> None:
         """Fetch presets until no peer that answers has a newer one.
 
-        A peer that has not answered ``MAX_ATTEMPTS`` times is not asked again until
+        A peer that has not answered ``TRIES_PER_PEER`` times is not asked again until
         gossip names it anew.
         """
         while True:
@@ -212,7 +212,7 @@
         if not newer:
             self.newer_peers.clear()
             return None
-        newest = max(newer, key=lambda peer: (-peer.attempts, peer.revision))
+        newest = max(newer, key=lambda peer: (-peer.tries, peer.revision))
         return self.newer_peers.pop(newest.member.node_id)
 
     async def request_first_part(self, peer: NewerPeer) -> PresetTransfer | None:
@@ -225,8 +225,8 @@
             has_part = await self.receive_part(transfer)
         except (ControlCallError, RecordError) as error:
             self.report_failure(transfer, error)
-            peer.attempts += 1
-            if peer.attempts < MAX_ATTEMPTS:
+            peer.tries += 1
+            if peer.tries < TRIES_PER_PEER:
                 self.newer_peers.setdefault(peer.member.node_id, peer)
             return None
         return transfer if has_part else None
