--- a/packages/testbed/src/lavendermount_testbed/feature_runner.py
+++ b/packages/testbed/src/lavendermount_testbed/feature_runner.py
@@ -96,7 +96,7 @@
     if not elements:
         summary.record(str(feature['name']), str(feature['status']))
     for scenario in elements:  # type: ignore[attr-defined]
-        summary.record(scenario['name'], scenario['status'])
+        summary.record(scenario['name'].strip(), scenario['status'])
         _show_errors(scenario)
 
 
