--- a/packages/node/src/lavendermountd/memory.py
+++ b/packages/node/src/lavendermountd/memory.py
@@ -3,8 +3,8 @@
 :units: bytes; seconds.
 :errors: none are raised; a body without room is refused by its reader.
 
-A body of at most ``SMALL_BODY_BYTES`` takes no share. Like the head of a request, it is
-bounded by the number of connections.
+A body of at most ``SMALL_BODY_BYTES`` takes no share; until its request is complete, it
+is counted with the connections of callers, see ``Intake``.
 """
 
 from __future__ import annotations
