Peer links: requests to a node out of reach wait for each other

What callers saw: two of six machines, all of one service, were cut off for 5.5 s.

Cause: LinkPool.get opened a connection under a lock for each node, outside the deadline of the request, so that requests to one node made one attempt each, 0.2 s after the other. A node in backoff still got requests if no other was left, also one that had been silent for seconds on links its kernel accepted.

Ruled out: the query for outcomes, which is under the deadline already.

Change: one connection attempt for each node, whose outcome all that wait share, under the deadline of the request. A request for a node in backoff is refused at once as not run; the node is reconnected to in the background while requests need it, and gets requests again once it replies to a ping. A new incarnation ends the backoff. No hedge goes to a node in backoff.

--- a/features/links.feature
+++ b/features/links.feature
@@ -8,3 +8,12 @@
 
   Scenario: A request that is cancelled while its body arrives leaves nothing behind
     Then an order that is cancelled while its body arrives does not run, and its link goes on
+
+  Scenario: Requests to a node out of reach do not wait for one connection attempt each
+    Then many requests to a node that accepts no connection are refused as not run before their deadline
+
+  Scenario: Requests are not sent to a node that stays silent, and again once it responds
+    Then requests to a node that accepts connections but stays silent are refused at once until it responds
+
+  Scenario: The backoff of a node ends with its incarnation
+    Then a node that failed is avoided until its next incarnation is known
--- a/features/stall_builders.py
+++ b/features/stall_builders.py
@@ -32,6 +32,8 @@
 # By how much a stall outlasts such a limit.
 EXCESS_S = 0.05
 REPLY_BODY = b'done'
+# More connections than a listener with a backlog of 0 holds.
+BACKLOG_FILLERS = 8
 
 Serve = Callable[[socket.socket], None]
 
@@ -182,6 +184,21 @@
             node.thread.join()
 
 
+@contextlib.contextmanager
+def unreachable_node() -> Iterator[Member]:
+    """Build a member to which connections hang, as they do behind a partition."""
+    with contextlib.ExitStack() as sockets:
+        listener = sockets.enter_context(socket.socket())
+        listener.bind(('127.0.0.1', 0))
+        listener.listen(0)
+        address = listener.getsockname()
+        for _ in range(BACKLOG_FILLERS):
+            filler = sockets.enter_context(socket.socket())
+            filler.setblocking(False)
+            filler.connect_ex(address)
+        yield member('unreachable', peer_port=address[1])
+
+
 def gate_for(port: int) -> Gate:
     """Build a gate whose target serves the example service."""
     gate = gate_with_target(port)
--- a/features/steps/link_steps.py
+++ b/features/steps/link_steps.py
@@ -4,22 +4,30 @@
 
 import asyncio
 import threading
+import time
+from http import HTTPStatus
 from typing import Any
+from unittest.mock import Mock
 
 from behave import then
+from builders import member
 from stall_builders import (
     HeldReplies,
     ThreadedNode,
     connected_sender,
+    lookup,
     order,
     state_of,
     threaded_node,
+    unreachable_node,
 )
 
 from lavendermount_core.models.members import Member
 from lavendermount_core.utils.units import DEFAULT_MAX_BODY_BYTES
 from lavendermountd.gate.attempts import AttemptResult
 from lavendermountd.peer.frames import BodyPart, Cancel, Dispatch
+from lavendermountd.peer.link_pool import LinkPool
+from lavendermountd.routing.sender import Sender
 
 DEADLINE_S = 10.0
 LARGE_BODY = bytes(DEFAULT_MAX_BODY_BYTES + 1)
@@ -27,6 +35,11 @@
 SILENCE_TIMEOUT_S = 0.1
 # Longer than a failed attempt and three failed queries.
 BUSY_S = 2.0
+REQUESTS = 40
+SHORT_DEADLINE_S = 1.0
+# Requests that are refused at once take less.
+AT_ONCE_S = 0.1
+POLL_S = 0.01
 
 
 @then(
@@ -114,3 +127,82 @@
         link.frames.send(BodyPart('a-1', part))
         outcome = await sender.send(state_of(request), peer, 'a-2')
         return outcome, link.is_open
+
+
+@then(
+    'many requests to a node that accepts no connection are refused as not run '
+    'before their deadline'
+)
+def refused_before_deadline(context: Any) -> None:
+    """Send many orders to it at the same moment."""
+    with unreachable_node() as peer:
+        started_at = time.monotonic()
+        outcomes = asyncio.run(_send_orders(peer))
+        elapsed_s = time.monotonic() - started_at
+    assert all(outcome.failure().is_not_run for outcome in outcomes), outcomes
+    assert elapsed_s < SHORT_DEADLINE_S, elapsed_s
+
+
+async def _send_orders(peer: Member) -> list[AttemptResult]:
+    async with connected_sender() as sender:
+        orders = [state_of(order(SHORT_DEADLINE_S)) for _ in range(REQUESTS)]
+        sending = [
+            sender.send(state, peer, f'a-{number}')
+            for number, state in enumerate(orders)
+        ]
+        return await asyncio.gather(*sending)
+
+
+@then(
+    'requests to a node that accepts connections but stays silent are refused '
+    'at once until it responds'
+)
+def silent_node_refused(context: Any) -> None:
+    """Keep the event loop of a node busy, and send requests to it meanwhile."""
+    target = HeldReplies()
+    target.may_reply.set()
+    may_continue = threading.Event()
+    with threaded_node(target.serve) as (node, peer):
+        node.call(may_continue.wait)
+        try:
+            asyncio.run(_send_to_silent_node(peer, may_continue))
+        finally:
+            may_continue.set()
+    assert target.request_sizes == [0]
+
+
+async def _send_to_silent_node(peer: Member, may_continue: threading.Event) -> None:
+    async with connected_sender() as sender:
+        sender.links.silence_timeout_s = SILENCE_TIMEOUT_S
+        first = await sender.send(state_of(lookup(DEADLINE_S)), peer, 'a-1')
+        assert not first.failure().is_not_run, first
+        refused = await _send_order(sender, peer, 2)
+        assert refused.failure().is_not_run, refused
+        # Longer than the first backoff.
+        await asyncio.sleep(BUSY_S)
+        refused = await _send_order(sender, peer, 3)
+        assert refused.failure().is_not_run, refused
+        may_continue.set()
+        while sender.links.backoff.is_avoided(peer.node_id):
+            await asyncio.sleep(POLL_S)
+        answered = await _send_order(sender, peer, 4)
+        assert answered.unwrap().status == HTTPStatus.OK, answered
+
+
+async def _send_order(sender: Sender, peer: Member, number: int) -> AttemptResult:
+    """Send an order that must not wait."""
+    sending = sender.send(state_of(order(DEADLINE_S)), peer, f'a-{number}')
+    async with asyncio.timeout(AT_ONCE_S):
+        return await sending
+
+
+@then('a node that failed is avoided until its next incarnation is known')
+def restarted_node_forgiven(context: Any) -> None:
+    """Let a node fail, and report its next incarnation."""
+    pool = LinkPool(Mock(), Mock(), Mock())
+    failed = member('n1')
+    pool.note_failure(failed)
+    pool.forgive_if_restarted(failed)
+    assert pool.backoff.is_avoided('n1')
+    pool.forgive_if_restarted(member('n1', incarnation=failed.incarnation + 1))
+    assert not pool.backoff.is_avoided('n1')
--- a/packages/node/src/lavendermountd/peer/backoff.py
+++ b/packages/node/src/lavendermountd/peer/backoff.py
@@ -40,6 +40,14 @@
         self.backoff_ends_at[node_id] = time.monotonic() + backoff_s
         self.on_failure(node_id)
 
+    def extend(self, node_id: str, extension_s: float) -> None:
+        """Avoid a node for at least this long that failed once more when checked."""
+        ends_at = time.monotonic() + extension_s
+        self.backoff_ends_at[node_id] = max(
+            ends_at, self.backoff_ends_at.get(node_id, 0)
+        )
+        self.backoff_s.setdefault(node_id, INITIAL_BACKOFF_S)
+
     def note_success(self, node_id: str) -> None:
         """Stop avoiding a node that responded and reset its backoff."""
         if self.backoff_s.pop(node_id, None) is not None:
--- a/packages/node/src/lavendermountd/peer/link.py
+++ b/packages/node/src/lavendermountd/peer/link.py
@@ -80,6 +80,7 @@
         'last_received_at',
         'last_ping_at',
         'silence_timer',
+        'pong',
         'reader',
         'on_load',
         'on_suspect',
@@ -108,6 +109,8 @@
         self.last_received_at = time.monotonic()
         self.last_ping_at: float = 0
         self.silence_timer: asyncio.TimerHandle | AfterReads | None = None
+        # Set while ``check`` waits for the reply to its ping.
+        self.pong: asyncio.Future[None] | None = None
         self.reader: asyncio.Task[None] | None = None
         self.frames: FrameStream = None  # type: ignore[assignment]
         self.on_ping_sent: Callable[[Member, int], None] | None = None
@@ -139,6 +142,26 @@
         self.frames.on_sent = self.on_sent
         self.reader = asyncio.create_task(self.receive_frames())
 
+    async def check(self) -> None:
+        """Wait for the node's reply to a ping.
+
+        :raises PeerLinkError: if it does not arrive within the silence timeout.
+        """
+        pong = asyncio.get_running_loop().create_future()
+        self.pong = pong
+        self.ping()
+        try:
+            async with deadline_in(self.silence_timeout_s):
+                await pong
+        except TimeoutError as error:
+            detail = f'no pong from node {self.member.node_id}'
+            raise PeerLinkError(detail) from error
+
+    def on_pong(self) -> None:
+        """End the wait of ``check``."""
+        if self.pong is not None and not self.pong.done():
+            self.pong.set_result(None)
+
     async def receive_frames(self) -> None:
         """Receive frames until the connection closes, then close the link."""
         try:
@@ -282,6 +305,8 @@
             if not waiter.done():
                 waiter.set_exception(PeerLinkError(self.member.node_id))
         self.pending.clear()
+        if self.pong is not None and not self.pong.done():
+            self.pong.set_exception(PeerLinkError(self.member.node_id))
 
 
 @link_handlers.register(Answer)
@@ -323,6 +348,7 @@
     """Pass the load report on."""
     assert isinstance(frame, Pong)
     link.on_load(LoadReport.from_row(frame.load))
+    link.on_pong()
 
 
 @link_handlers.register(CrashSuspicion)
--- a/packages/node/src/lavendermountd/peer/link_pool.py
+++ b/packages/node/src/lavendermountd/peer/link_pool.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import logging
 from collections.abc import Callable
 from functools import partial
 
@@ -19,8 +20,11 @@
 from lavendermountd.peer.backoff import NodeBackoff
 from lavendermountd.peer.frames import CrashSuspicion
 from lavendermountd.peer.link import PeerLink
+from lavendermountd.peer.reconnector import Reconnector
 from lavendermountd.traffic_meter import TrafficMeter
 
+log = logging.getLogger(__name__)
+
 
 class LinkPool:
     """Holds at most one link for each gate.
@@ -41,8 +45,12 @@
         self.on_load = on_load
         self.on_suspect = on_suspect
         self.links: dict[str, PeerLink] = {}
-        self.locks: dict[str, asyncio.Lock] = {}
+        # Connection attempts in progress, by node and incarnation.
+        self.opening: dict[tuple[str, int], asyncio.Task[PeerLink]] = {}
         self.backoff = NodeBackoff()
+        # Incarnation of each node at its last failure.
+        self.failed_incarnations: dict[str, int] = {}
+        self.reconnector = Reconnector(self)
         self.memory: MemoryBudget | None = None
         self.silence_timeout_s = 0.3
         self.on_ping_sent: Callable[[Member, int], None] | None = None
@@ -57,6 +65,8 @@
     async def get(self, member: Member) -> PeerLink:
         """Return the open link to a gate, or open one.
 
+        All callers that wait for a node share one connection attempt.
+
         :param member: the node of the gate.
         :raises PeerLinkError: if the node can't be reached.
         :returns: an open link to this incarnation of the node.
@@ -64,9 +74,35 @@
         link = self.find_open(member)
         if link is not None:
             return link
-        lock = self.locks.setdefault(member.node_id, asyncio.Lock())
-        async with lock:
-            return self.find_open(member) or await self.open(member)
+        key = (member.node_id, member.incarnation)
+        opening = self.opening.get(key)
+        if opening is None:
+            opening = asyncio.create_task(self.open(member))
+            self.opening[key] = opening
+            opening.add_done_callback(partial(self.finish_opening, key))
+        return await asyncio.shield(opening)
+
+    def finish_opening(
+        self, key: tuple[str, int], opening: asyncio.Task[PeerLink]
+    ) -> None:
+        """Forget a connection attempt, also one that nobody waits for any more."""
+        self.opening.pop(key)
+        if not opening.cancelled() and opening.exception() is not None:
+            log.info('link-not-opened', extra={'cause': str(opening.exception())})
+
+    async def get_responsive(self, member: Member) -> PeerLink:
+        """Return a link like ``get``, but none to a node that lately didn't respond.
+
+        Such a node is reconnected to in the background.
+
+        :param member: the node of the gate.
+        :raises PeerLinkError: at once for a node in backoff; otherwise if the node
+            can't be reached.
+        """
+        if not self.backoff.is_avoided(member.node_id):
+            return await self.get(member)
+        self.reconnector.need(member)
+        raise PeerLinkError(f'node {member.node_id} does not respond')
 
     def find_open(self, member: Member) -> PeerLink | None:
         """Return the open link to this incarnation of a node, if there is one."""
@@ -80,6 +116,41 @@
     async def open(self, member: Member) -> PeerLink:
         """Open a link that replaces a closed or outdated one."""
         self.drop(member.node_id)
+        link = self.build_link(member)
+        try:
+            await link.open()
+        except PeerLinkError:
+            self.note_failure(member)
+            raise
+        self.links[member.node_id] = link
+        return link
+
+    def note_failure(self, member: Member) -> None:
+        """Avoid a node that did not respond."""
+        self.failed_incarnations[member.node_id] = member.incarnation
+        self.backoff.note_failure(member.node_id)
+
+    def forgive_if_restarted(self, member: Member) -> None:
+        """Stop avoiding a node once a new incarnation of it is known."""
+        failed = self.failed_incarnations.get(member.node_id)
+        if failed is not None and failed != member.incarnation:
+            self.failed_incarnations.pop(member.node_id)
+            self.backoff.note_success(member.node_id)
+
+    def adopt(self, link: PeerLink) -> None:
+        """Use a link whose node has responded.
+
+        It replaces one that no request waits on, as that may be half open.
+        """
+        current = self.find_open(link.member)
+        if current is not None and current.pending:
+            link.close()
+            return
+        self.drop(link.member.node_id)
+        self.links[link.member.node_id] = link
+
+    def build_link(self, member: Member) -> PeerLink:
+        """Build a link that is not open yet."""
         link = PeerLink(
             member,
             self.identity.host_of(member),
@@ -93,12 +164,6 @@
         if self.meter is not None:
             distance = self.meter.distance_to(member)
             link.on_sent = partial(self.meter.add_frame, distance=distance)
-        try:
-            await link.open()
-        except PeerLinkError:
-            self.backoff.note_failure(member.node_id)
-            raise
-        self.links[member.node_id] = link
         return link
 
     def drop(self, node_id: str) -> None:
@@ -115,6 +180,7 @@
                     link.frames.send(frame)
 
     def close_all(self) -> None:
-        """Close every link."""
+        """Close every link; requests that wait for a new one still get it."""
+        self.reconnector.stop()
         for node_id in tuple(self.links):
             self.drop(node_id)
--- /dev/null
+++ b/packages/node/src/lavendermountd/peer/reconnector.py
@@ -0,0 +1,98 @@
+"""Reconnects to nodes that did not respond, so that requests don't wait for them.
+
+A connection that the kernel of the other node accepts proves nothing about its
+process, so a node counts as reachable again only once it has replied to a ping.
+
+:units: seconds on the node's monotonic clock.
+:errors: none; a failed attempt is logged and repeated.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from typing import TYPE_CHECKING
+
+from lavendermount_core.exceptions import PeerLinkError
+from lavendermount_core.models.members import Member
+
+if TYPE_CHECKING:
+    from lavendermountd.peer.link_pool import LinkPool
+
+log = logging.getLogger(__name__)
+
+RECONNECT_PAUSE_S = 0.25
+# Attempts continue for this long after the last request for the node, so that it is
+# reachable again when a refused caller returns.
+DEMAND_LIFETIME_S = 5.0
+# Longer than a failed attempt and the pause after it.
+BACKOFF_EXTENSION_S = 1.5
+
+
+class Reconnector:
+    """Reconnects to the nodes that requests need, each in a task of its own.
+
+    :param links: pool that gets the new links.
+    """
+
+    __slots__ = ('links', 'members', 'needed_until', 'tasks')
+
+    def __init__(self, links: LinkPool) -> None:
+        """Start without nodes."""
+        self.links = links
+        # Latest known incarnation of each node.
+        self.members: dict[str, Member] = {}
+        self.needed_until: dict[str, float] = {}
+        self.tasks: dict[str, asyncio.Task[None]] = {}
+
+    def need(self, member: Member) -> None:
+        """Reconnect to a node in the background, as a request needs it."""
+        node_id = member.node_id
+        self.members[node_id] = member
+        self.needed_until[node_id] = time.monotonic() + DEMAND_LIFETIME_S
+        if node_id in self.tasks:
+            return
+        self.tasks[node_id] = asyncio.create_task(self.run(node_id))
+
+    async def run(self, node_id: str) -> None:
+        """Reconnect to a node until it responds or no request needs it."""
+        try:
+            while self.is_needed(node_id):
+                await self.try_reconnect(self.members[node_id])
+        finally:
+            self.forget(node_id)
+
+    def forget(self, node_id: str) -> None:
+        """Forget a node whose attempts have ended."""
+        self.tasks.pop(node_id)
+        self.members.pop(node_id)
+        self.needed_until.pop(node_id)
+
+    def is_needed(self, node_id: str) -> bool:
+        """Return whether requests need a node that still does not respond."""
+        is_avoided = self.links.backoff.is_avoided(node_id)
+        return is_avoided and self.needed_until[node_id] > time.monotonic()
+
+    async def try_reconnect(self, member: Member) -> None:
+        """Open a link and wait for the reply to a ping; pause if there is none."""
+        link = self.links.build_link(member)
+        try:
+            await link.open()
+            await link.check()
+        except PeerLinkError as error:
+            link.close()
+            extra = {'peer': member.node_id, 'cause': str(error)}
+            log.info('reconnect-failed', extra=extra)
+            self.links.backoff.extend(member.node_id, BACKOFF_EXTENSION_S)
+            await asyncio.sleep(RECONNECT_PAUSE_S)
+            return
+        except asyncio.CancelledError:
+            link.close()
+            raise
+        self.links.adopt(link)
+
+    def stop(self) -> None:
+        """End all attempts."""
+        for task in tuple(self.tasks.values()):
+            task.cancel()
--- a/packages/node/src/lavendermountd/routing/router.py
+++ b/packages/node/src/lavendermountd/routing/router.py
@@ -246,6 +246,8 @@
         selection = self.selector.select(state, is_same_region=True)
         if selection.member is None or selection.is_slow():
             return set()
+        if self.selector.backoff.is_avoided(selection.member.node_id):
+            return set()
         if not self.try_spend_hedge(state.request.call_class):
             return set()
         attempt = OutboundAttempt(state, selection, Cause.HEDGE)
--- a/packages/node/src/lavendermountd/routing/sender.py
+++ b/packages/node/src/lavendermountd/routing/sender.py
@@ -67,12 +67,16 @@
         if member.node_id == self.gate.identity.node_id:
             return await self.send_local(state, attempt_id, patience_s)
         try:
-            link = await self.links.get(member)
+            async with Deadline(state.request.deadline):
+                link = await self.links.get_responsive(member)
         except PeerLinkError as error:
             refusal = not_run_refusal(
                 Reason.LINK_LOST, str(error), UNREACHABLE_RETRY_AFTER_S
             )
             return Failure(refusal)
+        except TimeoutError:
+            detail = 'no connection to the target node before the deadline'
+            return Failure(not_run_refusal(Reason.DEADLINE, detail))
         self.send_suspicion(link, state)
         frame = _dispatch_frame(state, member, attempt_id, patience_s)
         sent_at = time.monotonic()
@@ -174,7 +178,7 @@
         try:
             return await link.call(frame, attempt_id)
         except PeerLinkError as error:
-            self.links.backoff.note_failure(member.node_id)
+            self.links.note_failure(member)
             raise PeerSilentError(str(error)) from error
 
     def cancel(
