Presets: nodes that wait at the log lose it alone, and the others don't notice

Cause: the other nodes check the log at random times at a rate shared by the region. A reader whose read waits for news can't tell a lost connection from silence and told nobody. Ruled out: the fetch from other nodes, which had nothing to fetch; the lead of the readers alone (0.8 s at most).

Change: one node of each region that does not wait at the log, the sentinel, checks it every 0.6 s, and says so at once if the log does not answer. Each gossip round tells that of its sender. Such members count as ones that do not answer: the others check at once, and every 0.5 s if few are left. Nodes of other regions are asked side by side before a read.

--- a/features/presets.feature
+++ b/features/presets.feature
@@ -152,6 +152,13 @@
     Then one of the living checks the log within 2 s in 95 of 100 cases
     And a suspected reader is replaced before it counts as dead
 
+  Scenario: Readers that lose the log alone are noticed by a node that checks it at short intervals
+    Given 40 nodes in 4 zones that know each other
+    Then one node that does not wait at the log is the sentinel, and all nodes agree which
+    And the next one is where the sentinel is known to have lost the log
+    And the sentinel lets no more than 0.6 s pass between its checks
+    And it says that the log is silent before its check has failed
+
   Scenario: A node that replaces a reader that died waits at the log soon
     When a node that only checks the log becomes a reader 0.3 s later
     Then it waits at the log within 1.5 s
--- a/features/spreading.feature
+++ b/features/spreading.feature
@@ -16,6 +16,12 @@
     Then each living node of 87 has it in force within 2.5 s in 4 of 4 runs if 1 in 10 nodes had its connections fall silent
     And each living node of 56 has it in force within 2.5 s in 4 of 4 runs if all nodes had their connections fall silent
 
+  Scenario: A preset is in force in time though the nodes that tell of news lose the log and nothing else
+    Given no nodes are lost, and a preset takes 0.2 s to prepare
+    Then each living node of 16 has it in force within 2.5 s in 30 of 30 runs if all nodes that wait at the log are cut off from it
+    And each living node of 56 has it in force within 2.5 s in 10 of 10 runs if all nodes that wait at the log are cut off from it
+    And each living node of 16 has it in force within 2.5 s in 30 of 30 runs if all nodes but itself are cut off from the log
+
   Scenario: A node whose neighbours miss it with a call is told of a preset nevertheless
     Given no nodes are lost, and a preset takes 0.3 s to prepare
     Then each living node of 87 has it in force within 2.5 s in 4 of 4 runs if 1 in 10 calls is lost
--- a/features/steps/log_reader_steps.py
+++ b/features/steps/log_reader_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 import time
 from functools import partial
@@ -14,6 +15,7 @@
 from behave import given, then, when
 from builders import member
 
+from lavendermount_core.exceptions import LogUnavailableError
 from lavendermount_core.models.members import Member, MemberStatus
 from lavendermount_testbed.simulated_time import SimulatedTime
 from lavendermountd.membership.table import MemberTable
@@ -30,6 +32,8 @@
 RATE_TOLERANCE = 0.1
 ZONE_COUNT = 4
 READERS_PER_ZONE = 2
+# Longer than an answer takes usually, and shorter than the log may be silent.
+LATE_S = 0.6
 
 
 def tables_of(members: list[Member]) -> list[MemberTable]:
@@ -177,6 +181,62 @@
     assert len(set(living) - set(readers)) == READERS_PER_ZONE, living
 
 
+def sentinels(members: list[Member], lost: set[str]) -> set[str]:
+    """Ask each node that is not lost whether it is the sentinel."""
+    holder = SimpleNamespace(current=None)
+    names = set()
+    for table in tables_of(members):
+        role = ReaderRole(table, holder, READERS_PER_ZONE)
+        role.is_lost = lost.__contains__
+        if role.is_sentinel() and table.own.node_id not in lost:
+            names.add(table.own.node_id)
+    return names
+
+
+@then(
+    'one node that does not wait at the log is the sentinel, and all nodes agree which'
+)
+def one_sentinel(context: Any) -> None:
+    """Ask all nodes."""
+    (context.sentinel,) = sentinels(context.members, set())
+    readers = readers_by_zone(context.members).values()
+    assert not any(context.sentinel in names for names in readers)
+
+
+@then('the next one is where the sentinel is known to have lost the log')
+def next_sentinel(context: Any) -> None:
+    """Ask nodes that know so."""
+    (successor,) = sentinels(context.members, {context.sentinel})
+    assert successor != context.sentinel
+
+
+@then('the sentinel lets no more than {limit_s:g} s pass between its checks')
+def sentinel_interval(context: Any, limit_s: float) -> None:
+    """Let a sentinel of a large region wait until its next check is due."""
+    reachability = LogReachability(LONGEST_WAIT_S)
+    reachability.mark_answered()
+    reachability.schedule.region_size = Mock(return_value=1000)
+    reachability.schedule.is_reader = Mock(return_value=False)
+    reachability.schedule.is_sentinel = Mock(return_value=True)
+    with SimulatedTime() as simulated:
+        for _ in range(DRAWS // 1000):
+            started_at = simulated.now
+            simulated.run(reachability.wait_until_due())
+            elapsed_s = simulated.now - started_at
+            assert round(elapsed_s, 3) <= limit_s, elapsed_s
+
+
+@then('it says that the log is silent before its check has failed')
+def silence_is_announced(context: Any) -> None:
+    """Check a log that does not answer, and then one that does."""
+    reachability = LogReachability(LONGEST_WAIT_S)
+    reachability.on_silence = Mock()
+    with SimulatedTime() as simulated, contextlib.suppress(LogUnavailableError):
+        simulated.run(reachability.check(partial(asyncio.sleep, LATE_S, 0)))
+    assert reachability.on_silence.call_count == 1
+    assert not reachability.reports_silence()
+
+
 @given(
     '{count:d} nodes in {zones:d} zones that know each other, of which {fast:d} of each'
     ' zone have more bandwidth'
--- a/features/steps/spreading_steps.py
+++ b/features/steps/spreading_steps.py
@@ -38,6 +38,14 @@
         'has_log': True,
         'silent_ratio': 1,
     },
+    'all nodes that wait at the log are cut off from it': {
+        'has_log': True,
+        'cut': 'readers',
+    },
+    'all nodes but itself are cut off from the log': {
+        'has_log': True,
+        'cut': 'all-but-one',
+    },
     '1 in 10 calls is lost': {'has_log': True, 'lost_calls': 0.1},
 }
 
--- a/packages/node/src/lavendermountd/log_readers.py
+++ b/packages/node/src/lavendermountd/log_readers.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-from functools import partial
 from typing import TYPE_CHECKING
 
 from lavendermount_core.config.findings import Finding
@@ -17,7 +16,7 @@
 from lavendermountd.membership.joining import Joiner
 from lavendermountd.membership.keyed_joining import KeyedJoiner
 from lavendermountd.membership.table import MemberTable
-from lavendermountd.presets.check_pace import hurry_if_nearby
+from lavendermountd.presets.check_pace import NearbyMembers
 from lavendermountd.presets.decoders import preset_decoders
 from lavendermountd.presets.follower import PresetFollower
 from lavendermountd.presets.holder import PresetHolder
@@ -65,7 +64,9 @@
     if options.readers_per_zone:
         role = ReaderRole(table, holder, options.readers_per_zone)
         schedule.is_reader = role.is_reader
+        role.is_lost = follower.reachability.check_pace.is_lost
         schedule.is_standby = role.is_standby
+        schedule.is_sentinel = role.is_sentinel
         schedule.reader_count = role.reader_count
     return follower
 
@@ -75,9 +76,11 @@
     schedule = node.follower.reachability.schedule
     schedule.region_size = node.gossip.region_size
     pace = node.follower.reachability.check_pace
-    note_loss = partial(hurry_if_nearby, pace, node.table)
-    node.gossip.on_unanswered = note_loss
-    node.links.backoff.on_failure = note_loss
+    nearby = NearbyMembers(pace, node.table)
+    node.gossip.on_unanswered = nearby.note_unanswered
+    node.links.backoff.on_failure = nearby.note_unanswered
+    node.gossip.exchange.on_log_state = nearby.note_answer
+    node.gossip.exchange.is_log_silent = node.follower.reachability.reports_silence
     start_from_peers(node)
     if isinstance(node.follower, KeyedPresetFollower):
         other_regions = OtherRegions(node.table, node.catch_up)
--- a/packages/node/src/lavendermountd/membership/exchange.py
+++ b/packages/node/src/lavendermountd/membership/exchange.py
@@ -80,6 +80,9 @@
         table.forget_listeners.append(self.forget)
         self.log_era: Callable[[], int] = _no_era
         self.on_log_era: Callable[[int], None] = _ignore_era
+        self.is_log_silent: Callable[[], bool] = _has_no_log
+        # Called with each sender and whether the log does not answer it.
+        self.on_log_state: Callable[[str, bool], None] = _ignore_log_state
 
     def build(self, receiver: Member | None) -> control_pb2.GossipRound:
         """Build a round.
@@ -124,6 +127,7 @@
             loads=[load_message(self.gate.load(), 0)],
             suspicions=map(suspicion_message, suspicions),
             zones=map(zone_message, self.evacuations.states.values()),
+            is_log_silent=self.is_log_silent(),
         )
         if receiver is not None and receiver.status != MemberStatus.ALIVE:
             message.members.append(member_message(receiver))
@@ -177,6 +181,7 @@
             self.gate.suspects.merge(suspicion_record(suspicion))
         for zone in message.zones:
             self.evacuations.merge(zone_record(zone), sender.node_id)
+        self.on_log_state(sender.node_id, message.is_log_silent)
         if message.log_era > max(0, self.log_era()):
             self.on_log_era(message.log_era)
         told = (sender.incarnation, message.revision)
@@ -265,6 +270,14 @@
     return UNKNOWN_ERA
 
 
+def _has_no_log() -> bool:
+    return False
+
+
+def _ignore_log_state(node_id: str, is_silent: bool) -> None:
+    """Ignore the state; replaced when the node's components are connected."""
+
+
 def _ignore_era(era: int) -> None:
     """Ignore the era; replaced when the node's components are connected."""
 
--- a/packages/node/src/lavendermountd/presets/check_pace.py
+++ b/packages/node/src/lavendermountd/presets/check_pace.py
@@ -1,8 +1,9 @@
 """Pace at which a node that does not wait at the log approaches its next check of it.
 
 The nodes that wait there tell the others of news. When members of the region can't be
-reached, those nodes may be among them, and they are replaced only once they are known
-to be lost. The others check the log more often meanwhile.
+reached, or say that the log does not answer them, those nodes may be among them. They
+are replaced only once they are known to be lost. The others check the log more often
+meanwhile, and at even intervals if only a few are left.
 
 :units: seconds on the node's monotonic clock.
 """
@@ -10,6 +11,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 import time
 from typing import Final
@@ -20,18 +22,23 @@
 # Longest time without a look at whether this node waits at the log by now.
 ROLE_CHECK_INTERVAL_S: Final = 1.0
 HURRY_FACTOR: Final = 7
-# Nodes of a region that check at once when they begin to hurry, on average.
+# Nodes of a region that check at once when they begin to hurry, on average, and again
+# for each further member that can't tell of news.
 FIRST_CHECKS: Final = 14
 # Time for which the checks stay frequent: until dead members are known as dead.
 HURRY_S: Final = 5.0
 # A node that was told of news within this time can still be told.
 TOLD_S: Final = 1.5
+# Least time between two checks of a node while it hurries.
+HURRY_INTERVAL_S: Final = 0.5
+# Nodes that share a check in that time at most.
+NODES_PER_INTERVAL: Final = 4
 
 
 class CheckPace:
     """Shortens the time until the next check while members can't be reached."""
 
-    __slots__ = ('hurries_until', 'told_at', 'has_begun_to_hurry')
+    __slots__ = ('hurries_until', 'told_at', 'has_begun_to_hurry', 'lost_until')
 
     def __init__(self) -> None:
         """Start at the normal pace."""
@@ -39,6 +46,8 @@
         # When another node told of a version last.
         self.told_at: float = 0
         self.has_begun_to_hurry = asyncio.Event()
+        # Until when each member counts as one that can't tell of news.
+        self.lost_until: dict[str, float] = {}
 
     @property
     def factor(self) -> int:
@@ -47,44 +56,101 @@
         is_told = now < self.told_at + TOLD_S
         return 1 if is_told or now >= self.hurries_until else HURRY_FACTOR
 
-    def note_unreachable(self) -> None:
-        """Check often for some time: a member of the region can't be reached."""
-        if self.factor == 1:
+    def note_unreachable(self, node_id: str = '') -> None:
+        """Check often for some time: a member of the region can't tell of news.
+
+        :param node_id: name of the member; empty if it is not known.
+        """
+        is_news = bool(node_id) and not self.is_lost(node_id)
+        if self.factor == 1 or is_news:
             self.has_begun_to_hurry.set()
         self.hurries_until = time.monotonic() + HURRY_S
+        if node_id:
+            self.lost_until[node_id] = self.hurries_until
+
+    def note_reachable(self, node_id: str) -> None:
+        """Count a member as one that can tell of news again."""
+        self.lost_until.pop(node_id, None)
+
+    def is_lost(self, node_id: str) -> bool:
+        """Return whether a member can't be reached, or does not reach the log."""
+        return self.lost_until.get(node_id, 0) > time.monotonic()
 
-    async def advance(self, left_s: float, region_size: int) -> float:
+    def lost_count(self) -> int:
+        """Count the members that can't tell of news."""
+        return sum(map(self.is_lost, self.lost_until))
+
+    def longest_interval_s(self, region_size: int) -> float:
+        """Return the longest time until the next check, by the nodes that are left.
+
+        :param region_size: number of nodes of the region.
+        """
+        lost_count = self.lost_count()
+        if not lost_count:
+            return math.inf
+        left_count = max(1, region_size - lost_count)
+        return HURRY_INTERVAL_S * math.ceil(left_count / NODES_PER_INTERVAL)
+
+    async def advance(
+        self, left_s: float, region_size: int, longest_s: float = math.inf
+    ) -> float:
         """Wait for a part of an interval.
 
         Some nodes of the region end it as soon as they begin to hurry.
 
         :param left_s: what is left of the interval at the normal pace.
         :param region_size: number of nodes of the region.
+        :param longest_s: longest time until the check, whatever the pace.
         :returns: what is left of it after that.
         """
         factor = self.factor
         started_at = time.monotonic()
-        wait_s = min(left_s / factor, ROLE_CHECK_INTERVAL_S)
+        longest_s = min(longest_s, self.longest_interval_s(region_size))
+        wait_s = min(left_s / factor, longest_s, ROLE_CHECK_INTERVAL_S)
         self.has_begun_to_hurry.clear()
         try:
             async with asyncio.timeout(wait_s):
                 await self.has_begun_to_hurry.wait()
         except TimeoutError:
-            return left_s - wait_s * factor
-        if random.random() < FIRST_CHECKS / region_size:
+            return 0 if wait_s == longest_s else left_s - wait_s * factor
+        if random.random() < FIRST_CHECKS * (1 + self.lost_count()) / region_size:
             return 0
         return left_s - (time.monotonic() - started_at) * factor
 
 
-def hurry_if_nearby(pace: CheckPace, table: MemberTable, node_id: str) -> None:
-    """Check often if a member that can't be reached may have told this node of news.
+class NearbyMembers:
+    """Tells the pace which members of the region may have told this node of news.
 
     :param pace: pace of this node.
     :param table: known members.
-    :param node_id: name of the member.
     """
-    member = table.find(node_id)
-    if member is None or member.status == MemberStatus.DEAD:
-        return
-    if member.region == table.own.region:
-        pace.note_unreachable()
+
+    __slots__ = ('pace', 'table')
+
+    def __init__(self, pace: CheckPace, table: MemberTable) -> None:
+        """Initialize the fields."""
+        self.pace = pace
+        self.table = table
+
+    def note_unanswered(self, node_id: str) -> None:
+        """Check often if a member did not answer that may have told of news."""
+        if self.is_nearby(node_id):
+            self.pace.note_unreachable(node_id)
+
+    def note_answer(self, node_id: str, is_log_silent: bool) -> None:
+        """Check often if a member says that the log does not answer it.
+
+        :param node_id: name of the member.
+        :param is_log_silent: whether the log does not answer the member.
+        """
+        if not is_log_silent:
+            self.pace.note_reachable(node_id)
+            return
+        self.note_unanswered(node_id)
+
+    def is_nearby(self, node_id: str) -> bool:
+        """Return whether a member of the own region is not known as dead."""
+        member = self.table.find(node_id)
+        if member is None or member.status == MemberStatus.DEAD:
+            return False
+        return member.region == self.table.own.region
--- a/packages/node/src/lavendermountd/presets/keyed_follower.py
+++ b/packages/node/src/lavendermountd/presets/keyed_follower.py
@@ -48,6 +48,8 @@
 POSITION_CHECK_S = 0.1
 # Longest time for which a node leaves news to the readers of the log.
 PEER_LEAD_S = 0.8
+# Time for which the sentinel does.
+SENTINEL_LEAD_S = 0.4
 # Changes in quick succession are coalesced into one read.
 COALESCE_S = 0.4
 
@@ -245,8 +247,7 @@
         """
         end = await self.reachability.check(partial(self.keyed_log.end, self.stream))
         if end > self.offset and self.is_caught_up.is_set():
-            lead_s = PEER_LEAD_S / self.reachability.check_pace.factor
-            await asyncio.sleep(random.uniform(0, lead_s))
+            await asyncio.sleep(self.lead_s())
             if end > self.offset:
                 await self.ask_other_regions()
         if end > self.offset:
@@ -254,6 +255,13 @@
         self.is_caught_up.set()
         return False
 
+    def lead_s(self) -> float:
+        """Return how long this node leaves news to the readers of the log."""
+        if self.reachability.schedule.is_sentinel():
+            return SENTINEL_LEAD_S
+        lead_s = PEER_LEAD_S / self.reachability.check_pace.factor
+        return random.uniform(0, lead_s)
+
     def read_batch(self, batch: LogBatch, known_offset: int) -> list[bytes]:
         """Pass on the records of zones, and return those of the preset.
 
--- a/packages/node/src/lavendermountd/presets/other_regions.py
+++ b/packages/node/src/lavendermountd/presets/other_regions.py
@@ -14,11 +14,14 @@
 import random
 from typing import Final
 
+from lavendermount_core.models.members import Member
+from lavendermountd.membership.staggered import call_until_answered
 from lavendermountd.membership.table import MemberTable
 from lavendermountd.presets.catchup import PresetCatchUp
 
 MAX_ASKS: Final = 3
 ASK_TIMEOUT_S: Final = 0.25
+ALL_ASKS_TIMEOUT_S: Final = 0.35
 # Longest time for the preset to arrive and to be prepared.
 ADOPT_TIMEOUT_S: Final = 1.0
 
@@ -38,12 +41,20 @@
         self.catch_up = catch_up
 
     async def ask(self) -> None:
-        """Ask a few nodes until one answers, and fetch what it has."""
+        """Ask a few nodes until one answers, and fetch what it has.
+
+        Nodes that are cut off cost a short time together, not each.
+        """
         region = self.table.own.region
         members = [peer for peer in self.table.living() if peer.region != region]
-        for member in random.sample(members, min(MAX_ASKS, len(members))):
-            if await self.catch_up.ask_progress(member, ASK_TIMEOUT_S):
-                break
+        chosen = random.sample(members, min(MAX_ASKS, len(members)))
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(ALL_ASKS_TIMEOUT_S):
+                await call_until_answered(iter(chosen), self.ask_one)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(ADOPT_TIMEOUT_S):
                 await self.catch_up.is_up_to_date.wait()
+
+    async def ask_one(self, member: Member) -> bool:
+        """Ask a node for its revision; return whether it answered."""
+        return await self.catch_up.ask_progress(member, ASK_TIMEOUT_S)
--- a/packages/node/src/lavendermountd/presets/poll_schedule.py
+++ b/packages/node/src/lavendermountd/presets/poll_schedule.py
@@ -15,6 +15,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable
 
@@ -25,6 +26,8 @@
 REGION_CHECKS_PER_S = 1.0
 # Rate of the checks of each standby.
 STANDBY_CHECKS_PER_S = 1.0
+# Longest time between two checks of the sentinel.
+SENTINEL_INTERVAL_S = 0.6
 MAX_DOUBLINGS = 10
 MIN_WAIT_S = 0.2
 MIN_RETRY_S = 0.1
@@ -44,6 +47,7 @@
         'region_size',
         'is_reader',
         'is_standby',
+        'is_sentinel',
         'reader_count',
         'reads_without_news',
     )
@@ -56,6 +60,8 @@
         self.is_reader: Callable[[], bool] = _always
         # Whether this node checks the log often.
         self.is_standby: Callable[[], bool] = _never
+        # Whether this node checks the log at short, even intervals for its region.
+        self.is_sentinel: Callable[[], bool] = _never
         # Nodes of the region that wait at the log; ``None`` if all of them do.
         self.reader_count: Callable[[], int] | None = None
         self.reads_without_news = 0
@@ -85,6 +91,10 @@
         drawn_s = random.expovariate(rate_per_s)
         return min(max(drawn_s, MIN_WAIT_S), self.max_wait_s)
 
+    def longest_interval_s(self) -> float:
+        """Return the longest time that may pass until the next check in this role."""
+        return SENTINEL_INTERVAL_S if self.is_sentinel() else math.inf
+
     def retry_s(self) -> float:
         """Return how long to wait after a failed read."""
         drawn_s = random.expovariate(REGION_RETRIES_PER_S / self.region_size())
--- a/packages/node/src/lavendermountd/presets/reachability.py
+++ b/packages/node/src/lavendermountd/presets/reachability.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import math
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from contextlib import AbstractAsyncContextManager, asynccontextmanager, nullcontext
@@ -22,6 +23,11 @@
 
 log = logging.getLogger(__name__)
 
+# Time after which a check without an answer counts as a sign of a silent log.
+LATE_ANSWER_S = 0.35
+# Least time between two announcements of that; regular gossip repeats it meanwhile.
+SILENCE_INTERVAL_S = 2.5
+
 ReadCall = Callable[[float, Transfer], Awaitable[LogBatch]]
 
 
@@ -38,6 +44,9 @@
         'is_reachable',
         'is_waiting',
         'is_lost_read_suspected',
+        'is_silent',
+        'on_silence',
+        'announced_at',
         'failures',
         'asked_at',
         'answered_at',
@@ -52,6 +61,11 @@
         self.is_reachable = False
         self.is_waiting = False
         self.is_lost_read_suspected = False
+        # Whether the latest check has no answer yet or the latest read has failed.
+        self.is_silent = False
+        # Called when the log falls silent.
+        self.on_silence: Callable[[], None] = _ignore_silence
+        self.announced_at = -math.inf
         self.failures = 0
         self.asked_at = time.monotonic()
         self.answered_at = time.monotonic()
@@ -93,8 +107,13 @@
         :param call: asks.
         :raises LogUnavailableError: if there is no answer in time.
         """
-        async with self.answered_in_time(0):
-            return await call()
+        loop = asyncio.get_running_loop()
+        lateness = loop.call_later(LATE_ANSWER_S, self.note_silence)
+        try:
+            async with self.answered_in_time(0):
+                return await call()
+        finally:
+            lateness.cancel()
 
     async def read(self, call: ReadCall) -> LogBatch:
         """Read records when it is due; wait for news only while the log answers.
@@ -135,7 +154,11 @@
         while not self.schedule.is_reader():
             if left_s <= 0:
                 return 0
-            left_s = await self.check_pace.advance(left_s, self.schedule.region_size())
+            left_s = await self.check_pace.advance(
+                left_s,
+                self.schedule.region_size(),
+                self.schedule.longest_interval_s(),
+            )
         return self.schedule.wait_s()
 
     @asynccontextmanager
@@ -168,11 +191,27 @@
         """Record an answer of the log."""
         self.answered_at = time.monotonic()
         self.failures = 0
+        self.is_silent = False
         if self.is_reachable:
             return
         self.is_reachable = True
         log.info('log-reachable')
 
+    def note_silence(self) -> None:
+        """Record that the log does not answer; others may have to take over."""
+        if self.is_silent:
+            return
+        self.is_silent = True
+        log.info('log-silent', extra={'answer_age_s': round(self.answer_age_s(), 3)})
+        now = time.monotonic()
+        if now - self.announced_at >= SILENCE_INTERVAL_S:
+            self.announced_at = now
+            self.on_silence()
+
+    def reports_silence(self) -> bool:
+        """Return whether to tell other nodes that the log does not answer."""
+        return self.is_silent
+
     def answer_age_s(self) -> float:
         """Return the time since the last answer, or since the start without one."""
         return time.monotonic() - self.answered_at
@@ -192,5 +231,10 @@
             )
         self.is_reachable = False
         self.failures += 1
+        self.note_silence()
         self.schedule.restart()
         await asyncio.sleep(self.schedule.retry_s())
+
+
+def _ignore_silence() -> None:
+    """Do nothing; replaced when the node's components are connected."""
--- a/packages/node/src/lavendermountd/presets/reader_selection.py
+++ b/packages/node/src/lavendermountd/presets/reader_selection.py
@@ -11,7 +11,8 @@
 from __future__ import annotations
 
 import zlib
-from collections import Counter
+from collections import Counter, defaultdict
+from collections.abc import Callable
 from heapq import nsmallest
 from typing import Final
 
@@ -35,7 +36,7 @@
     :param readers_per_zone: number of nodes of each zone that wait for small versions.
     """
 
-    __slots__ = ('table', 'holder', 'readers_per_zone')
+    __slots__ = ('table', 'holder', 'readers_per_zone', 'is_lost')
 
     def __init__(
         self, table: MemberTable, holder: PresetHolder, readers_per_zone: int
@@ -44,6 +45,8 @@
         self.table = table
         self.holder = holder
         self.readers_per_zone = readers_per_zone
+        # Whether a member can't be reached, or does not reach the log.
+        self.is_lost: Callable[[str], bool] = _never_lost
 
     @property
     def waiting_per_zone(self) -> int:
@@ -61,6 +64,20 @@
         """Return whether this node would wait at the log for small versions only."""
         return not self.is_reader() and is_log_reader(self.table, self.readers_per_zone)
 
+    def is_sentinel(self) -> bool:
+        """Return whether this node checks the log at short intervals for its region.
+
+        One node of those that do not wait at the log does. If it has no path to the
+        log, it says so, and the others check; a reader that waits can't know.
+        """
+        checking = [
+            member
+            for member in other_than_readers(self.table, self.waiting_per_zone)
+            if not self.is_lost(member.node_id)
+        ]
+        sentinel = min(checking, key=_selection_key, default=None)
+        return sentinel is not None and sentinel.node_id == self.table.own.node_id
+
     def reader_count(self) -> int:
         """Count the nodes of the own region that wait at the log."""
         return count_readers(self.table, self.waiting_per_zone)
@@ -87,6 +104,22 @@
     )
 
 
+def other_than_readers(table: MemberTable, readers_per_zone: int) -> list[Member]:
+    """List the living members of the own region that do not wait at the log.
+
+    :param table: known members.
+    :param readers_per_zone: number of nodes of each zone that wait.
+    """
+    zones: dict[str, list[Member]] = defaultdict(list)
+    for member in table.members.values():
+        if member.region == table.own.region and member.status == MemberStatus.ALIVE:
+            zones[member.zone].append(member)
+    others: list[Member] = []
+    for zone_members in zones.values():
+        others.extend(sorted(zone_members, key=_selection_key)[readers_per_zone:])
+    return others
+
+
 def count_readers(table: MemberTable, readers_per_zone: int) -> int:
     """Count the nodes of the own region that wait at the log.
 
@@ -101,6 +134,11 @@
     return sum(min(size, readers_per_zone) for size in zone_sizes.values()) or 1
 
 
+def _never_lost(node_id: str) -> bool:
+    """Count no member as lost; replaced when the node's components are connected."""
+    return False
+
+
 def _selection_key(member: Member) -> tuple[int, int, str]:
     digest = zlib.crc32(f'{member.node_id}/log-reader'.encode())
     return -member.link_mbps, digest, member.node_id
--- a/packages/node/src/lavendermountd/supervisor_tree.py
+++ b/packages/node/src/lavendermountd/supervisor_tree.py
@@ -83,6 +83,7 @@
         node.holder.on_change.append(announcer.note_change)
         node.catch_up.relay.on_receive = announcer.note_receipt
         node.evacuations.listeners.append(announcer.request)
+        node.follower.reachability.on_silence = announcer.request
         return self.supervisor(
             'members',
             [
--- a/packages/testbed/src/lavendermount_testbed/__main__.py
+++ b/packages/testbed/src/lavendermount_testbed/__main__.py
@@ -166,6 +166,12 @@
 @click.option(
     '--after', type=float, default=0, help='Seconds from the change to the loss.'
 )
+@click.option(
+    '--cut',
+    type=click.Choice(('', 'readers', 'all-but-one')),
+    default='',
+    help='Which nodes lose the log alone before the change.',
+)
 @click.option('--seeds', default=SPREAD_SEEDS, help='Number of runs.')
 def spread(  # noqa: WPS211, WPS216
     nodes: int,
@@ -177,13 +183,14 @@
     silent: float,
     lost_calls: float,
     after: float,
+    cut: str,
     seeds: int,
 ) -> None:
     """Simulate how a version spreads over nodes of which many have just died."""
     from lavendermount_testbed.emulator.spread import SpreadScenario, report_spread
 
     scenario = SpreadScenario(
-        nodes, loss, dead, refused, prepare, log, silent, lost_calls, after
+        nodes, loss, dead, refused, prepare, log, silent, lost_calls, after, cut
     )
     click.echo(report_spread(scenario, seeds))
 
--- a/packages/testbed/src/lavendermount_testbed/emulator/simulated_log.py
+++ b/packages/testbed/src/lavendermount_testbed/emulator/simulated_log.py
@@ -8,6 +8,7 @@
 import asyncio
 from typing import Final
 
+from lavendermount_core.exceptions import LogUnavailableError
 from lavendermount_core.log.adapter import (
     FIRST_ERA,
     KeyedLog,
@@ -19,6 +20,8 @@
 from lavendermount_core.log.transfer import Transfer
 
 ANSWER_S: Final = 0.02
+# Time after which the client gives up a call without an answer.
+CLIENT_TIMEOUT_S: Final = 2.0
 KEY: Final = 'preset'
 
 
@@ -50,10 +53,22 @@
         super().__init__()
         self.stored = stored
         self.era = FIRST_ERA
+        # Whether nothing passes between this node and the log.
+        self.is_cut = False
+
+    async def pass_network(self) -> None:
+        """Take the time of a call.
+
+        :raises LogUnavailableError: if the node is cut off from the log.
+        """
+        await asyncio.sleep(ANSWER_S)
+        if self.is_cut:
+            await asyncio.sleep(CLIENT_TIMEOUT_S)
+            raise LogUnavailableError('the log is cut off')
 
     async def append(self, stream: str, body: bytes) -> int:
         """Append a record."""
-        await asyncio.sleep(ANSWER_S)
+        await self.pass_network()
         await self.stored.append(body)
         return len(self.stored.bodies) - 1
 
@@ -65,13 +80,13 @@
         self, stream: str, transfer: Transfer | None = None
     ) -> NewestRecords:
         """Read the newest record."""
-        await asyncio.sleep(ANSWER_S)
+        await self.pass_network()
         bodies = self.stored.bodies
         return NewestRecords(len(bodies), {KEY: bodies[-1]} if bodies else {})
 
     async def end(self, stream: str) -> int:
         """Return the number of records."""
-        await asyncio.sleep(ANSWER_S)
+        await self.pass_network()
         return len(self.stored.bodies)
 
     async def read(
@@ -82,13 +97,15 @@
         transfer: Transfer | None = None,
     ) -> LogBatch:
         """Read the records from an offset on; wait for the next one at the end."""
-        await asyncio.sleep(ANSWER_S)
+        await self.pass_network()
         bodies = self.stored.bodies
         try:
             async with asyncio.timeout(wait_s), self.stored.has_grown:
                 await self.stored.has_grown.wait_for(lambda: len(bodies) > offset)
         except TimeoutError:
+            await self.pass_network()
             return LogBatch(0, offset, len(bodies), [])
+        await self.pass_network()
         records = [
             LogRecord(offset + index, body)
             for index, body in enumerate(bodies[offset:])
--- a/packages/testbed/src/lavendermount_testbed/emulator/spread.py
+++ b/packages/testbed/src/lavendermount_testbed/emulator/spread.py
@@ -53,6 +53,8 @@
 # A node counts as undisturbed this long after its connections fell silent.
 SILENT_FOR_S: Final = 4
 LIMIT_S: Final = 12
+# Longest time from the loss of the log to the change.
+MAX_CUT_S: Final = 3
 STEP_S: Final = 0.05
 # A preset is checked and compiled, each in a run of slices.
 STAGES: Final = 2
@@ -76,6 +78,7 @@
 NodeTasks = list[asyncio.Task[None]]
 Loss = Callable[['SimulatedDeployment'], list[Node]]
 losses: Registry[str, Loss] = Registry('loss of nodes')
+cuts: Registry[str, Loss] = Registry('cut from the log')
 
 
 class SpreadScenario:
@@ -92,6 +95,8 @@
         ``SILENT_FOR_S`` before the change; new ones work.
     :param lost_calls: share of the calls that get no answer.
     :param loss_after_s: how long after the change nodes are lost.
+    :param cut: name of the way in which nodes lose the log alone, up to
+        ``MAX_CUT_S`` before the change; empty if none does.
     """
 
     __slots__ = (
@@ -104,6 +109,7 @@
         'silent_ratio',
         'lost_calls',
         'loss_after_s',
+        'cut',
     )
 
     def __init__(
@@ -117,6 +123,7 @@
         silent_ratio: float = 0,
         lost_calls: float = 0,
         loss_after_s: float = 0,
+        cut: str = '',
     ) -> None:
         """Initialize the fields."""
         self.nodes = nodes
@@ -128,6 +135,7 @@
         self.silent_ratio = silent_ratio
         self.lost_calls = lost_calls
         self.loss_after_s = loss_after_s
+        self.cut = cut
 
     @property
     def dead_count(self) -> int:
@@ -210,6 +218,12 @@
         self.stop(lost)
         return [node for node in self.nodes if node not in lost]
 
+    def cut_from_log(self, nodes: list[Node]) -> None:
+        """Let nothing pass any more between some nodes and the log."""
+        for node in nodes:
+            assert isinstance(node.platform_log, SimulatedLog)
+            node.platform_log.is_cut = True
+
     def silence_nodes(self) -> None:
         """Let the connections of nodes drawn at random fall silent."""
         count = int(self.scenario.silent_ratio * len(self.nodes))
@@ -239,6 +253,11 @@
             clock.run(deployment.write(deployment.nodes))
             clock.advance(delay_s)
         living = deployment.lose_nodes()
+        if scenario.cut:
+            cut = cuts.find(scenario.cut)(deployment)
+            deployment.cut_from_log(cut)
+            clock.advance(random.uniform(0, MAX_CUT_S))
+            living = [node for node in living if node not in cut]
         if not delay_s:
             deployment.network.sent.clear()
             clock.run(deployment.write(living))
@@ -304,6 +323,20 @@
     return readers + random.sample(others, count)
 
 
+@cuts.register('readers')
+def cut_readers(deployment: SimulatedDeployment) -> list[Node]:
+    """Cut all nodes that wait at the log."""
+    return [node for node in deployment.nodes if _reads_log(node)]
+
+
+@cuts.register('all-but-one')
+def cut_all_but_one(deployment: SimulatedDeployment) -> list[Node]:
+    """Cut all nodes but one that does not wait at the log."""
+    others = [node for node in deployment.nodes if not _reads_log(node)]
+    spared = random.choice(others)
+    return [node for node in deployment.nodes if node is not spared]
+
+
 def _reads_log(node: Node) -> bool:
     return is_log_reader(node.table, READERS_PER_ZONE)
 
