Presets: the limit for callers' bodies cuts larger replies

Cause: limits.body_bytes bounded the bodies of requests and of replies; the adapter sets it from the limit for callers.

Change: replies have a limit of their own, limits.reply_bytes, 16 MiB unless a preset sets it. The limits on heads and times apply to callers only already, and bodies between nodes are bounded by memory.

--- a/packages/core/src/lavendermount_core/config/preset.py
+++ b/packages/core/src/lavendermount_core/config/preset.py
@@ -12,7 +12,7 @@
 from lavendermount_core.config.findings import Finding
 from lavendermount_core.config.loader import load_text
 from lavendermount_core.routing.policies import policy_names
-from lavendermount_core.utils.units import MAX_BODY_BYTES
+from lavendermount_core.utils.units import DEFAULT_MAX_BODY_BYTES, MAX_BODY_BYTES
 
 SAFE_METHODS = ('GET', 'HEAD', 'OPTIONS')
 FIRST_MATCH = 'first-match'
@@ -408,7 +408,14 @@
 
     body_bytes = opt.Integer(
         16 * 1024 * 1024,
-        'Maximum size of the body of a request or reply.',
+        'Maximum size of the body of a request.',
+        'bytes',
+        low=1024,
+        high=MAX_BODY_BYTES,
+    )
+    reply_bytes = opt.Integer(
+        DEFAULT_MAX_BODY_BYTES,
+        'Maximum size of the body of a reply of a target.',
         'bytes',
         low=1024,
         high=MAX_BODY_BYTES,
--- a/packages/node/src/lavendermountd/presets/applier.py
+++ b/packages/node/src/lavendermountd/presets/applier.py
@@ -79,7 +79,7 @@
         silence_timeout_s = limits.silent_ms / MS_PER_S
         node.gate.client.silence_timeout_s = silence_timeout_s
         node.links.silence_timeout_s = silence_timeout_s
-        node.gate.client.max_body = limits.body_bytes
+        node.gate.client.max_body = limits.reply_bytes
         node.service.apply_limits(limits)
 
     def apply_budgets(self, schema: PresetSchema) -> None:
