Suspects: an equal request of another caller clears one that crashes targets

Cause: the fingerprint of a request left its caller out, so each success of the other caller cleared the suspicion and kept later ones away for 300 s.

Change: the fingerprint includes the service on the VM where the request originated. During a rolling update the two versions suspect a request apart.

--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -124,3 +124,6 @@
 
   Scenario: A refusal by a target clears no request of the suspicion that it crashes targets
     Then a request that a target refuses stays suspected, and one that a target completes does not
+
+  Scenario: Replies to an equal request of another caller do not clear one that crashes its targets
+    Then a request of one caller stays suspected though an equal one of another caller completes
--- a/features/steps/suspect_steps.py
+++ b/features/steps/suspect_steps.py
@@ -8,12 +8,18 @@
 
 from behave import then
 from builders import call_request, gate_with_target
+from connection_builders import (
+    EchoRouter,
+    connected_caller,
+    echo_service,
+    encode_order,
+)
 
-from lavendermount_core.models.calls import CallReply
+from lavendermount_core.models.calls import CallReply, CallRequest
 from lavendermountd.dialects.base import ReplyMetadata
 from lavendermountd.gate import gate as gate_module
 from lavendermountd.gate.attempts import Attempt
-from lavendermountd.gate.suspects import Verdict
+from lavendermountd.gate.suspects import SuspectTable, Verdict, fingerprint_of
 from lavendermountd.gate.target_client import TargetAnswer
 
 
@@ -54,6 +60,36 @@
     return gate.suspects.verdict('f')
 
 
+@then(
+    'a request of one caller stays suspected though an equal one of another caller '
+    'completes'
+)
+def callers_suspected_apart(context: Any) -> None:
+    """Complete the request of one node, and let that of another one crash targets."""
+    usual, crashing = (
+        fingerprint_of(asyncio.run(_routed_request(origin)))
+        for origin in ('dealer-desk', 'field-docs')
+    )
+    table = SuspectTable()
+    table.clear(usual)
+    for victim in ('a:1', 'b:1'):
+        assert table.add_victim(crashing, victim) is not None
+        table.clear(usual)
+    assert table.verdict(crashing) == Verdict.REFUSED
+    assert table.verdict(usual) == Verdict.FREE
+
+
+async def _routed_request(origin: str) -> CallRequest:
+    """Send a request at a node beside a target; return what its router gets."""
+    service = echo_service()
+    service.origin = origin
+    async with connected_caller(service) as (caller, _):
+        await caller.send(encode_order('/stock', b'{}'))
+        await caller.read_reply()
+    assert isinstance(service.router, EchoRouter)
+    return service.router.received[0]
+
+
 @then('the place of such a connection under the limit is free again')
 def place_is_free(context: Any) -> None:
     """Cancel the check whether a target is down while it waits."""
--- a/packages/core/src/lavendermount_core/models/calls.py
+++ b/packages/core/src/lavendermount_core/models/calls.py
@@ -118,6 +118,7 @@
         the preset.
     :param allowed_regions: regions whose targets may serve the request; ``None``
         for all.
+    :param caller: service on the VM where the request originated; empty if unknown.
     """
 
     __slots__ = (
@@ -131,6 +132,7 @@
         'due',
         'max_targets',
         'allowed_regions',
+        'caller',
     )
 
     def __init__(
@@ -145,6 +147,7 @@
         due: float = 0,
         max_targets: int = 0,
         allowed_regions: frozenset[str] | None = None,
+        caller: str = '',
     ) -> None:
         """Initialize the fields."""
         self.request_id = request_id
@@ -157,6 +160,7 @@
         self.due = due
         self.max_targets = max_targets
         self.allowed_regions = allowed_regions
+        self.caller = caller
 
 
 class CallReply(Record):
--- a/packages/node/src/lavendermountd/caller/exchange.py
+++ b/packages/node/src/lavendermountd/caller/exchange.py
@@ -218,6 +218,7 @@
             due,
             classification.attempts,
             classification.allowed_regions,
+            self.service.origin,
         )
 
     def record_metrics(self, call_class: CallClass, outcome: AttemptResult) -> None:
--- a/packages/node/src/lavendermountd/gate/suspects.py
+++ b/packages/node/src/lavendermountd/gate/suspects.py
@@ -5,9 +5,10 @@
 When a target dies, the requests that it was running are suspected. Unless the preset
 turns isolation off, a suspected request runs alone on its target. Once ``max_victims``
 targets have died, every node refuses it until the suspicion expires. A request that
-completes is cleared, and so are all requests with the same fingerprint: many callers
-may send the same request, and if others got a reply to it, it does not crash its
-targets.
+completes is cleared, and so are all requests with the same fingerprint: a caller may
+send the same request many times, and if others got a reply to it, it does not crash its
+targets. An equal request of another caller is another request, as targets know their
+callers.
 """
 
 from __future__ import annotations
@@ -172,11 +173,13 @@
 def fingerprint_of(request: CallRequest) -> str:
     """Compute a digest that is the same when a request is sent again.
 
-    :returns: digest of service and tenant together with the idempotency key, or
-        with method, path and body if there is no key.
+    :returns: digest of service, tenant and caller together with the idempotency key,
+        or with method, path and body if there is no key.
     """
     digest = hashlib.sha256(request.call_class.service.encode())
     digest.update(request.call_class.tenant.encode())
+    if request.caller:
+        digest.update(f'/{request.caller}/'.encode())
     key = next(
         (
             text
