Suspects: restarted nodes don't learn of a crashing request

Cause: a round of gossip carried the eight oldest suspicions, which the requests that merely ran beside a crash fill for 300 s. A node that started learned of no later one, and was ready before it had heard of any. A full table evicted the oldest entry whatever it was.

Change: rounds carry all suspicions in turn, four of eight places kept for refused requests. A node that starts asks others for all of them before it is ready; an answer counts if the other node has learned them itself. A full table evicts refused requests last.

--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -127,3 +127,13 @@
 
   Scenario: Replies to an equal request of another caller do not clear one that crashes its targets
     Then a request of one caller stays suspected though an equal one of another caller completes
+
+  Scenario: Suspicions of a crash under load do not keep that of a crashing request from other nodes
+    Given 500 requests that ran beside a crash and 9 that are refused since then
+    Then each refused one is in one of 3 rounds of gossip, and each other one in one of 125
+    And a full table evicts the requests that ran beside a crash first
+
+  Scenario: A node that starts learns which requests are refused before it serves callers
+    Given 6 nodes, and one of them refuses a request
+    When all the others start at the same moment
+    Then each of them refuses the request before it is ready
--- a/features/builders.py
+++ b/features/builders.py
@@ -22,13 +22,16 @@
 from lavendermountd.gate.admission import ClassRule
 from lavendermountd.gate.gate import Gate
 from lavendermountd.gate.reports import TargetReport
+from lavendermountd.gate.suspects import SuspectTable
 from lavendermountd.gate.target_lifecycle import TargetLifecycle
 from lavendermountd.identity import Identity
 from lavendermountd.membership.table import MemberTable
+from lavendermountd.peer.frames import CrashSuspicion
 from lavendermountd.presets.holder import InForcePreset, compile_preset
 
 DEALER = 'dealer-desk'
 DOCS = 'field-docs'
+SUSPICION_MS = 60000
 ZONES = {'north': ('hn-a', 'hn-b'), 'south': ('hcm-a', 'hcm-b')}
 
 NODE_SETTINGS = (
@@ -129,6 +132,19 @@
     return CallRequest('0' * 16, method, path, headers, body, classified, 0)
 
 
+def suspect_many(
+    table: SuspectTable, name: str, count: int, victims: list[str]
+) -> set[str]:
+    """Suspect requests of having crashed the same targets; return their fingerprints.
+
+    :param name: beginning of the fingerprints.
+    """
+    fingerprints = {f'{name}-{number}' for number in range(count)}
+    for fingerprint in fingerprints:
+        table.merge(CrashSuspicion(fingerprint, victims, SUSPICION_MS))
+    return fingerprints
+
+
 def load_report(node_id: str, sequence: int = 1, **changes: object) -> LoadReport:
     """Build the load report of an idle target.
 
--- a/features/steps/suspect_steps.py
+++ b/features/steps/suspect_steps.py
@@ -6,8 +6,8 @@
 import time
 from typing import Any
 
-from behave import then
-from builders import call_request, gate_with_target
+from behave import given, then, when
+from builders import call_request, gate_with_target, suspect_many
 from connection_builders import (
     EchoRouter,
     connected_caller,
@@ -16,11 +16,26 @@
 )
 
 from lavendermount_core.models.calls import CallReply, CallRequest
+from lavendermount_testbed.emulator.spread import SimulatedDeployment, SpreadScenario
+from lavendermount_testbed.simulated_time import SimulatedTime
 from lavendermountd.dialects.base import ReplyMetadata
 from lavendermountd.gate import gate as gate_module
 from lavendermountd.gate.attempts import Attempt
-from lavendermountd.gate.suspects import SuspectTable, Verdict, fingerprint_of
+from lavendermountd.gate.suspects import (
+    MAX_SUSPECTS,
+    SuspectTable,
+    Verdict,
+    fingerprint_of,
+)
+from lavendermountd.gate.suspicion_rotation import (
+    SUSPICIONS_PER_ROUND,
+    SuspicionRotation,
+)
 from lavendermountd.gate.target_client import TargetAnswer
+from lavendermountd.membership.suspicion_sync import SuspicionSync
+from lavendermountd.node import Node
+
+POLL_S = 0.01
 
 
 class AnsweringClient:
@@ -90,6 +105,83 @@
     return service.router.received[0]
 
 
+@given(
+    '{others:d} requests that ran beside a crash and {refused:d} that are refused since'
+    ' then'
+)
+def many_suspects(context: Any, others: int, refused: int) -> None:
+    """Suspect requests that have run at one target or at two."""
+    context.suspects = SuspectTable()
+    context.others = suspect_many(context.suspects, 'other', others, ['a:1'])
+    context.refused = suspect_many(context.suspects, 'refused', refused, ['a:1', 'b:1'])
+
+
+@then(
+    'each refused one is in one of {refused_rounds:d} rounds of gossip, and each other'
+    ' one in one of {other_rounds:d}'
+)
+def rounds_carry_all(context: Any, refused_rounds: int, other_rounds: int) -> None:
+    """Build rounds, and compare what they carry."""
+    rotation = SuspicionRotation(context.suspects)
+    carried: set[str] = set()
+    for number in range(1, other_rounds + 1):
+        chosen = rotation.next_round()
+        assert len(chosen) <= SUSPICIONS_PER_ROUND
+        carried.update(suspicion.fingerprint for suspicion in chosen)
+        if number == refused_rounds:
+            assert context.refused <= carried
+    assert context.others <= carried
+
+
+@then('a full table evicts the requests that ran beside a crash first')
+def ordinary_evicted_first(context: Any) -> None:
+    """Suspect more requests than the table holds."""
+    suspect_many(context.suspects, 'late', MAX_SUSPECTS, ['c:1'])
+    assert len(context.suspects.suspects) == MAX_SUSPECTS
+    assert context.refused <= set(context.suspects.suspects)
+
+
+@given('{count:d} nodes, and one of them refuses a request')
+def one_refuses(context: Any, count: int) -> None:
+    """Note the number of nodes."""
+    context.node_count = count
+
+
+@when('all the others start at the same moment')
+def start_others(context: Any) -> None:
+    """Start nodes on simulated time; note what each thinks of the request when ready."""
+    with SimulatedTime() as simulated:
+        scenario = SpreadScenario(context.node_count, dead_ratio=0)
+        nodes = SimulatedDeployment(scenario, 1).nodes
+        running = nodes.pop()
+        running.gossip.exchange.wants_suspicions = False
+        suspect_many(running.gate.suspects, 'other', SUSPICIONS_PER_ROUND, ['a:1'])
+        suspect_many(running.gate.suspects, 'refused', 1, ['a:1', 'b:1'])
+        context.verdicts = simulated.run(_start_together(nodes))
+
+
+async def _start_together(nodes: list[Node]) -> list[Verdict]:
+    """Let nodes learn the suspicions; return their verdicts on the refused request."""
+    tasks = []
+    for node in nodes:
+        assert node.gossip.exchange.wants_suspicions
+        node.joiner.has_read_members = True
+        sync = SuspicionSync(node.gossip, node.knows_members)
+        tasks.append(asyncio.ensure_future(sync.run()))
+    while any(node.gossip.exchange.wants_suspicions for node in nodes):
+        await asyncio.sleep(POLL_S)
+    for task in tasks:
+        task.cancel()
+    return [node.gate.suspects.verdict('refused-0') for node in nodes]
+
+
+@then('each of them refuses the request before it is ready')
+def all_refuse(context: Any) -> None:
+    """Check the verdict of each node that started."""
+    assert len(context.verdicts) == context.node_count - 1
+    assert set(context.verdicts) == {Verdict.REFUSED}
+
+
 @then('the place of such a connection under the limit is free again')
 def place_is_free(context: Any) -> None:
     """Cancel the check whether a target is down while it waits."""
--- a/packages/node/src/lavendermountd/gate/suspects.py
+++ b/packages/node/src/lavendermountd/gate/suspects.py
@@ -16,6 +16,7 @@
 import hashlib
 import time
 from enum import IntEnum
+from itertools import filterfalse
 
 from lavendermount_core.models.calls import CallRequest
 from lavendermount_core.utils.units import MS_PER_S
@@ -83,7 +84,7 @@
         suspect = self.find(fingerprint)
         if suspect is None:
             return Verdict.FREE
-        if len(suspect.victims) >= self.max_victims:
+        if self.is_refused(fingerprint):
             return Verdict.REFUSED
         return Verdict.EXCLUSIVE if self.is_isolating else Verdict.FREE
 
@@ -135,9 +136,30 @@
         return len(suspect.victims) > known_count
 
     def evict_if_full(self) -> None:
-        """Evict the oldest suspicion if the table is full."""
-        if len(self.suspects) >= MAX_SUSPECTS:
-            self.suspects.pop(next(iter(self.suspects)))
+        """Evict the oldest suspicion if the table is full.
+
+        Refused requests are evicted last: each of the others may merely have run
+        beside a crash.
+        """
+        if len(self.suspects) < MAX_SUSPECTS:
+            return
+        oldest = next(iter(self.suspects))
+        evicted = next(filterfalse(self.is_refused, self.suspects), oldest)
+        self.suspects.pop(evicted)
+
+    def is_refused(self, fingerprint: str) -> bool:
+        """Return whether enough targets have died for a request to be refused."""
+        return len(self.suspects[fingerprint].victims) >= self.max_victims
+
+    def unexpired(self) -> dict[str, None]:
+        """Return the fingerprints of all suspicions by age; drop expired ones."""
+        fingerprints = list(self.suspects)
+        return {entry: None for entry in fingerprints if self.find(entry) is not None}
+
+    def split_refused(self, fingerprints: list[str]) -> tuple[list[str], list[str]]:
+        """Split fingerprints into those of refused requests and the others."""
+        refused = list(filter(self.is_refused, fingerprints))
+        return refused, list(filterfalse(self.is_refused, fingerprints))
 
     def clear(self, fingerprint: str) -> None:
         """Drop the suspicion of a request that completed; record the completion."""
@@ -161,14 +183,6 @@
         remaining_ms = int((suspect.expires_at - time.monotonic()) * MS_PER_S)
         return CrashSuspicion(fingerprint, sorted(suspect.victims), remaining_ms)
 
-    def describe_all(self) -> list[CrashSuspicion]:
-        """Create the frames for all unexpired suspicions."""
-        return [
-            self.describe(fingerprint)
-            for fingerprint in list(self.suspects)
-            if self.find(fingerprint) is not None
-        ]
-
 
 def fingerprint_of(request: CallRequest) -> str:
     """Compute a digest that is the same when a request is sent again.
--- a/packages/node/src/lavendermountd/membership/exchange.py
+++ b/packages/node/src/lavendermountd/membership/exchange.py
@@ -27,6 +27,7 @@
     zone_record,
 )
 from lavendermountd.gate.gate import Gate
+from lavendermountd.gate.suspicion_rotation import SuspicionRotation
 from lavendermountd.membership.evacuations import EvacuationTable
 from lavendermountd.membership.table import MemberTable
 from lavendermountd.membership.updates import BUCKETS, MAX_BUCKET_MEMBERS, UpdateQueue
@@ -37,7 +38,9 @@
 
 LOADS_PER_ROUND = 8
 DISTANT_LOADS_PER_ROUND = 3
-SUSPICIONS_PER_ROUND = 8
+# Suspicions that a node which has just started gets at once.
+SUSPICIONS_AT_START = 1000
+REMOTE_SUSPICIONS_AT_START = 100
 MAX_LOAD_AGE_S = 5.0
 ESTIMATED_MEMBER_BYTES = 100
 # Bucket number on the wire that marks the digest of all members; one above the
@@ -70,6 +73,9 @@
         self.budget = budget
         self.evacuations = evacuations
         self.updates = UpdateQueue(table)
+        self.rotation = SuspicionRotation(gate.suspects)
+        # Whether this node has not learned the suspicions of the others yet.
+        self.wants_suspicions = True
         self.is_remote_out_of_sync = False
         # Whether traffic to other zones is kept low.
         self.is_zone_local = False
@@ -119,7 +125,7 @@
 
     def minimal_round(self, receiver: Member | None) -> control_pb2.GossipRound:
         """Build a round of the mandatory parts, regardless of the budget."""
-        suspicions = self.gate.suspects.describe_all()[:SUSPICIONS_PER_ROUND]
+        suspicions = self.rotation.next_round()
         message = control_pb2.GossipRound(
             sender=member_message(self.table.own),
             revision=self.revision(),
@@ -128,6 +134,7 @@
             suspicions=map(suspicion_message, suspicions),
             zones=map(zone_message, self.evacuations.states.values()),
             is_log_silent=self.is_log_silent(),
+            wants_suspicions=self.wants_suspicions,
         )
         if receiver is not None and receiver.status != MemberStatus.ALIVE:
             message.members.append(member_message(receiver))
@@ -179,6 +186,8 @@
             self.take_load(aged)
         for suspicion in message.suspicions:
             self.gate.suspects.merge(suspicion_record(suspicion))
+        if message.has_all_suspicions:
+            self.wants_suspicions = False
         for zone in message.zones:
             self.evacuations.merge(zone_record(zone), sender.node_id)
         self.on_log_state(sender.node_id, message.is_log_silent)
@@ -241,8 +250,24 @@
         answer = self.build(known)
         limit = self.members_within_budget(known)
         answer.members.extend(map(member_message, differing[:limit]))
+        if message.wants_suspicions:
+            self.add_all_suspicions(answer, known)
         return answer
 
+    def add_all_suspicions(
+        self, answer: control_pb2.GossipRound, receiver: Member | None
+    ) -> None:
+        """Tell a node that has just started all suspicions, up to a limit.
+
+        A node that has not learned them itself says so, because others may know more.
+        """
+        is_remote = self.is_remote(receiver)
+        limit = REMOTE_SUSPICIONS_AT_START if is_remote else SUSPICIONS_AT_START
+        suspicions = self.rotation.describe_most(limit)
+        answer.ClearField('suspicions')
+        answer.suspicions.extend(map(suspicion_message, suspicions))
+        answer.has_all_suspicions = not self.wants_suspicions
+
     def members_within_budget(self, receiver: Member | None) -> int:
         """Return the number of members that can be sent within the budget.
 
--- a/packages/node/src/lavendermountd/node.py
+++ b/packages/node/src/lavendermountd/node.py
@@ -344,6 +344,8 @@
             return 'no preset is in force'
         if not self.knows_members():
             return 'the members have not been read'
+        if self.gossip.exchange.wants_suspicions:
+            return 'the crash suspicions have not been learned'
         return ''
 
     def knows_members(self) -> bool:
--- a/packages/node/src/lavendermountd/supervisor_tree.py
+++ b/packages/node/src/lavendermountd/supervisor_tree.py
@@ -5,7 +5,7 @@
     node
     ├── log        preset-follower, preset-keeper, preset-carrier, recorder, joiner
     ├── members    control-server, gossip, preset-catch-up,
-    │              preset-announcer
+    │              preset-announcer, suspicion-sync
     ├── target     peer-server, target-watch
     ├── callers    caller-server, admin-server, endpoints of adapters
     └── clock      freeze-guard, fence, state-log
@@ -26,6 +26,7 @@
 from lavendermountd.admin.server import serve_admin
 from lavendermountd.control.server import serve_control
 from lavendermountd.endpoints import endpoints
+from lavendermountd.membership.suspicion_sync import SuspicionSync
 from lavendermountd.node import Node
 from lavendermountd.presets.announcer import PresetAnnouncer
 from lavendermountd.presets.carry_over import PresetCarrier
@@ -84,6 +85,7 @@
         node.catch_up.relay.on_receive = announcer.note_receipt
         node.evacuations.listeners.append(announcer.request)
         node.follower.reachability.on_silence = announcer.request
+        suspicions = SuspicionSync(node.gossip, node.knows_members)
         return self.supervisor(
             'members',
             [
@@ -91,6 +93,7 @@
                 Child('gossip', node.gossip.run),
                 Child('preset-catch-up', node.catch_up.run),
                 Child('preset-announcer', announcer.run),
+                Child('suspicion-sync', suspicions.run),
             ],
         )
 
