Replies: a status that HTTP does not define keeps the caller waiting

What callers saw: a target that replied with the status 000 after 0.05 s kept the caller waiting until its time limit (504 after 1.2 s), and its place at the target stayed taken; ended by the close of the connection, 502 after 0.09 s (on record). 600 and more were handed on.

Cause: the reply parser took each status below 200 for an interim reply, which is skipped, with its body, and each other one for a final reply.

Change: a status outside 100 to 599, or an interim reply with a body, makes the reply malformed once its head is read; the request fails at once, unknown. The same check holds for replies that other nodes hand on or hold for a key.

--- a/packages/core/src/lavendermount_core/models/calls.py
+++ b/packages/core/src/lavendermount_core/models/calls.py
@@ -11,6 +11,9 @@
 
 MIN_SERVER_ERROR_STATUS = 500
 TOO_MANY_REQUESTS = 429
+MIN_STATUS = 100
+MIN_FINAL_STATUS = 200
+MAX_STATUS = 599
 CLASS_PRIORITY = -1
 
 Headers = list[tuple[str, str]]
@@ -188,6 +191,11 @@
         self.body = body
 
 
+def is_final_status(status: int) -> bool:
+    """Return whether HTTP defines a status for final replies (RFC 9110, section 15)."""
+    return MIN_FINAL_STATUS <= status <= MAX_STATUS
+
+
 def is_failure(reply: CallReply) -> bool:
     """Return whether a reply signals an error or overload of the target."""
     return reply.status >= MIN_SERVER_ERROR_STATUS or reply.status == TOO_MANY_REQUESTS
--- a/packages/node/src/lavendermountd/claims/holders.py
+++ b/packages/node/src/lavendermountd/claims/holders.py
@@ -8,7 +8,7 @@
 import asyncio
 import logging
 
-from lavendermount_core.models.calls import CallReply
+from lavendermount_core.models.calls import CallReply, is_final_status
 from lavendermountd.claims.records import Claim
 from lavendermountd.control.channels import ChannelPool, ControlCallError
 from lavendermountd.control.generated import control_pb2
@@ -74,7 +74,7 @@
 
 
 def _reply_from(reply: control_pb2.ClaimReply) -> CallReply | None:
-    if reply.state != COMPLETE or not reply.status:
+    if reply.state != COMPLETE or not is_final_status(reply.status):
         return None
     headers = [(header.name, header.text) for header in reply.headers]
     return CallReply(reply.status, reply.reason, headers, reply.body)
--- a/packages/node/src/lavendermountd/http1/reply_parser.py
+++ b/packages/node/src/lavendermountd/http1/reply_parser.py
@@ -8,7 +8,13 @@
 
 import httptools
 
-from lavendermount_core.models.calls import Body, Headers
+from lavendermount_core.models.calls import (
+    MIN_FINAL_STATUS,
+    MIN_STATUS,
+    Body,
+    Headers,
+    is_final_status,
+)
 from lavendermountd.http1.framing import FramingLimit
 from lavendermountd.http1.messages import (
     CONTENT_LENGTH,
@@ -24,7 +30,6 @@
     MemoryBudget,
 )
 
-FIRST_FINAL_STATUS = 200
 MAX_REPLY_HEAD_BYTES = 65536
 HEAD_TOO_LARGE = 'the reply head is too large'
 
@@ -154,10 +159,17 @@
         self.headers.append((name.decode('latin-1'), text.decode('latin-1')))
 
     def on_headers_complete(self) -> None:
-        """Determine how the body is delimited."""
+        """Determine how the body is delimited.
+
+        :raises ReplyError: if HTTP defines no such status, or no body for it.
+        """
         status = self.parser.get_status_code()
-        if status < FIRST_FINAL_STATUS:
+        if MIN_STATUS <= status < MIN_FINAL_STATUS:
+            self.check_interim()
             return
+        if not is_final_status(status):
+            self.failure = f'{status:03} is no status of HTTP'
+            raise ReplyError(self.failure)
         self.head_received_size = 0
         self.is_reading_body = True
         self.framing.note_report()
@@ -174,6 +186,16 @@
         if size > SMALL_BODY_BYTES:
             self.begin_large_body(size)
 
+    def check_interim(self) -> None:
+        """Refuse an interim reply that has a body, and so is none.
+
+        :raises ReplyError: if it has.
+        """
+        length = find_header(self.headers, CONTENT_LENGTH) or '0'
+        if length.strip('0') or find_header(self.headers, TRANSFER_ENCODING):
+            self.failure = 'an interim reply has a body'
+            raise ReplyError(self.failure)
+
     def begin_large_body(self, size: int) -> None:
         """Take memory for a body.
 
@@ -228,7 +250,7 @@
         if self.is_between_messages:
             return
         self.is_between_messages = True
-        if self.parser.get_status_code() >= FIRST_FINAL_STATUS:
+        if is_final_status(self.parser.get_status_code()):
             self.add_complete(self.parser.should_keep_alive())
 
     def add_complete(self, keeps_alive: bool) -> None:
--- a/packages/node/src/lavendermountd/peer/link.py
+++ b/packages/node/src/lavendermountd/peer/link.py
@@ -21,6 +21,7 @@
     CallReply,
     Reason,
     Refusal,
+    is_final_status,
     unknown_refusal,
 )
 from lavendermount_core.models.loads import LoadReport
@@ -367,8 +368,16 @@
 
 
 def resolve_answer(link: PeerLink, frame: Answer) -> None:
-    """Resolve an attempt with its complete reply."""
+    """Resolve an attempt with its complete reply.
+
+    A node of an earlier version passes replies on whose status HTTP does not define.
+    """
     link.on_load(LoadReport.from_row(frame.load))
+    if not is_final_status(frame.status):
+        detail = f'the target replied with the status {frame.status:03}'
+        refusal = unknown_refusal(Reason.TARGET_REPLY, detail)
+        link.resolve(frame.attempt_id, Failure(refusal))
+        return
     headers = [(name, text) for name, text in frame.headers]
     reply = CallReply(frame.status, frame.reason, headers, frame.body)
     link.resolve(frame.attempt_id, Success(reply))
