Presets: even checks of a whole region stay few after an outage of the log

After an outage of the log itself each node of a region counts the others as ones that have lost it, and would check it every 0.5 s. The interval now grows with the region up to 1.2 s, so that 30 nodes make 32 calls a second instead of 60 (worked out).

--- a/packages/node/src/lavendermountd/presets/check_pace.py
+++ b/packages/node/src/lavendermountd/presets/check_pace.py
@@ -33,6 +33,10 @@
 HURRY_INTERVAL_S: Final = 0.5
 # Nodes that share a check in that time at most.
 NODES_PER_INTERVAL: Final = 4
+# After an outage of the log itself, all nodes of a region hurry. The interval grows with
+# their number up to a limit.
+REGION_NODES_PER_INTERVAL: Final = 16
+MAX_HURRY_INTERVAL_S: Final = 1.2
 
 
 class CheckPace:
@@ -89,7 +93,9 @@
         if not lost_count:
             return math.inf
         left_count = max(1, region_size - lost_count)
-        return HURRY_INTERVAL_S * math.ceil(left_count / NODES_PER_INTERVAL)
+        shared_s = HURRY_INTERVAL_S * math.ceil(left_count / NODES_PER_INTERVAL)
+        region_s = HURRY_INTERVAL_S * region_size / REGION_NODES_PER_INTERVAL
+        return max(shared_s, min(region_s, MAX_HURRY_INTERVAL_S))
 
     async def advance(
         self, left_s: float, region_size: int, longest_s: float = math.inf
