--- a/packages/node/src/lavendermountd/presets/check_pace.py
+++ b/packages/node/src/lavendermountd/presets/check_pace.py
@@ -33,8 +33,8 @@
 HURRY_INTERVAL_S: Final = 0.5
 # Nodes that share a check in that time at most.
 NODES_PER_INTERVAL: Final = 4
-# After an outage of the log itself, all nodes of a region hurry. The interval grows with
-# their number up to a limit.
+# After an outage of the log itself all nodes of a region hurry, so the interval grows
+# with their number, up to a limit.
 REGION_NODES_PER_INTERVAL: Final = 16
 MAX_HURRY_INTERVAL_S: Final = 1.2
 
