--- a/features/steps/link_steps.py
+++ b/features/steps/link_steps.py
@@ -197,12 +197,12 @@
 
 
 @then('a node that failed is avoided until its next incarnation is known')
-def restarted_node_forgiven(context: Any) -> None:
+def backoff_ends_at_restart(context: Any) -> None:
     """Let a node fail, and report its next incarnation."""
     pool = LinkPool(Mock(), Mock(), Mock())
     failed = member('n1')
     pool.note_failure(failed)
-    pool.forgive_if_restarted(failed)
+    pool.end_backoff_if_restarted(failed)
     assert pool.backoff.is_avoided('n1')
-    pool.forgive_if_restarted(member('n1', incarnation=failed.incarnation + 1))
+    pool.end_backoff_if_restarted(member('n1', incarnation=failed.incarnation + 1))
     assert not pool.backoff.is_avoided('n1')
--- a/packages/node/src/lavendermountd/node.py
+++ b/packages/node/src/lavendermountd/node.py
@@ -224,7 +224,7 @@
         self.links.meter = self.gossip.meter
         self.peer_server.meter = self.gossip.meter
         self.table.listeners.append(self.forget_if_dead)
-        self.table.listeners.append(self.links.forgive_if_restarted)
+        self.table.listeners.append(self.links.end_backoff_if_restarted)
         static = self.settings.target
         if static.service:
             report = TargetReport(
--- a/packages/node/src/lavendermountd/peer/link_pool.py
+++ b/packages/node/src/lavendermountd/peer/link_pool.py
@@ -130,7 +130,7 @@
         self.failed_incarnations[member.node_id] = member.incarnation
         self.backoff.note_failure(member.node_id)
 
-    def forgive_if_restarted(self, member: Member) -> None:
+    def end_backoff_if_restarted(self, member: Member) -> None:
         """Stop avoiding a node once a new incarnation of it is known."""
         failed = self.failed_incarnations.get(member.node_id)
         if failed is not None and failed != member.incarnation:
--- a/packages/node/src/lavendermountd/presets/check_pace.py
+++ b/packages/node/src/lavendermountd/presets/check_pace.py
@@ -34,9 +34,9 @@
 # Nodes that share a check in that time at most.
 NODES_PER_INTERVAL: Final = 4
 # After an outage of the log itself all nodes of a region hurry, so the interval grows
-# with their number, up to a limit.
+# with their number, and large regions have no even checks.
 REGION_NODES_PER_INTERVAL: Final = 16
-MAX_HURRY_INTERVAL_S: Final = 1.2
+MAX_EVEN_NODES: Final = 32
 
 
 class CheckPace:
@@ -69,6 +69,11 @@
         if self.factor == 1 or is_news:
             self.has_begun_to_hurry.set()
         self.hurries_until = time.monotonic() + HURRY_S
+        self.lost_until = {
+            known_id: until
+            for known_id, until in self.lost_until.items()
+            if self.is_lost(known_id)
+        }
         if node_id:
             self.lost_until[node_id] = self.hurries_until
 
@@ -90,12 +95,12 @@
         :param region_size: number of nodes of the region.
         """
         lost_count = self.lost_count()
-        if not lost_count:
+        if not lost_count or region_size > MAX_EVEN_NODES:
             return math.inf
         left_count = max(1, region_size - lost_count)
         shared_s = HURRY_INTERVAL_S * math.ceil(left_count / NODES_PER_INTERVAL)
         region_s = HURRY_INTERVAL_S * region_size / REGION_NODES_PER_INTERVAL
-        return max(shared_s, min(region_s, MAX_HURRY_INTERVAL_S))
+        return max(shared_s, region_s, HURRY_INTERVAL_S)
 
     async def advance(
         self, left_s: float, region_size: int, longest_s: float = math.inf
