Peer links: one failed connection refuses the requests behind it

Change: they wait for the first attempt to reconnect, which all share, and are refused at once only after that has failed.

Measured: links.feature; the new scenario "One failed connection does not refuse the requests behind it" fails without the change.

--- a/features/links.feature
+++ b/features/links.feature
@@ -15,5 +15,8 @@
   Scenario: Requests are not sent to a node that stays silent, and again once it responds
     Then requests to a node that accepts connections but stays silent are refused at once until it responds
 
+  Scenario: One failed connection does not refuse the requests behind it
+    Then requests after a single failed connection wait for the next one and are answered
+
   Scenario: The backoff of a node ends with its incarnation
     Then a node that failed is avoided until its next incarnation is known
--- a/features/steps/link_steps.py
+++ b/features/steps/link_steps.py
@@ -39,6 +39,8 @@
 SHORT_DEADLINE_S = 1.0
 # Requests that are refused at once take less.
 AT_ONCE_S = 0.1
+# Longer than the first attempt to reconnect, with the silence timeout above.
+FIRST_ATTEMPT_S = 0.5
 POLL_S = 0.01
 
 
@@ -176,7 +178,8 @@
         sender.links.silence_timeout_s = SILENCE_TIMEOUT_S
         first = await sender.send(state_of(lookup(DEADLINE_S)), peer, 'a-1')
         assert not first.failure().is_not_run, first
-        refused = await _send_order(sender, peer, 2)
+        async with asyncio.timeout(FIRST_ATTEMPT_S):
+            refused = await sender.send(state_of(order(DEADLINE_S)), peer, 'a-2')
         assert refused.failure().is_not_run, refused
         # Longer than the first backoff.
         await asyncio.sleep(BUSY_S)
@@ -196,6 +199,29 @@
         return await sending
 
 
+@then(
+    'requests after a single failed connection wait for the next one and are answered'
+)
+def single_failure_survived(context: Any) -> None:
+    """Let a node accept connections again right after one has failed."""
+    target = HeldReplies()
+    target.may_reply.set()
+    with threaded_node(target.serve) as (_, peer):
+        outcomes = asyncio.run(_send_after_failure(peer))
+    assert {outcome.unwrap().status for outcome in outcomes} == {HTTPStatus.OK}
+
+
+async def _send_after_failure(peer: Member) -> list[AttemptResult]:
+    async with connected_sender() as sender:
+        sender.links.note_failure(peer)
+        orders = [state_of(order(DEADLINE_S)) for _ in range(2)]
+        sending = [
+            sender.send(state, peer, f'a-{number}')
+            for number, state in enumerate(orders)
+        ]
+        return await asyncio.gather(*sending)
+
+
 @then('a node that failed is avoided until its next incarnation is known')
 def backoff_ends_at_restart(context: Any) -> None:
     """Let a node fail, and report its next incarnation."""
--- a/packages/node/src/lavendermountd/peer/link_pool.py
+++ b/packages/node/src/lavendermountd/peer/link_pool.py
@@ -93,16 +93,18 @@
     async def get_responsive(self, member: Member) -> PeerLink:
         """Return a link like ``get``, but none to a node that lately didn't respond.
 
-        Such a node is reconnected to in the background.
+        Such a node is reconnected to in the background. All callers wait for the first
+        attempt of that, and none for later ones.
 
         :param member: the node of the gate.
-        :raises PeerLinkError: at once for a node in backoff; otherwise if the node
-            can't be reached.
+        :raises PeerLinkError: if the node can't be reached; at once if it could not be
+            reconnected to either.
         """
-        if not self.backoff.is_avoided(member.node_id):
-            return await self.get(member)
-        self.reconnector.need(member)
-        raise PeerLinkError(f'node {member.node_id} does not respond')
+        if self.backoff.is_avoided(member.node_id):
+            await self.reconnector.wait_for_first_attempt(member)
+        if self.backoff.is_avoided(member.node_id):
+            raise PeerLinkError(f'node {member.node_id} does not respond')
+        return await self.get(member)
 
     def find_open(self, member: Member) -> PeerLink | None:
         """Return the open link to this incarnation of a node, if there is one."""
--- a/packages/node/src/lavendermountd/peer/reconnector.py
+++ b/packages/node/src/lavendermountd/peer/reconnector.py
@@ -36,7 +36,7 @@
     :param links: pool that gets the new links.
     """
 
-    __slots__ = ('links', 'members', 'needed_until', 'tasks')
+    __slots__ = ('links', 'members', 'needed_until', 'tasks', 'first_attempts')
 
     def __init__(self, links: LinkPool) -> None:
         """Start without nodes."""
@@ -45,6 +45,16 @@
         self.members: dict[str, Member] = {}
         self.needed_until: dict[str, float] = {}
         self.tasks: dict[str, asyncio.Task[None]] = {}
+        # Done once the first attempt for a node has ended.
+        self.first_attempts: dict[str, asyncio.Event] = {}
+
+    async def wait_for_first_attempt(self, member: Member) -> None:
+        """Wait for the first attempt; return at once if that has ended already.
+
+        The connection that has failed before may have lost a packet only.
+        """
+        self.need(member)
+        await self.first_attempts[member.node_id].wait()
 
     def need(self, member: Member) -> None:
         """Reconnect to a node in the background, as a request needs it."""
@@ -53,18 +63,23 @@
         self.needed_until[node_id] = time.monotonic() + DEMAND_LIFETIME_S
         if node_id in self.tasks:
             return
+        self.first_attempts[node_id] = asyncio.Event()
         self.tasks[node_id] = asyncio.create_task(self.run(node_id))
 
     async def run(self, node_id: str) -> None:
         """Reconnect to a node until it responds or no request needs it."""
         try:
             while self.is_needed(node_id):
-                await self.try_reconnect(self.members[node_id])
+                if await self.try_reconnect(self.members[node_id]):
+                    return
+                self.first_attempts[node_id].set()
+                await asyncio.sleep(RECONNECT_PAUSE_S)
         finally:
             self.forget(node_id)
 
     def forget(self, node_id: str) -> None:
         """Forget a node whose attempts have ended."""
+        self.first_attempts.pop(node_id).set()
         self.tasks.pop(node_id)
         self.members.pop(node_id)
         self.needed_until.pop(node_id)
@@ -74,8 +89,11 @@
         is_avoided = self.links.backoff.is_avoided(node_id)
         return is_avoided and self.needed_until[node_id] > time.monotonic()
 
-    async def try_reconnect(self, member: Member) -> None:
-        """Open a link and wait for the reply to a ping; pause if there is none."""
+    async def try_reconnect(self, member: Member) -> bool:
+        """Open a link and wait for the reply to a ping.
+
+        :returns: whether it arrived, so that the link can be used.
+        """
         link = self.links.build_link(member)
         try:
             await link.open()
@@ -85,12 +103,12 @@
             extra = {'peer': member.node_id, 'cause': str(error)}
             log.info('reconnect-failed', extra=extra)
             self.links.backoff.extend(member.node_id, BACKOFF_EXTENSION_S)
-            await asyncio.sleep(RECONNECT_PAUSE_S)
-            return
+            return False
         except asyncio.CancelledError:
             link.close()
             raise
         self.links.adopt(link)
+        return True
 
     def stop(self) -> None:
         """End all attempts."""
