Peer links: an attempt to reconnect that is cancelled at once blocks its node

What callers saw: nothing on record; found by reading. After a freeze of the process all attempts to reconnect are cancelled. One that had not begun left its node marked as being reconnected to for good, and requests that were routed there while it was in backoff would have waited until their deadlines.

Cause: a task that is cancelled before its first step runs no finally clause.

Change: the entry is removed by a callback of the task. An unexpected error of an attempt is logged there.

Measured: links.feature; the step "they are answered too if an attempt to reconnect was cancelled before it began" fails without the change.

--- a/features/links.feature
+++ b/features/links.feature
@@ -17,6 +17,7 @@
 
   Scenario: One failed connection does not refuse the requests behind it
     Then requests after a single failed connection wait for the next one and are answered
+    And they are answered too if an attempt to reconnect was cancelled before it began
 
   Scenario: The backoff of a node ends with its incarnation
     Then a node that failed is avoided until its next incarnation is known
--- a/features/steps/link_steps.py
+++ b/features/steps/link_steps.py
@@ -202,18 +202,28 @@
 @then(
     'requests after a single failed connection wait for the next one and are answered'
 )
-def single_failure_survived(context: Any) -> None:
+def single_failure_survived(context: Any, is_cancelled: bool = False) -> None:
     """Let a node accept connections again right after one has failed."""
     target = HeldReplies()
     target.may_reply.set()
     with threaded_node(target.serve) as (_, peer):
-        outcomes = asyncio.run(_send_after_failure(peer))
+        outcomes = asyncio.run(_send_after_failure(peer, is_cancelled))
     assert {outcome.unwrap().status for outcome in outcomes} == {HTTPStatus.OK}
 
 
-async def _send_after_failure(peer: Member) -> list[AttemptResult]:
+@then('they are answered too if an attempt to reconnect was cancelled before it began')
+def cancelled_attempt_survived(context: Any) -> None:
+    """Cancel the attempt in the pass of the event loop that starts it."""
+    single_failure_survived(context, is_cancelled=True)
+
+
+async def _send_after_failure(peer: Member, is_cancelled: bool) -> list[AttemptResult]:
     async with connected_sender() as sender:
         sender.links.note_failure(peer)
+        if is_cancelled:
+            sender.links.reconnector.need(peer)
+            sender.links.reconnector.stop()
+            await asyncio.sleep(0)
         orders = [state_of(order(DEADLINE_S)) for _ in range(2)]
         sending = [
             sender.send(state, peer, f'a-{number}')
--- a/packages/node/src/lavendermountd/peer/reconnector.py
+++ b/packages/node/src/lavendermountd/peer/reconnector.py
@@ -12,6 +12,7 @@
 import asyncio
 import logging
 import time
+from functools import partial
 from typing import TYPE_CHECKING
 
 from lavendermount_core.exceptions import PeerLinkError
@@ -64,25 +65,28 @@
         if node_id in self.tasks:
             return
         self.first_attempts[node_id] = asyncio.Event()
-        self.tasks[node_id] = asyncio.create_task(self.run(node_id))
+        task = asyncio.create_task(self.run(node_id))
+        # A task that is cancelled before its first step runs no ``finally``.
+        task.add_done_callback(partial(self.forget, node_id))
+        self.tasks[node_id] = task
 
     async def run(self, node_id: str) -> None:
         """Reconnect to a node until it responds or no request needs it."""
-        try:
-            while self.is_needed(node_id):
-                if await self.try_reconnect(self.members[node_id]):
-                    return
-                self.first_attempts[node_id].set()
-                await asyncio.sleep(RECONNECT_PAUSE_S)
-        finally:
-            self.forget(node_id)
-
-    def forget(self, node_id: str) -> None:
+        while self.is_needed(node_id):
+            if await self.try_reconnect(self.members[node_id]):
+                return
+            self.first_attempts[node_id].set()
+            await asyncio.sleep(RECONNECT_PAUSE_S)
+
+    def forget(self, node_id: str, task: asyncio.Task[None]) -> None:
         """Forget a node whose attempts have ended."""
         self.first_attempts.pop(node_id).set()
         self.tasks.pop(node_id)
         self.members.pop(node_id)
         self.needed_until.pop(node_id)
+        if not task.cancelled() and task.exception() is not None:
+            extra = {'peer': node_id, 'cause': repr(task.exception())}
+            log.warning('reconnect-ended', extra=extra)
 
     def is_needed(self, node_id: str) -> bool:
         """Return whether requests need a node that still does not respond."""
