--- a/features/steps/link_steps.py
+++ b/features/steps/link_steps.py
@@ -25,6 +25,7 @@
 from lavendermount_core.models.members import Member
 from lavendermount_core.utils.units import DEFAULT_MAX_BODY_BYTES
 from lavendermountd.gate.attempts import AttemptResult
+from lavendermountd.peer.backoff import INITIAL_BACKOFF_S
 from lavendermountd.peer.frames import BodyPart, Cancel, Dispatch
 from lavendermountd.peer.link_pool import LinkPool
 from lavendermountd.routing.sender import Sender
@@ -136,7 +137,7 @@
     'before their deadline'
 )
 def refused_before_deadline(context: Any) -> None:
-    """Send many orders to it at the same moment."""
+    """Send many orders to it at the same moment; they share one connection attempt."""
     with unreachable_node() as peer:
         started_at = time.monotonic()
         outcomes = asyncio.run(_send_orders(peer))
@@ -152,7 +153,10 @@
             sender.send(state, peer, f'a-{number}')
             for number, state in enumerate(orders)
         ]
-        return await asyncio.gather(*sending)
+        outcomes = await asyncio.gather(*sending)
+        backoff_s = sender.links.backoff.backoff_s[peer.node_id]
+        assert backoff_s == INITIAL_BACKOFF_S, backoff_s
+        return outcomes
 
 
 @then(
