--- a/features/steps/link_steps.py
+++ b/features/steps/link_steps.py
@@ -41,7 +41,7 @@
 # Requests that are refused at once take less.
 AT_ONCE_S = 0.1
 # Longer than the first attempt to reconnect, with the silence timeout above.
-FIRST_ATTEMPT_S = 0.5
+FIRST_ATTEMPT_S = 1.0
 POLL_S = 0.01
 
 
@@ -192,7 +192,7 @@
         may_continue.set()
         while sender.links.backoff.is_avoided(peer.node_id):
             await asyncio.sleep(POLL_S)
-        answered = await _send_order(sender, peer, 4)
+        answered = await sender.send(state_of(order(DEADLINE_S)), peer, 'a-4')
         assert answered.unwrap().status == HTTPStatus.OK, answered
 
 
