Suspects: a node that learned from nobody tells others that it knows all

Cause: an answer counted as complete as soon as the other node had stopped asking.

Change: a node tells that it knows all if another that does has told it, if all members have answered that they have just started, or after 30 s of regular gossip.

Measured: at_most_once.feature; the new step fails without the change (it has no such state there).

--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -137,3 +137,4 @@
     Given 6 nodes, and one of them refuses a request
     When all the others start at the same moment
     Then each of them refuses the request before it is ready
+    And a node whose questions were not answered tells no other that it knows all
--- a/features/mutations.py
+++ b/features/mutations.py
@@ -135,7 +135,7 @@
     Mutation(
         'suspicions-at-start',
         f'{NODE}/membership/exchange.py',
-        'answer.has_all_suspicions = not self.wants_suspicions',
+        'answer.has_all_suspicions = self.has_all_suspicions',
         'answer.has_all_suspicions = True',
         'at_most_once',
         'A node that starts learns which requests are refused before it serves callers',
--- a/features/steps/suspect_steps.py
+++ b/features/steps/suspect_steps.py
@@ -16,6 +16,7 @@
 )
 
 from lavendermount_core.models.calls import CallReply, CallRequest
+from lavendermount_testbed.emulator.control_network import control_address
 from lavendermount_testbed.emulator.spread import SimulatedDeployment, SpreadScenario
 from lavendermount_testbed.simulated_time import SimulatedTime
 from lavendermountd.dialects.base import ReplyMetadata
@@ -154,7 +155,7 @@
         scenario = SpreadScenario(context.node_count, dead_ratio=0)
         nodes = SimulatedDeployment(scenario, 1).nodes
         running = nodes.pop()
-        running.gossip.exchange.wants_suspicions = False
+        running.gossip.exchange.has_all_suspicions = True
         suspect_many(running.gate.suspects, 'other', SUSPICIONS_PER_ROUND, ['a:1'])
         suspect_many(running.gate.suspects, 'refused', 1, ['a:1', 'b:1'])
         context.verdicts = simulated.run(_start_together(nodes))
@@ -182,6 +183,18 @@
     assert set(context.verdicts) == {Verdict.REFUSED}
 
 
+@then('a node whose questions were not answered tells no other that it knows all')
+def unanswered_is_incomplete(context: Any) -> None:
+    """Start a node while the others can't be reached; look again later."""
+    with SimulatedTime() as simulated:
+        scenario = SpreadScenario(context.node_count, dead_ratio=0)
+        deployment = SimulatedDeployment(scenario, 1)
+        node, *others = deployment.nodes
+        deployment.network.lost = set(map(control_address, others))
+        simulated.run(_start_together([node]))
+        assert not node.gossip.exchange.has_all_suspicions
+
+
 @then('the place of such a connection under the limit is free again')
 def place_is_free(context: Any) -> None:
     """Cancel the check whether a target is down while it waits."""
--- a/packages/node/src/lavendermountd/membership/exchange.py
+++ b/packages/node/src/lavendermountd/membership/exchange.py
@@ -76,6 +76,8 @@
         self.rotation = SuspicionRotation(gate.suspects)
         # Whether this node has not learned the suspicions of the others yet.
         self.wants_suspicions = True
+        # Whether this node can tell all of them to one that starts.
+        self.has_all_suspicions = False
         self.is_remote_out_of_sync = False
         # Whether traffic to other zones is kept low.
         self.is_zone_local = False
@@ -266,7 +268,7 @@
         suspicions = self.rotation.describe_most(limit)
         answer.ClearField('suspicions')
         answer.suspicions.extend(map(suspicion_message, suspicions))
-        answer.has_all_suspicions = not self.wants_suspicions
+        answer.has_all_suspicions = self.has_all_suspicions
 
     def members_within_budget(self, receiver: Member | None) -> int:
         """Return the number of members that can be sent within the budget.
--- a/packages/node/src/lavendermountd/membership/suspicion_sync.py
+++ b/packages/node/src/lavendermountd/membership/suspicion_sync.py
@@ -27,6 +27,8 @@
 REGION_ASKS: Final = 32
 REMOTE_ASKS: Final = 4
 MEMBERS_CHECK_S: Final = 0.05
+# Time after which a node that learned them from nobody has them from regular gossip.
+GOSSIP_TIME_S: Final = 30.0
 
 
 class SuspicionSync:
@@ -39,32 +41,44 @@
     :param knows_members: returns whether the members are known.
     """
 
-    __slots__ = ('gossip', 'knows_members')
+    __slots__ = ('gossip', 'knows_members', 'answered')
 
     def __init__(self, gossip: Gossip, knows_members: Callable[[], bool]) -> None:
         """Start with nothing learned."""
         self.gossip = gossip
         self.knows_members = knows_members
+        # Members that have answered.
+        self.answered: set[str] = set()
 
     async def run(self) -> None:
         """Learn once, then wait until cancelled."""
         while not self.knows_members():
             await asyncio.sleep(MEMBERS_CHECK_S)
         has_learned = await self.learn()
-        self.gossip.exchange.wants_suspicions = False
+        exchange = self.gossip.exchange
+        exchange.wants_suspicions = False
+        exchange.has_all_suspicions = has_learned
         log.info('suspicions-learned', extra={'is_complete': has_learned})
+        await asyncio.sleep(GOSSIP_TIME_S)
+        exchange.has_all_suspicions = True
         await asyncio.Event().wait()
 
     async def learn(self) -> bool:
         """Ask other nodes until one has told all its suspicions.
 
-        :returns: whether one has; there may be none if all nodes have just started.
+        :returns: whether all are known: one has, or all members have answered that they
+            have just started.
         """
+        members = self.members_to_ask()
         try:
             async with asyncio.timeout(SYNC_TIMEOUT_S):
-                return await call_until_answered(iter(self.members_to_ask()), self.ask)
+                await call_until_answered(iter(members), self.ask)
         except TimeoutError:
-            return not self.gossip.exchange.wants_suspicions
+            log.info('suspicions-unanswered', extra={'asked': len(members)})
+        if not self.gossip.exchange.wants_suspicions:
+            return True
+        living = {member.node_id for member in self.gossip.table.living()}
+        return living <= self.answered
 
     def members_to_ask(self) -> list[Member]:
         """List members in random order, those of the own region first."""
@@ -82,5 +96,6 @@
         :returns: whether all suspicions have been told, by this member or another.
         """
         if self.gossip.exchange.wants_suspicions:
-            await self.gossip.exchange_with(member, SYNC_TIMEOUT_S)
+            has_answered = await self.gossip.exchange_with(member, SYNC_TIMEOUT_S)
+            self.answered.update({member.node_id} if has_answered else ())
         return not self.gossip.exchange.wants_suspicions
