Presets: in a large region a member that has lost the log costs calls of all others

Cause: since each member that can't be reached, or says that it has lost the log, lets the others check at once, whatever their number.

Change: in regions of more than 32 nodes the first of them does so, as before, and a member that says that it has lost the log is only replaced as the sentinel.

--- a/packages/node/src/lavendermountd/log_readers.py
+++ b/packages/node/src/lavendermountd/log_readers.py
@@ -76,7 +76,7 @@
     schedule = node.follower.reachability.schedule
     schedule.region_size = node.gossip.region_size
     pace = node.follower.reachability.check_pace
-    nearby = NearbyMembers(pace, node.table)
+    nearby = NearbyMembers(pace, node.table, node.gossip.region_size)
     node.gossip.on_unanswered = nearby.note_unanswered
     node.links.backoff.on_failure = nearby.note_unanswered
     node.gossip.exchange.on_log_state = nearby.note_answer
--- a/packages/node/src/lavendermountd/presets/check_pace.py
+++ b/packages/node/src/lavendermountd/presets/check_pace.py
@@ -14,6 +14,7 @@
 import math
 import random
 import time
+from collections.abc import Callable
 from typing import Final
 
 from lavendermount_core.models.members import MemberStatus
@@ -22,8 +23,8 @@
 # Longest time without a look at whether this node waits at the log by now.
 ROLE_CHECK_INTERVAL_S: Final = 1.0
 HURRY_FACTOR: Final = 7
-# Nodes of a region that check at once when they begin to hurry, on average, and again
-# for each further member that can't tell of news.
+# Nodes of a region that check at once when they begin to hurry, on average; in a small
+# region again, and more, for each further member that can't tell of news.
 FIRST_CHECKS: Final = 14
 # Time for which the checks stay frequent: until dead members are known as dead.
 HURRY_S: Final = 5.0
@@ -42,14 +43,22 @@
 class CheckPace:
     """Shortens the time until the next check while members can't be reached."""
 
-    __slots__ = ('hurries_until', 'told_at', 'has_begun_to_hurry', 'lost_until')
+    __slots__ = (
+        'hurries_until',
+        'told_at',
+        'has_begun_to_hurry',
+        'is_beginning',
+        'lost_until',
+    )
 
     def __init__(self) -> None:
         """Start at the normal pace."""
         self.hurries_until: float = 0
         # When another node told of a version last.
         self.told_at: float = 0
+        # Set also for each further member that is lost.
         self.has_begun_to_hurry = asyncio.Event()
+        self.is_beginning = False
         # Until when each member counts as one that can't tell of news.
         self.lost_until: dict[str, float] = {}
 
@@ -65,17 +74,23 @@
 
         :param node_id: name of the member; empty if it is not known.
         """
-        is_news = bool(node_id) and not self.is_lost(node_id)
-        if self.factor == 1 or is_news:
+        self.is_beginning = self.is_beginning or self.factor == 1
+        if self.is_beginning:
             self.has_begun_to_hurry.set()
         self.hurries_until = time.monotonic() + HURRY_S
+        if node_id:
+            self.note_lost(node_id)
+
+    def note_lost(self, node_id: str) -> None:
+        """Count a member as one that can't tell of news, and look at the own role."""
+        if not self.is_lost(node_id):
+            self.has_begun_to_hurry.set()
         self.lost_until = {
             known_id: until
             for known_id, until in self.lost_until.items()
             if self.is_lost(known_id)
         }
-        if node_id:
-            self.lost_until[node_id] = self.hurries_until
+        self.lost_until[node_id] = time.monotonic() + HURRY_S
 
     def note_reachable(self, node_id: str) -> None:
         """Count a member as one that can tell of news again."""
@@ -102,6 +117,20 @@
         region_s = HURRY_INTERVAL_S * region_size / REGION_NODES_PER_INTERVAL
         return max(shared_s, region_s, HURRY_INTERVAL_S)
 
+    def first_check_share(self, region_size: int) -> float:
+        """Return the share of the nodes that check at once, and begin to hurry.
+
+        In a large region that is once, as each member that is lost later would cost
+        many calls; its readers and the sentinel are few among its nodes.
+
+        :param region_size: number of nodes of the region.
+        """
+        is_beginning = self.is_beginning
+        self.is_beginning = False
+        if region_size > MAX_EVEN_NODES:
+            return FIRST_CHECKS / region_size if is_beginning else 0
+        return FIRST_CHECKS * (1 + self.lost_count()) / region_size
+
     async def advance(
         self, left_s: float, region_size: int, longest_s: float = math.inf
     ) -> float:
@@ -124,7 +153,7 @@
                 await self.has_begun_to_hurry.wait()
         except TimeoutError:
             return 0 if wait_s == longest_s else left_s - wait_s * factor
-        if random.random() < FIRST_CHECKS * (1 + self.lost_count()) / region_size:
+        if random.random() < self.first_check_share(region_size):
             return 0
         return left_s - (time.monotonic() - started_at) * factor
 
@@ -134,14 +163,18 @@
 
     :param pace: pace of this node.
     :param table: known members.
+    :param region_size: returns the number of nodes of the region.
     """
 
-    __slots__ = ('pace', 'table')
+    __slots__ = ('pace', 'table', 'region_size')
 
-    def __init__(self, pace: CheckPace, table: MemberTable) -> None:
+    def __init__(
+        self, pace: CheckPace, table: MemberTable, region_size: Callable[[], int]
+    ) -> None:
         """Initialize the fields."""
         self.pace = pace
         self.table = table
+        self.region_size = region_size
 
     def note_unanswered(self, node_id: str) -> None:
         """Check often if a member did not answer that may have told of news."""
@@ -151,13 +184,18 @@
     def note_answer(self, node_id: str, is_log_silent: bool) -> None:
         """Check often if a member says that the log does not answer it.
 
+        In a large region only the sentinel is replaced if it is that member: single
+        nodes that have lost the log are frequent there, and all others would check.
+
         :param node_id: name of the member.
         :param is_log_silent: whether the log does not answer the member.
         """
-        if not is_log_silent:
+        if is_log_silent and self.region_size() > MAX_EVEN_NODES:
+            self.pace.note_lost(node_id)
+        elif is_log_silent:
+            self.note_unanswered(node_id)
+        else:
             self.pace.note_reachable(node_id)
-            return
-        self.note_unanswered(node_id)
 
     def is_nearby(self, node_id: str) -> bool:
         """Return whether a member of the own region is not known as dead."""
