--- a/review/common-3/standins.py
+++ b/review/common-3/standins.py
@@ -215,6 +215,8 @@
         self.state = 'ready'
         self.sequence = 0
         self.runs: list[tuple[float, str, str]] = []
+        # Attempt id and X-Caller-Service of each request that was run.
+        self.callers: list[tuple[str, str]] = []
         self.beating: asyncio.Task[None] | None = None
 
     def load(self) -> tuple[str, str]:
@@ -249,6 +251,7 @@
             self.waiting -= 1
         self.running += 1
         self.runs.append((self.record.now(), attempt, target))
+        self.callers.append((attempt, message.header('X-Caller-Service')))
         expected = message.header('X-Expect-Instance')
         self.record(
             f'run {attempt} {method} {target} at {self.name} of {self.service} '
