Presets: a value of the config that a node can't keep leaves no older version in force

What callers saw: a config moved a route to another service, dropped a second and added a third with a time-out of 15 minutes. After a kill of all nodes nothing was served.

Cause: a config is translated into a preset, and a preset with one finding is refused as a whole. For presets that people write the finding is shown before anything is in force. A config of the platform has been accepted by its store, so a refusal only keeps the version before it. The time-out was one of many such values.

Evidence: preset-refused with the finding on timeout_ms in the logs of both nodes; 600,000 ms held. Ruled out: the readers of the log and the spread between nodes.

What a preset can hold is in force; a number beyond that is replaced by the nearest one, never by one that means "no limit"; an entry that is not usable is closed: its route refuses requests as not run, its tenant has no keys. Each replacement is logged with field, value and what is in force. Only a record without a version or a list of resources is refused. Presets hold time limits of up to a year, limits of sizes from 0 or 1 byte on, closed routes, and no routes if they say so.

--- a/packages/core/src/lavendermount_core/config/findings.py
+++ b/packages/core/src/lavendermount_core/config/findings.py
@@ -1,4 +1,4 @@
-"""Validation errors and warnings about settings and presets.
+"""Validation errors, warnings and adjustments of settings and presets.
 
 :shapes: a finding is a location and an actionable message.
 """
@@ -60,3 +60,20 @@
             'message': self.message,
             'expected': self.expected,
         }
+
+
+class Adjustment(Finding):
+    """A value that is in force in place of the one that was asked for.
+
+    :param location: entry and key, such as ``routes 'export': timeout_ms``.
+    :param asked: what was asked for, or why it is not possible; not a secret.
+    :param in_force: what is in force instead.
+    """
+
+    __slots__ = ('asked', 'in_force')
+
+    def __init__(self, location: str, asked: str, in_force: str) -> None:
+        """Initialize the fields."""
+        super().__init__(location, f'{asked}; in force: {in_force}')
+        self.asked = asked
+        self.in_force = in_force
--- a/packages/core/src/lavendermount_core/config/options.py
+++ b/packages/core/src/lavendermount_core/config/options.py
@@ -168,6 +168,13 @@
         bounds = f'{self.low:g} to {self.high:g}'
         return raw, [Finding(location, f'{raw!r} is not in the range {bounds}')]
 
+    def nearest(self, number: float) -> float:
+        """Return the value within the range that is nearest to a number.
+
+        :param number: any number but NaN.
+        """
+        return min(max(number, self.low), self.high)
+
 
 class Integer(Number):
     """A whole number within a range."""
@@ -192,6 +199,13 @@
         checked: int = instance.checked[self.key]
         return checked
 
+    def nearest(self, number: float) -> int:
+        """Return the whole number within the range that is nearest below a number.
+
+        :param number: any number but NaN; one below the range yields its lower end.
+        """
+        return math.floor(super().nearest(number))
+
 
 class TextList(Option[list[str]]):
     """A list of strings."""
--- a/packages/core/src/lavendermount_core/config/preset.py
+++ b/packages/core/src/lavendermount_core/config/preset.py
@@ -12,7 +12,11 @@
 from lavendermount_core.config.findings import Finding
 from lavendermount_core.config.loader import load_text
 from lavendermount_core.routing.policies import policy_names
-from lavendermount_core.utils.units import DEFAULT_MAX_BODY_BYTES, MAX_BODY_BYTES
+from lavendermount_core.utils.units import (
+    DEFAULT_MAX_BODY_BYTES,
+    MAX_BODY_BYTES,
+    MAX_TIME_LIMIT_MS,
+)
 
 SAFE_METHODS = ('GET', 'HEAD', 'OPTIONS')
 FIRST_MATCH = 'first-match'
@@ -24,6 +28,7 @@
 FREE = 'free'
 PRIORITY_ORDER = 'priority'
 COST_ORDER = 'cost'
+MAX_SPLIT_WEIGHT = 10**15
 
 
 def _matching_modes() -> list[str]:
@@ -66,7 +71,7 @@
         'Deadline of requests for which the caller specifies none.',
         'ms',
         low=1,
-        high=600000,
+        high=MAX_TIME_LIMIT_MS,
     )
 
 
@@ -74,7 +79,11 @@
     """One of the services that share the requests of a route."""
 
     service = opt.Text(about='Service that handles this share of the requests.')
-    weight = opt.Number(1, 'Weight relative to the other services of the split.')
+    weight = opt.Number(
+        1,
+        'Weight relative to the other services of the split.',
+        high=MAX_SPLIT_WEIGHT,
+    )
 
 
 class RouteOptions(opt.Schema):
@@ -96,7 +105,7 @@
         0,
         'Deadline of requests if the caller sets none; 0 uses that of the class.',
         'ms',
-        high=600000,
+        high=MAX_TIME_LIMIT_MS,
     )
     repeatable = opt.TextList(
         list(SAFE_METHODS),
@@ -111,13 +120,13 @@
         0,
         'Upper limit of the deadline, even if the caller allows more; 0 for none.',
         'ms',
-        high=600000,
+        high=MAX_TIME_LIMIT_MS,
     )
     target_ms = opt.Integer(
         0,
         'Preferred response time; 0 uses the deadline.',
         'ms',
-        high=600000,
+        high=MAX_TIME_LIMIT_MS,
     )
     attempts = opt.Integer(
         0,
@@ -129,6 +138,7 @@
         [], 'Regions whose targets may serve the requests; empty allows all regions.'
     )
     public = opt.Flag('Whether requests need no key, although the preset has tenants.')
+    closed = opt.Flag('Whether all requests are refused as not run; needs no service.')
 
 
 class TenantOptions(opt.Schema):
@@ -371,7 +381,7 @@
         'Time for which a target that has just started is cold, unless it says '
         'otherwise; 0 if targets are never cold.',
         'ms',
-        high=3600000,
+        high=MAX_TIME_LIMIT_MS,
     )
     cold_per_s = opt.Number(
         0,
@@ -388,7 +398,7 @@
         65536,
         'Maximum size of the request line and headers.',
         'bytes',
-        low=1024,
+        low=1,
         high=1024**2,
     )
     header_ms = opt.Integer(
@@ -396,21 +406,20 @@
         'Timeout for receiving the request line and headers.',
         'ms',
         low=1,
-        high=600000,
+        high=MAX_TIME_LIMIT_MS,
     )
     idle_ms = opt.Integer(
         300000,
         'Time after which an idle connection of a caller is closed.',
         'ms',
         low=1,
-        high=3600000,
+        high=MAX_TIME_LIMIT_MS,
     )
 
     body_bytes = opt.Integer(
         16 * 1024 * 1024,
         'Maximum size of the body of a request.',
         'bytes',
-        low=1024,
         high=MAX_BODY_BYTES,
     )
     reply_bytes = opt.Integer(
@@ -442,6 +451,7 @@
 
     name = opt.Text(about='Name of the preset.')
     about = opt.Text('', 'Short description for operators.')
+    routeless = opt.Flag('Whether the preset may have no route, and so match nothing.')
     matching = opt.Text(
         FIRST_MATCH,
         'Which route is used if several match.',
@@ -463,21 +473,21 @@
         """Check classes and routes.
 
         Class and tenant names must be unique, every route needs a defined class
-        and a service, there must be at least one route, and a key identifies one
-        tenant.
+        and a service unless it is closed, there must be at least one route unless the
+        preset may have none, and a key identifies one tenant.
         """
         names = [entry.name for entry in self.class_]
         findings = _repeated_names(names, f'{location}class')
         findings.extend(self.check_routes(set(names), f'{location}route'))
         findings.extend(self.check_tenants(location))
-        if not self.route:
+        if not self.route and not self.routeless:
             findings.append(
                 Finding(f'{location}route', 'at least one route is required'),
             )
         return findings
 
     def check_routes(self, names: set[str], location: str) -> list[Finding]:
-        """Check that each route has a class and a service."""
+        """Check that each route has a class, and a service unless it is closed."""
         unknown_classes = []
         missing_services = []
         for index, route in enumerate(self.route):
@@ -486,7 +496,8 @@
             if checked['class_'] not in names:
                 message = f'class {route.class_!r} is not defined'
                 unknown_classes.append(Finding(f'{location}[{index}].class', message))
-            if not checked['service'] and not any(part.weight for part in route.split):
+            has_service = checked['service'] or any(part.weight for part in route.split)
+            if not has_service and not checked['closed']:
                 message = 'is required unless a split has a weight above 0'
                 missing_services.append(
                     Finding(f'{location}[{index}].service', message)
--- a/packages/core/src/lavendermount_core/models/calls.py
+++ b/packages/core/src/lavendermount_core/models/calls.py
@@ -31,6 +31,8 @@
     """Reason why a request got no reply."""
 
     NO_ROUTE = 'no-route'
+    # The preset refuses all requests of the route.
+    CLOSED = 'route-closed'
     NO_PRESET = 'no-preset'
     NO_TARGET = 'no-target'
     MALFORMED = 'malformed'
--- a/packages/core/src/lavendermount_core/presets/checked.py
+++ b/packages/core/src/lavendermount_core/presets/checked.py
@@ -5,6 +5,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+
+from lavendermount_core.config.findings import Adjustment
 from lavendermount_core.config.loader import load_text_steps
 from lavendermount_core.config.preset import PresetSchema
 from lavendermount_core.presets.records import PresetSnapshot
@@ -16,14 +19,22 @@
 
     :param snapshot: the snapshot.
     :param schema: its body, validated.
+    :param adjustments: values in it that differ from those that were asked for; none
+        if it comes from another node.
     """
 
-    __slots__ = ('snapshot', 'schema')
+    __slots__ = ('snapshot', 'schema', 'adjustments')
 
-    def __init__(self, snapshot: PresetSnapshot, schema: PresetSchema) -> None:
+    def __init__(
+        self,
+        snapshot: PresetSnapshot,
+        schema: PresetSchema,
+        adjustments: Sequence[Adjustment] = (),
+    ) -> None:
         """Initialize the fields."""
         self.snapshot = snapshot
         self.schema = schema
+        self.adjustments = adjustments
 
 
 def check_steps(snapshot: PresetSnapshot) -> Steps[CheckedPreset]:
--- a/packages/node/src/lavendermountd/caller/classification.py
+++ b/packages/node/src/lavendermountd/caller/classification.py
@@ -28,6 +28,7 @@
 from lavendermountd.presets.route_index import matches
 
 MAX_DEADLINE_MS = 600000
+CLOSED_ROUTE_RETRY_S = 1.0
 
 
 class Classification:
@@ -80,12 +81,15 @@
     :param preset: preset in force.
     :param request: the request.
     :param metadata: time limit and key that the caller names.
-    :returns: the classification, or a refusal if no route matches or the key is
-        not valid.
+    :returns: the classification, or a refusal if no route matches, the route is closed
+        or the key is not valid.
     """
     route = find_route(preset, request)
     if route is None:
         return not_run_refusal(Reason.NO_ROUTE, 'no route matches')
+    if route.closed:
+        detail = 'the route is closed'
+        return not_run_refusal(Reason.CLOSED, detail, CLOSED_ROUTE_RETRY_S)
     tenancy = identify_tenant(preset.tenants, route, metadata.key)
     if tenancy.refusal is not None:
         return tenancy.refusal
--- a/packages/node/src/lavendermountd/presets/holder.py
+++ b/packages/node/src/lavendermountd/presets/holder.py
@@ -26,6 +26,7 @@
 
 # Source of a preset that was read from the log.
 LOG = 'log'
+LOGGED_ADJUSTMENTS = 20
 
 
 class PresetStage(StrEnum):
@@ -54,6 +55,7 @@
         'index',
         'tenants',
         'split_weights',
+        'adjustments',
     )
 
     def __init__(self, checked: CheckedPreset, index: RouteIndex) -> None:
@@ -68,6 +70,7 @@
         self.index = index
         self.tenants = TenantIndex(self.schema)
         self.split_weights: dict[int, dict[str, float]] = {}
+        self.adjustments = checked.adjustments
 
     def class_options(self, name: str) -> ClassOptions:
         """Return the options of a class; validation ensures that it exists."""
@@ -170,8 +173,10 @@
                 'source': source,
                 'bytes': len(self.fold.in_force.body),
                 'apply_ms': round(elapsed_s * MS_PER_S),
+                'adjusted': len(self.current.adjustments),
             },
         )
+        _log_adjustments(self.current)
 
     def put_in_force(self, prepared: InForcePreset, source: str = LOG) -> None:
         """Put a preset in force unless a newer one is by now.
@@ -188,5 +193,19 @@
         self.refresh(source, prepared)
 
 
+def _log_adjustments(preset: InForcePreset) -> None:
+    """Log the first values that differ from those that were asked for."""
+    for adjustment in preset.adjustments[:LOGGED_ADJUSTMENTS]:
+        log.warning(
+            'preset-value-adjusted',
+            extra={
+                'revision': preset.revision,
+                'field': adjustment.location,
+                'asked': adjustment.asked,
+                'in_force': adjustment.in_force,
+            },
+        )
+
+
 def _ignore_stage(stage: PresetStage, seconds: float) -> None:
     """Do nothing; the node installs the real callback."""
