Requests: a caller may allow more than 10 minutes

What callers saw: on a route with a time-out of 15 minutes, a caller that allowed 20 got its final answer after 10.

Cause: the classification lowered what callers ask for to a constant of its own, 600,000 ms, which was the largest time limit of presets.

Change: the limit for callers is the largest time limit that a preset can hold (MAX_TIME_LIMIT_MS, a year).

--- a/packages/node/src/lavendermountd/caller/classification.py
+++ b/packages/node/src/lavendermountd/caller/classification.py
@@ -20,6 +20,7 @@
     Refusal,
     not_run_refusal,
 )
+from lavendermount_core.utils.units import MAX_TIME_LIMIT_MS
 from lavendermountd.caller.splitting import choose_service
 from lavendermountd.caller.tenancy import identify_tenant, intersect_regions
 from lavendermountd.dialects.base import CallMetadata
@@ -27,7 +28,6 @@
 from lavendermountd.presets.holder import InForcePreset
 from lavendermountd.presets.route_index import matches
 
-MAX_DEADLINE_MS = 600000
 CLOSED_ROUTE_RETRY_S = 1.0
 
 
@@ -138,7 +138,7 @@
     options = preset.class_options(route.class_)
     default_ms = route.deadline_ms or options.deadline_ms
     deadline_ms = (
-        default_ms if requested_ms is None else min(requested_ms, MAX_DEADLINE_MS)
+        default_ms if requested_ms is None else min(requested_ms, MAX_TIME_LIMIT_MS)
     )
     if route.timeout_ms:
         deadline_ms = min(deadline_ms, route.timeout_ms)
