Gate: the outcome of an attempt that runs for more than a minute can be looked up

What callers saw: if the connection between two nodes is lost while an order runs at the other one's target, its outcome is looked up and returned. An order that had been sent more than 60 s before was answered 502 at once although it was still running.

Cause: a gate answered all lookups of attempts sent more than 60 s ago with "unknown". Identifiers without a record need that, since records expire 120 s after an attempt ends; an attempt that runs has a record however old it is.

Change: the age counts only for identifiers without a record.

Evidence: the new scenario failed before (answered while the attempt ran), passes now. Shown at a gate, not by real processes.

--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -34,6 +34,9 @@
   Scenario: An attempt whose outcome was queried before it arrived never runs
     Then a gate refuses an attempt whose outcome was queried before it arrived
 
+  Scenario: An order that runs for more than a minute is not given up when the link to its target node is lost
+    Then a gate returns the outcome of an attempt that was sent 70 s ago once it ends
+
   Scenario: An unexpected error in the gate gets a response and leaves no attempt behind
     Then a gate returns unknown and ends the attempt if its client raises an error
 
--- a/features/steps/fault_steps.py
+++ b/features/steps/fault_steps.py
@@ -107,6 +107,30 @@
     assert queried.failure().outcome == 'unknown'
 
 
+@then(
+    'a gate returns the outcome of an attempt that was sent {age_s:d} s ago once it ends'
+)
+def query_long_running(context: Any, age_s: int) -> None:
+    """Query an attempt while it runs and after its end, and one that never arrived."""
+    asyncio.run(_query_long_running(age_s * 1000))
+
+
+async def _query_long_running(age_ms: int) -> None:
+    gate = gate_with_target(1)
+    incarnation = gate.identity.incarnation
+    attempt = Attempt('a-1', call_request('POST'), 'f', is_remote=True)
+    gate.attempt_table.open(attempt)
+    query = asyncio.create_task(gate.outcome_of('a-1', incarnation, age_ms))
+    await asyncio.sleep(0)
+    assert not query.done()
+    reply = Success(CallReply(200, 'OK', [], b''))
+    gate.attempt_table.close(attempt, reply, time.monotonic())
+    assert (await query) is reply
+    assert (await gate.outcome_of('a-1', incarnation, age_ms)) is reply
+    queried = await gate.outcome_of('a-2', incarnation, age_ms)
+    assert queried.failure().outcome == 'unknown'
+
+
 @then('a router does not report not-run if an attempt ran before a refused retry')
 def retry_refused(context: Any) -> None:
     """Let the first attempt return 500 or lose its link, and the retry be refused."""
--- a/packages/node/src/lavendermountd/gate/attempt_table.py
+++ b/packages/node/src/lavendermountd/gate/attempt_table.py
@@ -33,7 +33,7 @@
 
     The identifier of an attempt from another node is kept for at least
     ``ID_RETENTION_S`` after the attempt ended or the identifier got a tombstone. A
-    lookup of an older one must be answered with ``unknown``.
+    lookup of an older one that has no record must be answered with ``unknown``.
     """
 
     __slots__ = ('running', 'ended', 'outcomes')
@@ -91,7 +91,8 @@
             return stored
         return Failure(
             unknown_refusal(
-                Reason.LINK_LOST, 'the attempt ended, but its outcome is not stored'
+                Reason.LINK_LOST,
+                'the attempt may have ended, but its outcome is not stored',
             )
         )
 
--- a/packages/node/src/lavendermountd/gate/gate.py
+++ b/packages/node/src/lavendermountd/gate/gate.py
@@ -57,8 +57,9 @@
 NODE_FAULTS = frozenset((Reason.CONNECTION_LOST, Reason.NO_MEMORY))
 # Time within which a terminating process closes the connections that it has accepted.
 EXIT_GRACE_S = 0.03
-# Older lookups are answered with ``unknown``: after ``ID_RETENTION_S``, an attempt
-# that ran looks like one that never arrived. Half of that time leaves a margin.
+# Older lookups of an identifier that has no record are answered with ``unknown``: after
+# ``ID_RETENTION_S``, an attempt that ran looks like one that never arrived. Half of
+# that time leaves a margin.
 MAX_LOOKUP_AGE_MS = ID_RETENTION_S * MS_PER_S / 2
 
 
@@ -436,25 +437,27 @@
         """Return the outcome of an attempt whose link was lost.
 
         If the attempt has never arrived, its identifier gets a tombstone, so
-        that it can no longer run.
+        that it can no longer run. One that runs is found however long it has taken.
 
         :param attempt_id: identifier of the attempt.
         :param incarnation: incarnation of the gate that it was sent to.
         :param age_ms: time since it was sent.
         :returns: the outcome, as soon as there is one.
         """
-        is_other_incarnation = incarnation != self.identity.incarnation
-        if is_other_incarnation or age_ms > MAX_LOOKUP_AGE_MS:
+        if incarnation != self.identity.incarnation:
             return Failure(
                 unknown_refusal(
                     Reason.LINK_LOST, 'the gate no longer has a record of the attempt'
                 )
             )
-        if self.attempt_table.add_tombstone(attempt_id, time.monotonic()):
+        table = self.attempt_table
+        if age_ms <= MAX_LOOKUP_AGE_MS and table.add_tombstone(
+            attempt_id, time.monotonic()
+        ):
             return refuse_tombstoned()
-        attempt = self.attempt_table.running.get(attempt_id)
+        attempt = table.running.get(attempt_id)
         if attempt is None:
-            return self.attempt_table.outcome_of(attempt_id)
+            return table.outcome_of(attempt_id)
         return await asyncio.shield(attempt.finished)
 
 
