Presets: a node says that it knows of a preset that it does not put in force

What operators saw: nodes that had refused a config, or the preset of another node, served on with the version before. One log line told of it, at that moment; status and metrics looked like those of a node that knows of nothing newer.

Cause: the refusal was logged and forgotten.

Change: PresetRefusals holds the latest refused preset of the log and of the peers until another one replaces it. The status command prints source, revision, age and findings, and adjusted values; lavendermount_refused_preset_age_seconds has a sample with source and reason for as long as that is so.

--- a/packages/client/src/lavendermount/commands/status.py
+++ b/packages/client/src/lavendermount/commands/status.py
@@ -10,8 +10,11 @@
 from lavendermount.context import CliContext
 from lavendermount.nodes import NodeClient
 from lavendermount_core.models.members import MemberStatus
+from lavendermount_core.utils.units import MS_PER_S
 from lavendermountd.control.generated import control_pb2
 
+SHOWN_ADJUSTMENTS = 10
+
 
 def show_status(context: CliContext, is_json: bool) -> None:
     """Print the status of the first node in the context."""
@@ -58,6 +61,14 @@
     log = 'reachable' if status.is_log_reachable else 'unreachable'
     click.echo(f'node     {node.node_id} in {node.region}/{node.zone}, {status.phase}')
     click.echo(f'preset   {status.preset}@{status.version}, revision {status.revision}')
+    for refused in status.refused_presets:
+        age_s = refused.age_ms // MS_PER_S
+        source = f'{refused.source}, revision {refused.revision}'
+        click.echo(f'refused  from {source}, {age_s} s ago: {refused.reason}')
+    for adjustment in status.adjustments[:SHOWN_ADJUSTMENTS]:
+        click.echo(f'adjusted {adjustment}')
+    if len(status.adjustments) > SHOWN_ADJUSTMENTS:
+        click.echo(f'adjusted {len(status.adjustments)} values in all')
     click.echo(f'log      {log}')
     click.echo(f'recorded {status.decisions}, dropped {status.decisions_dropped}')
     loads = {aged.report.node_id: aged for aged in status.loads}
--- a/packages/node/src/lavendermountd/control/messages.py
+++ b/packages/node/src/lavendermountd/control/messages.py
@@ -13,9 +13,11 @@
 from lavendermount_core.models.members import Member
 from lavendermount_core.models.records import Record
 from lavendermount_core.presets.records import PresetSnapshot
+from lavendermount_core.utils.units import MS_PER_S
 from lavendermountd.control.generated import control_pb2
 from lavendermountd.membership.evacuations import ZoneState
 from lavendermountd.peer.frames import CrashSuspicion
+from lavendermountd.presets.refusals import RefusedPreset
 
 RecordType = TypeVar('RecordType', bound=Record)
 
@@ -56,6 +58,16 @@
     return _from_message(LoadReport, message.report)
 
 
+def refused_message(source: str, refused: RefusedPreset) -> control_pb2.RefusedPreset:
+    """Convert a refused preset to a message."""
+    return control_pb2.RefusedPreset(
+        source=source,
+        revision=refused.revision,
+        reason=refused.reason,
+        age_ms=round(refused.age_s * MS_PER_S),
+    )
+
+
 def suspicion_message(suspicion: CrashSuspicion) -> control_pb2.Suspicion:
     """Convert a suspicion to a message."""
     return control_pb2.Suspicion(**_record_fields(suspicion))  # type: ignore[arg-type]
--- a/packages/node/src/lavendermountd/control/server.py
+++ b/packages/node/src/lavendermountd/control/server.py
@@ -22,6 +22,7 @@
     load_message,
     member_message,
     member_record,
+    refused_message,
 )
 from lavendermountd.membership.gossip import RPC_OVERHEAD_BYTES
 from lavendermountd.presets.parts import PresetParts
@@ -128,6 +129,11 @@
             decisions=node.recorder.recorded,
             decisions_dropped=node.recorder.dropped,
             is_log_reachable=node.follower.reachability.is_reachable,
+            refused_presets=[
+                refused_message(source, refused)
+                for source, refused in node.holder.refusals.by_source.items()
+            ],
+            adjustments=map(str, () if preset is None else preset.adjustments),
         )
 
     async def Drain(  # noqa: N802
--- a/packages/node/src/lavendermountd/gauges.py
+++ b/packages/node/src/lavendermountd/gauges.py
@@ -10,6 +10,9 @@
 if TYPE_CHECKING:
     from lavendermountd.node import Node
 
+# Characters of a reason that its label shows.
+REASON_CHARACTERS = 200
+
 
 def refresh_metrics(node: Node) -> None:
     """Set the gauges to the node's current values."""
@@ -24,6 +27,7 @@
     for name, count in node.selector.excluded_counts.items():
         node.metrics.excluded.set({'constraint': name}, count)
     refresh_memory(node)
+    refresh_refused_presets(node)
     for name, amount in read_state(node).items():
         node.metrics.state.set({'name': name}, amount)
 
@@ -41,12 +45,24 @@
         node.metrics.refused_bodies.set({'kind': str(kind)}, memory.refused[kind])
 
 
+def refresh_refused_presets(node: Node) -> None:
+    """Set the gauge of refused presets; those that are not refused have no sample."""
+    gauge = node.metrics.refused_presets
+    gauge.values.clear()
+    for source, refused in node.holder.refusals.by_source.items():
+        reason = refused.reason[:REASON_CHARACTERS]
+        gauge.set({'source': source, 'reason': reason}, round(refused.age_s, 1))
+
+
 def read_state(node: Node) -> dict[str, float]:
     """Collect the values of the node state gauge, by name."""
+    current = node.holder.current
     return {
         'in_flight': node.gate.admission.in_flight,
         'queued': node.gate.admission.queued,
         'revision': node.holder.revision,
+        'presets_refused': len(node.holder.refusals.by_source),
+        'adjustments': len(current.adjustments) if current else 0,
         'members': len(node.table.members),
         'decisions': node.recorder.recorded,
         'decisions_dropped': node.recorder.dropped,
--- a/packages/node/src/lavendermountd/metrics.py
+++ b/packages/node/src/lavendermountd/metrics.py
@@ -101,6 +101,11 @@
             'Bodies for which there was no memory, by kind.',
             registry=self.registry,
         )
+        self.refused_presets = Gauge(
+            'lavendermount_refused_preset_age_seconds',
+            'Time since a preset was refused that is not in force, by source.',
+            registry=self.registry,
+        )
         self.state = Gauge(
             'lavendermount_node_state',
             'What the node holds, by name.',
--- a/packages/node/src/lavendermountd/presets/catchup.py
+++ b/packages/node/src/lavendermountd/presets/catchup.py
@@ -19,6 +19,7 @@
 from lavendermountd.control.generated import control_pb2
 from lavendermountd.presets.holder import PresetHolder
 from lavendermountd.presets.parts import PartialPreset
+from lavendermountd.presets.refusals import PEER
 from lavendermountd.presets.relay import PresetRelay, ReceivedPreset
 
 log = logging.getLogger(__name__)
@@ -327,7 +328,8 @@
         try:
             preset = await self.holder.prepare_if_newer(received.snapshot)
         except ConfigurationError as error:
-            log.warning('preset-refused', extra={'findings': str(error)})
+            refusals = self.holder.refusals
+            refusals.add(PEER, error, received.snapshot.revision)
             return
         if preset is not None:
             self.holder.put_in_force(preset, received.peer.node_id)
--- a/packages/node/src/lavendermountd/presets/holder.py
+++ b/packages/node/src/lavendermountd/presets/holder.py
@@ -18,14 +18,13 @@
 from lavendermount_core.routing.tuning import tuning_from
 from lavendermount_core.utils.steps import Steps, run_steps
 from lavendermount_core.utils.units import MS_PER_S
+from lavendermountd.presets.refusals import LOG, PresetRefusals
 from lavendermountd.presets.route_index import RouteIndex, index_routes
 from lavendermountd.presets.tenant_index import TenantIndex
 from lavendermountd.slices import run_in_slices
 
 log = logging.getLogger(__name__)
 
-# Source of a preset that was read from the log.
-LOG = 'log'
 LOGGED_ADJUSTMENTS = 20
 
 
@@ -96,12 +95,13 @@
 class PresetHolder:
     """Holds the preset in force; never returns to an older one."""
 
-    __slots__ = ('fold', 'current', 'on_change', 'on_stage', 'turn')
+    __slots__ = ('fold', 'current', 'refusals', 'on_change', 'on_stage', 'turn')
 
     def __init__(self) -> None:
         """Start without a preset in force."""
         self.fold: PresetFold | None = None
         self.current: InForcePreset | None = None
+        self.refusals = PresetRefusals()
         self.on_change: list[Callable[[InForcePreset], None]] = []
         # Called with the time that a stage took, in seconds.
         self.on_stage: Callable[[PresetStage, float], None] = _ignore_stage
@@ -160,6 +160,7 @@
         if prepared is None or prepared.snapshot is not self.fold.in_force:
             prepared = compile_preset(self.fold.in_force)
         self.current = prepared
+        self.refusals.end_up_to(prepared.revision)
         for callback in self.on_change:
             callback(self.current)
         elapsed_s = time.monotonic() - started_at
--- a/packages/node/src/lavendermountd/presets/keyed_follower.py
+++ b/packages/node/src/lavendermountd/presets/keyed_follower.py
@@ -32,8 +32,9 @@
 from lavendermount_core.utils.units import MS_PER_S
 from lavendermountd.membership.evacuations import EvacuationTable
 from lavendermountd.presets.decoders import PresetDecoder
-from lavendermountd.presets.holder import InForcePreset, PresetHolder, PresetStage
+from lavendermountd.presets.holder import PresetHolder, PresetStage
 from lavendermountd.presets.reachability import LogReachability
+from lavendermountd.presets.refusals import LOG, RefusedPreset
 
 log = logging.getLogger(__name__)
 
@@ -93,10 +94,14 @@
         self.is_caught_up = asyncio.Event()
         self.asking: asyncio.Task[None] | None = None
         self.asked_at = time.monotonic()
-        self.is_latest_refused = False
         self.ask_peers: Callable[[], Awaitable[None]] = _ask_nobody
         self.ask_other_regions: Callable[[], Awaitable[None]] = _ask_nobody
 
+    @property
+    def is_latest_refused(self) -> bool:
+        """Whether the latest record of the key holds no valid preset."""
+        return LOG in self.holder.refusals.by_source
+
     def restart(self) -> None:
         """Read again at once, and abandon a read that is waiting.
 
@@ -293,12 +298,16 @@
 
         :param bodies: the records in their order.
         """
-        for count, body in enumerate(reversed(bodies)):
+        refusals = self.holder.refusals.by_source
+        latest: RefusedPreset | None = None
+        for body in reversed(bodies):
             await self.adopt_if_newer(body, self.reachability.transfer)
             if not self.is_latest_refused:
-                # Another node may accept those that were refused here.
-                self.is_latest_refused = count > 0
-                return
+                break
+            latest = latest or refusals[LOG]
+        if latest is not None:
+            # Another node may accept it.
+            refusals[LOG] = latest
 
     async def adopt_if_newer(self, body: bytes, transfer: Transfer) -> None:
         """Put the preset of a record in force if it is valid and newer.
@@ -307,10 +316,12 @@
         :param transfer: the answer that contained it.
         """
         started_at = time.monotonic()
-        preset = await self.try_prepare(body)
-        self.is_latest_refused = preset is None
-        if preset is None:
+        try:
+            preset = await self.holder.prepare(self.decode(body))
+        except ConfigurationError as error:
+            self.holder.refusals.add(LOG, error)
             return
+        self.holder.refusals.end(LOG)
         self.holder.on_stage(PresetStage.RECEIVE, transfer.elapsed_s)
         log.info(
             'preset-received',
@@ -323,14 +334,6 @@
         )
         self.holder.put_in_force(preset)
 
-    async def try_prepare(self, body: bytes) -> InForcePreset | None:
-        """Prepare the preset of a record; log the findings if it is invalid."""
-        try:
-            return await self.holder.prepare(self.decode(body))
-        except ConfigurationError as error:
-            log.warning('preset-refused', extra={'findings': str(error)})
-            return None
-
 
 async def _ask_nobody() -> None:
     """Do nothing; the node installs the real callback."""
