Presets: a node tells its position of the log again once a peer has replaced a refused preset

What the store saw: a node that refuses the latest record of the log does not tell others how far it has read. If it then learned the next preset from a peer, as most nodes do, it never told its position again, and nodes that start read the log themselves.

Cause: only a record that the node read itself took the mark back.

Change: the mark ends when a peer tells a position that is not below the own one.

Evidence: the new scenario failed on the commit before (position 0 in place of 6), passes now; a lower position still leaves it. Shown at a follower, not by real processes.

--- a/packages/node/src/lavendermountd/presets/keyed_follower.py
+++ b/packages/node/src/lavendermountd/presets/keyed_follower.py
@@ -129,6 +129,9 @@
         if not self.is_current_era(position):
             return
         if self.offset != UNKNOWN_OFFSET:
+            if position >= self.offset:
+                # A peer with the same preset in force has read the refused record too.
+                self.holder.refusals.end(LOG)
             self.offset = max(self.offset, position)
         elif position > self.peer_position:
             self.peer_position = position
