--- a/packages/core/src/lavendermount_core/config/node.py
+++ b/packages/core/src/lavendermount_core/config/node.py
@@ -67,7 +67,7 @@
         high=10**8,
     )
     record_bytes = opt.Integer(
-        262144, 'Largest record that the log accepts.', 'bytes', low=65536, high=10**9
+        262144, 'Largest record that the log accepts.', 'bytes', low=4096, high=10**9
     )
 
 
