Presets: a preset of a peer that was refused is not fetched again in each round of gossip

Cause: a node that refuses the preset of a peer keeps its own revision, and each round of gossip names the higher one again.

Change: a revision that was refused is not fetched again for 30 s; a newer one is fetched at once.

--- a/features/presets.feature
+++ b/features/presets.feature
@@ -139,6 +139,10 @@
     When gossip names four peers with newer presets, and only the oldest answers
     Then the preset of the other is in force within 1.5 s
 
+  Scenario: A preset of a peer that is refused is not fetched again and again
+    When gossip names a peer with an invalid preset for 1 s, and then with a valid one
+    Then the invalid one was fetched once, and the valid one is in force
+
   Scenario: What a node announces is not lost among members that have just died
     Given a region in which 6 of 12 other nodes have just died
     Then a node that announces a preset reaches three that live, in 200 of 200
--- a/features/steps/preset_reading_steps.py
+++ b/features/steps/preset_reading_steps.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import time
+from collections import Counter
 from types import SimpleNamespace
 from typing import Any
 
@@ -333,6 +334,55 @@
     return time.monotonic() - started_at
 
 
+class ChangingChannels:
+    """Channels to a peer whose preset changes; they count the calls.
+
+    :param snapshot: preset of the peer.
+    """
+
+    def __init__(self, snapshot: PresetSnapshot) -> None:
+        """Start with no call."""
+        self.snapshot = snapshot
+        self.calls: Counter[int] = Counter()
+
+    async def call_member(
+        self, peer: Any, method: str, request: Any, timeout_s: float
+    ) -> Any:
+        """Answer with the preset."""
+        self.calls[self.snapshot.revision] += 1
+        return preset_message(self.snapshot)
+
+
+@when(
+    'gossip names a peer with an invalid preset for {seconds:g} s, and then with a valid one'
+)
+def refused_peer_preset(context: Any, seconds: float) -> None:
+    """Name the peer in each of many rounds."""
+
+    async def catch_up() -> int:
+        channels = ChangingChannels(PresetSnapshot(7, 8, 'p', 'v', '{"name": 5}'))
+        context.channels = channels
+        holder = PresetHolder()
+        catching_up = PresetCatchUp(holder, channels)
+        task = asyncio.create_task(catching_up.run())
+        for round_number in range(100):
+            if round_number == 50:
+                channels.snapshot = preset_snapshot(8)
+            catching_up.note_revision(member('peer'), channels.snapshot.revision)
+            await asyncio.sleep(seconds / 50)
+        task.cancel()
+        return holder.revision
+
+    context.revision = asyncio.run(catch_up())
+
+
+@then('the invalid one was fetched once, and the valid one is in force')
+def fetched_once(context: Any) -> None:
+    """Check the calls and the revision in force."""
+    assert context.revision == 8, context.revision
+    assert context.channels.calls[7] == 1, context.channels.calls
+
+
 @then('the preset of the other is in force within {seconds:g} s')
 def adopted_soon(context: Any, seconds: float) -> None:
     """Check the time until the preset was adopted."""
--- a/packages/node/src/lavendermountd/presets/catchup.py
+++ b/packages/node/src/lavendermountd/presets/catchup.py
@@ -33,6 +33,8 @@
 MAX_ASKED = 8
 # Times that a peer is asked without an answer, until it tells its revision anew.
 TRIES_PER_PEER = 2
+# Time after which a preset that was refused is fetched again.
+REFUSED_PAUSE_S = 30.0
 
 
 class NewerPeer:
@@ -123,13 +125,25 @@
         self.on_adopted = _ignore_adoption
 
     def note_revision(self, member: Member, revision: int) -> None:
-        """Remember a peer if its revision is newer."""
-        if revision <= self.relay.revision:
+        """Remember a peer if its revision is newer, and was not refused lately."""
+        if not self.is_wanted(revision):
             return
         self.newer_peers[member.node_id] = NewerPeer(member, revision)
         self.is_behind.set()
         self.is_up_to_date.clear()
 
+    def is_wanted(self, revision: int) -> bool:
+        """Return whether a preset is newer, and was not refused lately.
+
+        One that was refused would be fetched and refused in each round of gossip.
+        """
+        if revision <= self.relay.revision:
+            return False
+        refused = self.holder.refusals.by_source.get(PEER)
+        if refused is None or refused.revision != revision:
+            return True
+        return refused.age_s > REFUSED_PAUSE_S
+
     async def run(self) -> None:
         """Fetch newer presets and put them in force, until cancelled."""
         async with asyncio.TaskGroup() as tasks:
@@ -208,8 +222,9 @@
 
     def take_newest_peer(self) -> NewerPeer | None:
         """Remove and return the next peer to ask: the newest not yet asked first."""
-        revision = self.relay.revision
-        newer = [peer for peer in self.newer_peers.values() if peer.revision > revision]
+        newer = [
+            peer for peer in self.newer_peers.values() if self.is_wanted(peer.revision)
+        ]
         if not newer:
             self.newer_peers.clear()
             return None
