--- a/features/mutations.py
+++ b/features/mutations.py
@@ -49,6 +49,23 @@
 
 
 MUTATIONS = (
+    Mutation(
+        'refused-pause',
+        f'{NODE}/presets/catchup.py',
+        'return refused.age_s > REFUSED_PAUSE_S',
+        'return True',
+        'presets',
+        'A preset of a peer that is refused is not fetched again and again',
+    ),
+    Mutation(
+        'long-lookup',
+        f'{NODE}/gate/gate.py',
+        'if incarnation != self.identity.incarnation:',
+        'if age_ms > MAX_LOOKUP_AGE_MS or incarnation != self.identity.incarnation:',
+        'at_most_once',
+        'An order that runs for more than a minute is not given up when the link to its'
+        ' target node is lost',
+    ),
     Mutation(
         'silence-limit',
         f'{CORE}/log/transfer.py',
