Metrics: names and reasons with quotes, backslashes or newlines break no line

The library that renders the metrics does not escape labels, so that a scraper refuses the page if the name of a service, class or tenant, or a reason, has such a character.

Change: they are written without these characters.

--- a/packages/node/src/lavendermountd/gauges.py
+++ b/packages/node/src/lavendermountd/gauges.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from lavendermountd.memory import BodyKind
+from lavendermountd.metrics import label_text
 from lavendermountd.traffic_meter import DISTANCE_LABELS
 
 if TYPE_CHECKING:
@@ -50,7 +51,7 @@
     gauge = node.metrics.refused_presets
     gauge.values.clear()
     for source, refused in node.holder.refusals.by_source.items():
-        reason = refused.reason[:REASON_CHARACTERS]
+        reason = label_text(refused.reason[:REASON_CHARACTERS])
         gauge.set({'source': source, 'reason': reason}, round(refused.age_s, 1))
 
 
--- a/packages/node/src/lavendermountd/metrics.py
+++ b/packages/node/src/lavendermountd/metrics.py
@@ -29,6 +29,13 @@
 )
 MAX_TENANTS = 1000
 OTHER_TENANT = 'other'
+# The library does not escape these characters in labels.
+LABEL_CHARACTERS = str.maketrans({'"': "'", '\\': '/', '\n': ' '})
+
+
+def label_text(text: str) -> str:
+    """Return a text without the characters that would end a label."""
+    return text.translate(LABEL_CHARACTERS)
 
 
 class NodeMetrics:
@@ -126,9 +133,9 @@
         if not isinstance(outcome, Success):
             label = outcome.failure().outcome
         labels = {
-            'service': call_class.service,
-            'class': call_class.name,
-            'tenant': self.tenant_label(call_class.tenant),
+            'service': label_text(call_class.service),
+            'class': label_text(call_class.name),
+            'tenant': label_text(self.tenant_label(call_class.tenant)),
             'outcome': label,
         }
         self.calls.observe(labels, seconds)
