Tenants: a name with control characters never reaches targets

What targets saw: the name of a request's tenant is sent to them in a header. A tenant of the config named "a\r\nX-Evil: 1" gave them a second header, X-Evil, in a trial with real processes.

Cause: the name was taken as it is into the head of the request.

--- a/packages/core/src/lavendermount_core/config/preset.py
+++ b/packages/core/src/lavendermount_core/config/preset.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import re
 from functools import lru_cache
 
 from lavendermount_core.config import options as opt
@@ -29,6 +30,8 @@
 PRIORITY_ORDER = 'priority'
 COST_ORDER = 'cost'
 MAX_SPLIT_WEIGHT = 10**15
+CONTROL_CHARACTER = re.compile(r'[\x00-\x1f\x7f]')
+CONTROL_CHARACTER_MESSAGE = 'must not contain control characters'
 
 
 def _matching_modes() -> list[str]:
@@ -507,10 +510,16 @@
     def check_tenants(self, location: str) -> list[Finding]:
         """Check that names are unique and that a key identifies one tenant.
 
+        Targets get the names in a header, so they must not contain control characters.
         The findings do not contain keys.
         """
         names = [tenant.name for tenant in self.tenant]
         findings = _repeated_names(names, f'{location}tenant')
+        findings.extend(
+            Finding(f'{location}tenant[{index}].name', CONTROL_CHARACTER_MESSAGE)
+            for index, name in enumerate(names)
+            if has_control_character(name)
+        )
         return findings + self.check_keys(location)
 
     def check_keys(self, location: str) -> list[Finding]:
@@ -526,6 +535,11 @@
         return findings
 
 
+def has_control_character(text: str) -> bool:
+    """Return whether a text has a character that would end or break a header."""
+    return CONTROL_CHARACTER.search(text) is not None
+
+
 def _repeated_names(names: list[str], place: str) -> list[Finding]:
     return [
         Finding(f'{place}[{index}].name', f'{name!r} is used more than once')
