Tenants: requests of a tenant whose name Latin-1 can't encode reach targets

What callers saw: in a trial each request of a tenant named with a euro sign was answered 502, because the head with its name could not be written.

Cause: heads are encoded in Latin-1, as the parser of requests decodes them; the name comes from the config.

Change: such a name is sent as UTF-8.

--- a/packages/node/src/lavendermountd/caller/exchange.py
+++ b/packages/node/src/lavendermountd/caller/exchange.py
@@ -31,7 +31,7 @@
 from lavendermountd.caller.headers import drop_hop_by_hop
 from lavendermountd.caller.service import CallService
 from lavendermountd.gate.attempts import AttemptResult
-from lavendermountd.http1.messages import WireRequest
+from lavendermountd.http1.messages import WireRequest, header_text
 from lavendermountd.presets.holder import InForcePreset
 from lavendermountd.stop_schedule import stopping_refusal
 
@@ -254,7 +254,8 @@
     """Return the tenant to name to the target; ``None`` without tenants."""
     if preset.tenants.is_empty:
         return None
-    return '' if classification.tenant is None else classification.tenant.name
+    tenant = classification.tenant
+    return '' if tenant is None else header_text(tenant.name)
 
 
 def _no_preset_refusal() -> Refusal:
--- a/packages/node/src/lavendermountd/http1/messages.py
+++ b/packages/node/src/lavendermountd/http1/messages.py
@@ -103,6 +103,18 @@
     return ''
 
 
+def header_text(text: str) -> str:
+    """Return a text of any language in the form that ``encode_head`` takes.
+
+    :returns: the text, as UTF-8 if Latin-1 lacks one of its characters.
+    """
+    try:
+        text.encode('latin-1')
+    except UnicodeEncodeError:
+        return text.encode().decode('latin-1')
+    return text
+
+
 def encode_head(start_line: str, headers: Headers) -> bytes:
     """Encode the start line and the headers of a message.
 
