Services: a health path that can't be sent ends no task of a node

A path with line breaks gives the instance headers of its own.

Cause: the path was taken as it is into the head of the request.

--- a/packages/core/src/lavendermount_core/config/preset.py
+++ b/packages/core/src/lavendermount_core/config/preset.py
@@ -6,12 +6,17 @@
 
 from __future__ import annotations
 
-import re
 from functools import lru_cache
 
 from lavendermount_core.config import options as opt
 from lavendermount_core.config.findings import Finding
 from lavendermount_core.config.loader import load_text
+from lavendermount_core.config.text_rules import (
+    CONTROL_CHARACTER_MESSAGE,
+    HEALTH_PATH_MESSAGE,
+    has_control_character,
+    is_health_path,
+)
 from lavendermount_core.routing.policies import policy_names
 from lavendermount_core.utils.units import (
     DEFAULT_MAX_BODY_BYTES,
@@ -30,8 +35,6 @@
 PRIORITY_ORDER = 'priority'
 COST_ORDER = 'cost'
 MAX_SPLIT_WEIGHT = 10**15
-CONTROL_CHARACTER = re.compile(r'[\x00-\x1f\x7f]')
-CONTROL_CHARACTER_MESSAGE = 'must not contain control characters'
 
 
 def _matching_modes() -> list[str]:
@@ -393,6 +396,12 @@
         high=10**6,
     )
 
+    def check_consistency(self, location: str) -> list[Finding]:
+        """Check that the path can be sent in a request."""
+        if is_health_path(self.health_path):
+            return []
+        return [Finding(f'{location}.health_path', HEALTH_PATH_MESSAGE)]
+
 
 class LimitOptions(opt.Schema):
     """Limits that protect the node and its target."""
@@ -535,11 +544,6 @@
         return findings
 
 
-def has_control_character(text: str) -> bool:
-    """Return whether a text has a character that would end or break a header."""
-    return CONTROL_CHARACTER.search(text) is not None
-
-
 def _repeated_names(names: list[str], place: str) -> list[Finding]:
     return [
         Finding(f'{place}[{index}].name', f'{name!r} is used more than once')
